--- /dev/null
+++ b/crates/sablebay-config/src/error.rs
@@ -0,0 +1,33 @@
+//! Errors of this crate.
+
+use derive_more::{Display, Error};
+
+use crate::document::{Digest, Version};
+use crate::finding::Finding;
+
+/// Why a configuration could not be taken.
+#[derive(Clone, Debug, Display, Error, PartialEq)]
+pub enum ConfigurationError {
+    /// Validation found mistakes; all of them are listed.
+    #[display("{} findings", findings.len())]
+    Invalid {
+        /// Every finding, in order of place.
+        findings: Vec<Finding>,
+    },
+    /// A delta starts from another version than the one it is applied to.
+    #[display("the delta starts from {delta_from}, not from {current}")]
+    BaseMismatch {
+        /// The version that the delta starts from.
+        delta_from: Version,
+        /// The version at hand.
+        current: Version,
+    },
+    /// The content that results from a delta has another digest than the delta promised.
+    #[display("the content has digest {actual}, not {promised}")]
+    DigestMismatch {
+        /// The digest promised.
+        promised: Digest,
+        /// The digest found.
+        actual: Digest,
+    },
+}
--- /dev/null
+++ b/crates/sablebay-config/src/index.rs
@@ -0,0 +1,145 @@
+//! Index maps and leaves.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use serde::{Deserialize, Serialize};
+
+use sablebay_model::{IndexId, LeafId, PartitionSet, ZoneName};
+
+use crate::finding::Findings;
+use crate::nearest::nearest_name;
+use crate::section::{Layer, Section};
+
+/// A set of partitions that is stored and searched together, and the leaves that hold it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shard {
+    /// The partitions; disjoint from those of every other shard of the index.
+    pub partitions: PartitionSet,
+    /// The leaves that hold a replica, in order of preference.
+    pub leaves: Vec<LeafId>,
+}
+
+/// Which leaves hold which partitions of an index.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct IndexMap {
+    /// The index.
+    pub index: IndexId,
+    /// How many partitions the index has. Never changes during the index's life.
+    pub partitions: u32,
+    /// The shards. Together they hold each partition once.
+    pub shards: Vec<Shard>,
+}
+
+/// One leaf, as configured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeafSettings {
+    /// The leaf.
+    pub leaf: LeafId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Queries that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes, from the whole fleet together. Default 80.
+    pub connections: u32,
+}
+
+const MAXIMUM_PARTITIONS: u64 = 1 << 20;
+const MAXIMUM_SLOTS: u64 = 4_096;
+const MAXIMUM_CONNECTIONS: u64 = 65_536;
+const DEFAULT_CONNECTIONS: u64 = 80;
+
+/// Reads one leaf.
+pub fn read_leaf(findings: &Findings, name: &str, place: &Range<usize>, keys: &Layer<'_>) -> LeafSettings {
+    let section = Section::new(findings, format!("leaf `{name}`"), place.clone(), keys.clone());
+    let address = section.parsed("address", "an IP address and port such as \"10.0.0.1:9000\"");
+    section.missing("address", "an IP address and port");
+    section.missing("zone", "a zone's name");
+    let leaf = LeafSettings {
+        leaf: LeafId::new(name),
+        address: address.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
+        zone: ZoneName::new(section.text("zone").unwrap_or("")),
+        slots: section.integer("slots", 1..=MAXIMUM_SLOTS).unwrap_or(1) as u32,
+        connections: section.integer("connections", 1..=MAXIMUM_CONNECTIONS).unwrap_or(DEFAULT_CONNECTIONS)
+            as u32,
+    };
+    section.finish();
+    leaf
+}
+
+/// Reads one index map. `is_leaf` tells whether a leaf is configured.
+pub fn read_index(
+    findings: &Findings,
+    name: &str,
+    place: &Range<usize>,
+    keys: &Layer<'_>,
+    leaf_names: &[&str],
+) -> IndexMap {
+    let title = format!("index `{name}`");
+    let section = Section::new(findings, title.clone(), place.clone(), keys.clone());
+    let partitions = section.integer("partitions", 1..=MAXIMUM_PARTITIONS);
+    section.missing("partitions", "how many partitions the index has");
+    let mut covered = PartitionSet::empty();
+    let mut shards = Vec::new();
+    for shard_section in section.sections("shards") {
+        let set: Option<PartitionSet> = shard_section.parsed("partitions", "partitions such as \"0-3,7\"");
+        shard_section.missing("partitions", "partitions such as \"0-3,7\"");
+        let leaves = read_shard_leaves(findings, &title, &shard_section, leaf_names);
+        shard_section.finish();
+        let set = set.unwrap_or_default();
+        let where_given = shard_section.place_of("partitions");
+        if covered.intersects(&set) {
+            let twice: PartitionSet = set.iter().filter(|partition| covered.contains(*partition)).collect();
+            let message = format!("{title}: partitions {twice} are in two shards");
+            findings.add(&where_given, message, "each partition in one shard");
+        }
+        if let (Some(count), Some(highest)) = (partitions, set.highest())
+            && u64::from(highest) >= count
+        {
+            let message = format!("{title}: partition {highest} is over the index's {count} partitions");
+            findings.add(&where_given, message, format!("partitions from 0 to {}", count - 1));
+        }
+        covered = covered.union(&set);
+        shards.push(Shard { partitions: set, leaves });
+    }
+    section.finish();
+    let count = partitions.unwrap_or(0) as u32;
+    let absent = PartitionSet::all(count).difference(&covered);
+    if !absent.is_empty() {
+        let message = format!("{title}: partitions {absent} are in no shard");
+        findings.add(place, message, "each partition in one shard");
+    }
+    IndexMap { index: IndexId::new(name), partitions: count, shards }
+}
+
+fn read_shard_leaves(
+    findings: &Findings,
+    title: &str,
+    section: &Section<'_>,
+    leaf_names: &[&str],
+) -> Vec<LeafId> {
+    let given = section.text_list("leaves");
+    if given.is_empty() {
+        findings.add(section.place(), format!("{title}: a shard has no leaves"), "at least one leaf");
+    }
+    let mut leaves: Vec<LeafId> = Vec::with_capacity(given.len());
+    for (name, place) in given {
+        if leaf_names.binary_search(&name).is_err() {
+            let nearest = nearest_name(name, leaf_names.iter().copied());
+            let message = format!("{title}: there is no leaf `{name}`");
+            findings.add_with_nearest(&place, message, "a leaf's name", nearest);
+        }
+        let leaf = LeafId::new(name);
+        if leaves.contains(&leaf) {
+            findings.add(
+                &place,
+                format!("{title}: leaf `{name}` is named twice in a shard"),
+                "each leaf once",
+            );
+        }
+        leaves.push(leaf);
+    }
+    leaves
+}
--- /dev/null
+++ b/crates/sablebay-config/src/lib.rs
@@ -0,0 +1,24 @@
+//! Configuration of sablebay: node settings, templates, instances and index maps.
+//!
+//! Parsing and validation are pure functions from text to a value or to **all** findings with
+//! their places. Nothing here reads a file or a clock.
+
+mod configuration;
+mod document;
+mod error;
+mod finding;
+mod index;
+mod nearest;
+mod node_settings;
+mod section;
+mod service;
+mod template;
+
+pub use configuration::Configuration;
+pub use document::{Delta, Digest, Document, EntryKey, EntryKind, Version};
+pub use error::ConfigurationError;
+pub use finding::{Finding, Findings};
+pub use index::{IndexMap, LeafSettings, Shard};
+pub use nearest::nearest_name;
+pub use node_settings::{LogFormat, NodeSettings};
+pub use service::{FanOut, Priority, ServiceSettings, WhenUnconfirmed};
--- /dev/null
+++ b/crates/sablebay-config/src/node_settings.rs
@@ -0,0 +1,176 @@
+//! The settings of one node: from a TOML file, or the same by flags.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use toml::de::DeTable;
+
+use sablebay_model::{FleetName, NodeId, RegionName, ZoneName};
+
+use crate::error::ConfigurationError;
+use crate::finding::Findings;
+use crate::section::{Section, check_name, layer};
+
+/// The form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text a record.
+    Text,
+    /// One JSON object a record.
+    Json,
+}
+
+/// The settings of one node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeSettings {
+    /// The node's name, unique in its fleet. Required.
+    pub node: NodeId,
+    /// Its zone. Required.
+    pub zone: ZoneName,
+    /// Its region. Default `default`.
+    pub region: RegionName,
+    /// The fleet it belongs to. Default `sablebay`.
+    pub fleet: FleetName,
+    /// The key that peers prove to each other. Default: none, fit for loopback alone.
+    #[serde(skip_serializing)]
+    pub fleet_key: Option<String>,
+    /// Where callers connect. Default 127.0.0.1, any free port.
+    pub caller_address: SocketAddr,
+    /// Where operators connect. Default 127.0.0.1, any free port.
+    pub admin_address: SocketAddr,
+    /// Where peers connect. Default 127.0.0.1, any free port.
+    pub peer_address: SocketAddr,
+    /// The address peers are told, when it differs from the one bound.
+    pub advertised_peer_address: Option<SocketAddr>,
+    /// The platform's service. Default: none; configuration then comes from peers alone.
+    pub platform_address: Option<SocketAddr>,
+    /// Peers to start from.
+    pub peers: Vec<SocketAddr>,
+    /// The token for state-changing admin calls. Without one they are refused off loopback.
+    #[serde(skip_serializing)]
+    pub operator_token: Option<String>,
+    /// `error`, `warn`, `info`, `debug` or `trace`. Default `info`.
+    pub log_level: String,
+    /// Text or JSON lines. Default text.
+    pub log_format: LogFormat,
+    /// Queries that run at once on this node, over all services. Default 4,096.
+    pub concurrency: u32,
+    /// How long a planned stop may take, in milliseconds. Default 30,000.
+    pub stop_timeout_ms: u64,
+    /// Probe period of the membership protocol, in milliseconds. Default 1,000.
+    pub probe_period_ms: u64,
+    /// How often the fleet as a whole reads the platform, per second. Default 2.
+    pub platform_reads_per_second: f64,
+    /// Nodes that connect to the leaves of one service. Default 8.
+    pub aggregators_per_service: u32,
+}
+
+const LEVELS: [(&str, &str); 5] =
+    [("error", "error"), ("warn", "warn"), ("info", "info"), ("debug", "debug"), ("trace", "trace")];
+
+impl NodeSettings {
+    /// Reads settings from the text of a TOML file, with some keys given by flags instead.
+    ///
+    /// Each override is a key and its value in TOML. The file's own lines keep their places.
+    ///
+    /// # Errors
+    /// [`ConfigurationError::Invalid`] with every finding.
+    pub fn parse_with_overrides(
+        file: &str,
+        text: &str,
+        overrides: &[(String, String)],
+    ) -> Result<Self, ConfigurationError> {
+        let mut merged = blank_keys(text, overrides);
+        if !merged.is_empty() && !merged.ends_with('\n') {
+            merged.push('\n');
+        }
+        for (key, value) in overrides {
+            merged.push_str(&format!("{key} = {value}\n"));
+        }
+        Self::parse(file, &merged)
+    }
+
+    /// Reads settings from the text of a TOML file.
+    ///
+    /// # Errors
+    /// [`ConfigurationError::Invalid`] with every finding.
+    pub fn parse(file: &str, text: &str) -> Result<Self, ConfigurationError> {
+        let findings = Findings::new(file, text);
+        let (root, errors) = DeTable::parse_recoverable(text);
+        for error in &errors {
+            let place = error.span().unwrap_or(0..0);
+            findings.add(&place, format!("not TOML: {}", error.message()), "");
+        }
+        let settings = read_settings(&findings, root.get_ref());
+        let list = findings.into_sorted();
+        if list.is_empty() { Ok(settings) } else { Err(ConfigurationError::Invalid { findings: list }) }
+    }
+}
+
+/// The text with the overridden keys replaced by blanks, so that every other place stays.
+fn blank_keys(text: &str, overrides: &[(String, String)]) -> String {
+    let (root, errors) = DeTable::parse_recoverable(text);
+    let mut bytes = text.as_bytes().to_vec();
+    if !errors.is_empty() {
+        return text.to_string();
+    }
+    for (key, value) in root.get_ref() {
+        let name: &str = key.get_ref().as_ref();
+        if overrides.iter().any(|(overridden, _)| overridden == name) {
+            for byte in &mut bytes[key.span().start..value.span().end] {
+                if *byte != b'\n' {
+                    *byte = b' ';
+                }
+            }
+        }
+    }
+    String::from_utf8(bytes).unwrap_or_else(|_| text.to_string())
+}
+
+fn read_settings(findings: &Findings, root: &DeTable<'_>) -> NodeSettings {
+    const ADDRESS: &str = "an IP address and port such as \"127.0.0.1:7000\"";
+    let section = Section::new(findings, "settings".to_string(), 0..0, layer(root));
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut peers = Vec::new();
+    for (text, place) in section.text_list("peers") {
+        match text.parse() {
+            Ok(address) => peers.push(address),
+            Err(_) => findings.add(&place, format!("settings: the peer \"{text}\" is no address"), ADDRESS),
+        }
+    }
+    let settings = NodeSettings {
+        node: NodeId::new(section.text("node").unwrap_or("")),
+        zone: ZoneName::new(section.text("zone").unwrap_or("")),
+        region: RegionName::new(section.text("region").unwrap_or("default")),
+        fleet: FleetName::new(section.text("fleet").unwrap_or("sablebay")),
+        fleet_key: section.text("fleet_key").map(str::to_string),
+        caller_address: section.parsed("caller_address", ADDRESS).unwrap_or(any_port),
+        admin_address: section.parsed("admin_address", ADDRESS).unwrap_or(any_port),
+        peer_address: section.parsed("peer_address", ADDRESS).unwrap_or(any_port),
+        advertised_peer_address: section.parsed("advertised_peer_address", ADDRESS),
+        platform_address: section.parsed("platform_address", ADDRESS),
+        peers,
+        operator_token: section.text("operator_token").map(str::to_string),
+        log_level: section.choice("log_level", &LEVELS).unwrap_or("info").to_string(),
+        log_format: section
+            .choice("log_format", &[("text", LogFormat::Text), ("json", LogFormat::Json)])
+            .unwrap_or(LogFormat::Text),
+        concurrency: section.integer("concurrency", 1..=1_000_000).unwrap_or(4_096) as u32,
+        stop_timeout_ms: section.integer("stop_timeout_ms", 1..=3_600_000).unwrap_or(30_000),
+        probe_period_ms: section.integer("probe_period_ms", 10..=60_000).unwrap_or(1_000),
+        platform_reads_per_second: section
+            .number("platform_reads_per_second", 0.001..=1_000.0)
+            .unwrap_or(2.0),
+        aggregators_per_service: section.integer("aggregators_per_service", 1..=1_000).unwrap_or(8) as u32,
+    };
+    for key in ["node", "zone", "region", "fleet"] {
+        if let Some(name) = section.text(key) {
+            check_name(findings, name, &section.place_of(key));
+        }
+    }
+    section.missing("node", "the node's name");
+    section.missing("zone", "the node's zone");
+    section.finish();
+    settings
+}
--- /dev/null
+++ b/crates/sablebay-config/src/section.rs
@@ -0,0 +1,296 @@
+//! Reading typed values out of a TOML table, collecting a finding for each mistake.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::{Range, RangeInclusive};
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use crate::finding::Findings;
+use crate::nearest::nearest_name;
+
+/// A value with the place that it was given at.
+#[derive(Clone, Copy)]
+pub struct Place<'a> {
+    /// The value.
+    pub value: &'a DeValue<'a>,
+    /// The byte range of the value.
+    pub start: usize,
+    /// The end of that range.
+    pub end: usize,
+    /// The start of the key.
+    pub key_start: usize,
+}
+
+impl Place<'_> {
+    /// The byte range of the value.
+    pub fn range(&self) -> Range<usize> {
+        self.start..self.end
+    }
+}
+
+/// The keys of one table, or of several tables laid over each other.
+pub type Layer<'a> = BTreeMap<&'a str, Place<'a>>;
+
+/// The keys of one table.
+pub fn layer<'a>(table: &'a DeTable<'a>) -> Layer<'a> {
+    table.iter().map(|(key, value)| (key.get_ref().as_ref(), place(key.span().start, value))).collect()
+}
+
+fn place<'a>(key_start: usize, value: &'a Spanned<DeValue<'a>>) -> Place<'a> {
+    Place { value: value.get_ref(), start: value.span().start, end: value.span().end, key_start }
+}
+
+/// A table that is being read: remembers which keys were asked for.
+pub struct Section<'a> {
+    findings: &'a Findings,
+    name: String,
+    place: Range<usize>,
+    keys: Layer<'a>,
+    known: RefCell<BTreeSet<&'static str>>,
+    placeholders_allowed: bool,
+}
+
+impl<'a> Section<'a> {
+    /// A section called `name` in messages.
+    pub fn new(findings: &'a Findings, name: String, place: Range<usize>, keys: Layer<'a>) -> Self {
+        Self { findings, name, place, keys, known: RefCell::default(), placeholders_allowed: false }
+    }
+
+    /// Lets `${name}` stand in place of any value: such a value is read as absent.
+    pub fn allow_placeholders(mut self) -> Self {
+        self.placeholders_allowed = true;
+        self
+    }
+
+    /// The place of the section's own header.
+    pub fn place(&self) -> &Range<usize> {
+        &self.place
+    }
+
+    /// The place of a key's value, or of the section when the key is absent.
+    pub fn place_of(&self, key: &str) -> Range<usize> {
+        self.keys.get(key).map_or(self.place.clone(), Place::range)
+    }
+
+    /// The raw value of a key.
+    pub fn raw(&self, key: &'static str) -> Option<Place<'a>> {
+        self.known.borrow_mut().insert(key);
+        let place = self.keys.get(key).copied()?;
+        if self.placeholders_allowed && placeholder(place.value).is_some() {
+            return None;
+        }
+        Some(place)
+    }
+
+    fn wrong_type(&self, key: &str, place: &Place<'_>, expected: &str) {
+        let message = format!("{}: `{key}` is a {}", self.name, place.value.type_str());
+        self.findings.add(&place.range(), message, expected);
+    }
+
+    /// A text.
+    pub fn text(&self, key: &'static str) -> Option<&'a str> {
+        let place = self.raw(key)?;
+        let text = place.value.as_str();
+        if text.is_none() {
+            self.wrong_type(key, &place, "a text in quotes");
+        }
+        text
+    }
+
+    /// A truth value.
+    pub fn boolean(&self, key: &'static str) -> Option<bool> {
+        let place = self.raw(key)?;
+        let value = place.value.as_bool();
+        if value.is_none() {
+            self.wrong_type(key, &place, "true or false");
+        }
+        value
+    }
+
+    /// A whole number within `limits`.
+    pub fn integer(&self, key: &'static str, limits: RangeInclusive<u64>) -> Option<u64> {
+        let place = self.raw(key)?;
+        let expected = format!("a whole number from {} to {}", limits.start(), limits.end());
+        let Some(number) = place.value.as_integer() else {
+            self.wrong_type(key, &place, &expected);
+            return None;
+        };
+        let parsed = i128::from_str_radix(number.as_str(), number.radix()).unwrap_or(-1);
+        let value = u64::try_from(parsed).ok().filter(|value| limits.contains(value));
+        if value.is_none() {
+            let message = format!("{}: `{key}` is {number}", self.name);
+            self.findings.add(&place.range(), message, expected);
+        }
+        value
+    }
+
+    /// A number within `limits`, with or without a fraction.
+    pub fn number(&self, key: &'static str, limits: RangeInclusive<f64>) -> Option<f64> {
+        let place = self.raw(key)?;
+        let expected = format!("a number from {} to {}", limits.start(), limits.end());
+        let text = match place.value {
+            DeValue::Integer(number) => number.as_str(),
+            DeValue::Float(number) => number.as_str(),
+            _ => {
+                self.wrong_type(key, &place, &expected);
+                return None;
+            }
+        };
+        let value = text.parse::<f64>().ok().filter(|value| limits.contains(value));
+        if value.is_none() {
+            let message = format!("{}: `{key}` is {text}", self.name);
+            self.findings.add(&place.range(), message, expected);
+        }
+        value
+    }
+
+    /// One of several named choices.
+    pub fn choice<T: Copy>(&self, key: &'static str, choices: &[(&'static str, T)]) -> Option<T> {
+        let place = self.raw(key)?;
+        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        let expected = format!("one of {}", names.join(", "));
+        let Some(text) = place.value.as_str() else {
+            self.wrong_type(key, &place, &expected);
+            return None;
+        };
+        let found = choices.iter().find(|(name, _)| *name == text);
+        if found.is_none() {
+            let message = format!("{}: `{key}` is \"{text}\"", self.name);
+            let nearest = nearest_name(text, names.iter().copied());
+            self.findings.add_with_nearest(&place.range(), message, expected, nearest);
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// A value in a text form of its own.
+    pub fn parsed<T: std::str::FromStr>(&self, key: &'static str, expected: &str) -> Option<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let place = self.raw(key)?;
+        let text = self.text(key)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let message = format!("{}: `{key}` is \"{text}\": {error}", self.name);
+                self.findings.add(&place.range(), message, expected);
+                None
+            }
+        }
+    }
+
+    /// A list of texts, each with its place.
+    pub fn text_list(&self, key: &'static str) -> Vec<(&'a str, Range<usize>)> {
+        let Some(place) = self.raw(key) else {
+            return Vec::new();
+        };
+        let Some(array) = place.value.as_array() else {
+            self.wrong_type(key, &place, "a list of texts");
+            return Vec::new();
+        };
+        let mut texts = Vec::with_capacity(array.len());
+        for item in array.iter() {
+            match item.get_ref().as_str() {
+                Some(text) => texts.push((text, item.span())),
+                None => {
+                    let message = format!("{}: an item of `{key}` is no text", self.name);
+                    self.findings.add(&item.span(), message, "a text in quotes");
+                }
+            }
+        }
+        texts
+    }
+
+    /// A list of tables, as sections.
+    pub fn sections(&self, key: &'static str) -> Vec<Section<'a>> {
+        let Some(place) = self.raw(key) else {
+            return Vec::new();
+        };
+        let Some(array) = place.value.as_array() else {
+            self.wrong_type(key, &place, "a list of tables");
+            return Vec::new();
+        };
+        let mut sections = Vec::with_capacity(array.len());
+        for item in array.iter() {
+            match item.get_ref().as_table() {
+                Some(table) => {
+                    let name = format!("{}.{key}", self.name);
+                    sections.push(Section::new(self.findings, name, item.span(), layer(table)));
+                }
+                None => {
+                    let message = format!("{}: an item of `{key}` is no table", self.name);
+                    self.findings.add(&item.span(), message, "a table");
+                }
+            }
+        }
+        sections
+    }
+
+    /// A table of named tables: name, place of the name, and the table's keys.
+    pub fn named_tables(&self, key: &'static str) -> Vec<(&'a str, Range<usize>, Layer<'a>)> {
+        let Some(place) = self.raw(key) else {
+            return Vec::new();
+        };
+        let Some(table) = place.value.as_table() else {
+            self.wrong_type(key, &place, "a table");
+            return Vec::new();
+        };
+        let mut tables = Vec::with_capacity(table.len());
+        for (name, value) in table.iter() {
+            let text: &str = name.get_ref().as_ref();
+            check_name(self.findings, text, &name.span());
+            match value.get_ref().as_table() {
+                Some(inner) => tables.push((text, name.span(), layer(inner))),
+                None => {
+                    let message = format!("`{key}.{text}` is a {}", value.get_ref().type_str());
+                    self.findings.add(&value.span(), message, "a table");
+                }
+            }
+        }
+        tables
+    }
+
+    /// Reports that a required key is absent.
+    pub fn missing(&self, key: &str, expected: &str) {
+        let present = self.keys.contains_key(key);
+        if !present {
+            let message = format!("{}: `{key}` is missing", self.name);
+            self.findings.add(&self.place, message, expected);
+        }
+    }
+
+    /// Ends the reading: each key that nobody asked for is a finding.
+    pub fn finish(&self) {
+        let known = self.known.borrow();
+        for (key, place) in &self.keys {
+            if known.contains(key) {
+                continue;
+            }
+            let message = format!("{}: unknown key `{key}`", self.name);
+            let names: Vec<&str> = known.iter().copied().collect();
+            let nearest = nearest_name(key, names.iter().copied());
+            let expected = format!("one of {}", names.join(", "));
+            let range = place.key_start..place.key_start;
+            self.findings.add_with_nearest(&range, message, expected, nearest);
+        }
+    }
+}
+
+/// The parameter name in a `${name}` value.
+pub fn placeholder<'a>(value: &'a DeValue<'a>) -> Option<&'a str> {
+    value.as_str()?.strip_prefix("${")?.strip_suffix('}')
+}
+
+/// The longest name of a service, index, leaf, template, node or zone.
+const MAXIMUM_NAME_LENGTH: usize = 64;
+
+/// Names go into tickets, URLs and file names: letters, digits, `-` and `_` alone are safe there.
+pub fn check_name(findings: &Findings, name: &str, place: &Range<usize>) {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    if name.is_empty() || name.len() > MAXIMUM_NAME_LENGTH || !name.bytes().all(plain) {
+        let expected = format!("1 to {MAXIMUM_NAME_LENGTH} letters, digits, `-` or `_`");
+        findings.add(place, format!("`{name}` is no name"), expected);
+    }
+}
--- /dev/null
+++ b/crates/sablebay-config/src/template.rs
@@ -0,0 +1,152 @@
+//! Templates: inheritance, parameters, and laying an instance over its template.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+
+use toml::de::DeValue;
+
+use sablebay_model::ServiceId;
+
+use crate::finding::Findings;
+use crate::nearest::nearest_name;
+use crate::section::{Layer, Section, layer, placeholder};
+use crate::service::{ServiceSettings, read_service};
+
+/// The templates of a document by name: place of the name, and keys.
+pub type Templates<'a> = BTreeMap<&'a str, (Range<usize>, Layer<'a>)>;
+
+/// Keys of a template or instance that are no settings of the service.
+const STRUCTURAL_KEYS: [&str; 3] = ["extends", "template", "parameters"];
+
+/// Checks each template by itself: its keys, its parent, cycles.
+pub fn check_templates(findings: &Findings, templates: &Templates<'_>) {
+    for (name, (place, keys)) in templates {
+        let title = format!("template `{name}`");
+        let section = Section::new(findings, title, place.clone(), keys.clone()).allow_placeholders();
+        section.raw("extends");
+        read_service(&section, ServiceId::new(name), Vec::new());
+        chain(findings, templates, name);
+    }
+}
+
+/// A template and those it extends, nearest first. Stops at a cycle or an unknown name.
+fn chain<'a>(findings: &Findings, templates: &Templates<'a>, start: &str) -> Vec<&'a str> {
+    let mut names = Vec::new();
+    let mut seen = BTreeSet::new();
+    let mut next = start;
+    while let Some((name, (_, keys))) = templates.get_key_value(next) {
+        seen.insert(*name);
+        names.push(*name);
+        let Some(place) = keys.get("extends") else {
+            break;
+        };
+        let Some(parent) = place.value.as_str() else {
+            findings.add(
+                &place.range(),
+                format!("template `{name}`: `extends` is no text"),
+                "a template's name",
+            );
+            break;
+        };
+        if seen.contains(parent) {
+            let message = format!("template `{name}` extends `{parent}`, which leads back to it");
+            findings.add(&place.range(), message, "templates without a cycle");
+            break;
+        }
+        if !templates.contains_key(parent) {
+            unknown_template(findings, templates, &place.range(), parent);
+        }
+        next = parent;
+    }
+    names
+}
+
+fn unknown_template(findings: &Findings, templates: &Templates<'_>, place: &Range<usize>, name: &str) {
+    let nearest = nearest_name(name, templates.keys().copied());
+    findings.add_with_nearest(place, format!("there is no template `{name}`"), "a template's name", nearest);
+}
+
+/// Reads one instance: its template's keys, its own over them, parameters filled in.
+pub fn read_instance<'a>(
+    findings: &'a Findings,
+    templates: &Templates<'a>,
+    name: &str,
+    place: &Range<usize>,
+    own: &Layer<'a>,
+) -> ServiceSettings {
+    let title = format!("instance `{name}`");
+    let names = match own.get("template").and_then(|place| place.value.as_str()) {
+        Some(template) if templates.contains_key(template) => chain(findings, templates, template),
+        Some(template) => {
+            unknown_template(findings, templates, &own["template"].range(), template);
+            Vec::new()
+        }
+        None => {
+            let message = format!("{title}: `template` is missing");
+            findings.add(place, message, "a template's name");
+            Vec::new()
+        }
+    };
+    let mut merged = Layer::new();
+    for template in names.iter().rev() {
+        let (_, keys) = &templates[template];
+        merged.extend(keys.iter().map(|(key, place)| (*key, *place)));
+    }
+    merged.extend(own.iter().map(|(key, place)| (*key, *place)));
+    merged.retain(|key, _| !STRUCTURAL_KEYS.contains(key));
+    fill_parameters(findings, &title, place, own, &mut merged);
+    let section = Section::new(findings, title, place.clone(), merged);
+    let names = names.into_iter().map(str::to_string).collect();
+    let settings = read_service(&section, ServiceId::new(name), names);
+    section.missing("index", "an index's name");
+    settings
+}
+
+/// Replaces each `${name}` by the instance's parameter of that name.
+fn fill_parameters<'a>(
+    findings: &Findings,
+    title: &str,
+    place: &Range<usize>,
+    own: &Layer<'a>,
+    merged: &mut Layer<'a>,
+) {
+    let parameters = parameters_of(findings, title, own);
+    let mut used = BTreeSet::new();
+    let mut unresolved = Vec::new();
+    for (key, value) in merged.iter_mut() {
+        let Some(name) = placeholder(value.value) else {
+            continue;
+        };
+        used.insert(name);
+        match parameters.get(name) {
+            Some(given) => *value = *given,
+            None => {
+                let message = format!("{title}: `{key}` needs the parameter `{name}`, which is not given");
+                let nearest = nearest_name(name, parameters.keys().copied());
+                findings.add_with_nearest(place, message, "a value under `parameters`", nearest);
+                unresolved.push(*key);
+            }
+        }
+    }
+    merged.retain(|key, _| !unresolved.contains(key));
+    for (name, value) in &parameters {
+        if !used.contains(name) {
+            let message = format!("{title}: the parameter `{name}` is not used by its template");
+            let nearest = nearest_name(name, used.iter().copied());
+            let range = value.key_start..value.key_start;
+            findings.add_with_nearest(&range, message, "a parameter of the template", nearest);
+        }
+    }
+}
+
+fn parameters_of<'a>(findings: &Findings, title: &str, own: &Layer<'a>) -> Layer<'a> {
+    let Some(place) = own.get("parameters") else {
+        return Layer::new();
+    };
+    let DeValue::Table(table) = place.value else {
+        let message = format!("{title}: `parameters` is a {}", place.value.type_str());
+        findings.add(&place.range(), message, "a table");
+        return Layer::new();
+    };
+    layer(table)
+}
--- /dev/null
+++ b/crates/sablebay-fleet/src/fleet_node/configuration.rs
@@ -0,0 +1,200 @@
+//! Adopting and passing on configurations.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sablebay_config::{Configuration, Delta, EntryKey, Finding, Version};
+use sablebay_model::{InstanceKey, Micros};
+
+use super::{FleetNode, FleetOutput};
+use crate::floor::{Offer, Rejection};
+use crate::message::FleetMessage;
+use crate::rumour::Rumour;
+use crate::transfer::{Assembly, parts_of};
+
+/// Deltas up to this size are pushed; of larger ones only the version is announced.
+const MAXIMUM_PUSHED_BYTES: usize = 32 * 1024;
+/// How long an answer to a request for configuration is waited for before another peer is asked.
+const REQUEST_PATIENCE: Micros = Micros::from_millis(1_000);
+/// Findings of a rejected revision that are told to other nodes.
+const MAXIMUM_TOLD_FINDINGS: usize = 10;
+
+impl FleetNode {
+    /// A validated configuration was read from the platform.
+    pub fn offer_from_platform(
+        &mut self,
+        configuration: Arc<Configuration>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) -> Offer {
+        self.offer(configuration, now, outputs)
+    }
+
+    /// The platform was read, and had nothing newer. Confirms a node that has no peers.
+    pub fn platform_confirmed(&mut self, asked_at: Micros) {
+        if self.is_alone() {
+            self.lease.confirm(asked_at);
+        }
+    }
+
+    /// A revision read from the platform was rejected.
+    pub fn reject(&mut self, version: Version, findings: Vec<Finding>, outputs: &mut Vec<FleetOutput>) {
+        let by = self.info.key.clone();
+        let rejection = Rejection { version, by: by.to_string(), findings };
+        self.take_rejection(rejection, by, outputs);
+    }
+
+    pub(super) fn take_rejection(
+        &mut self,
+        rejection: Rejection,
+        by: InstanceKey,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        let version = rejection.version;
+        let told = rejection.findings.iter().take(MAXIMUM_TOLD_FINDINGS).cloned().collect();
+        if !self.floor.reject(rejection) {
+            return;
+        }
+        outputs.push(FleetOutput::Rejected(version));
+        self.spread(Rumour::Rejected { version, by, findings: told }, outputs);
+    }
+
+    fn offer(
+        &mut self,
+        configuration: Arc<Configuration>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) -> Offer {
+        let offer = self.floor.offer(configuration, now);
+        self.after_offer(&offer, outputs);
+        offer
+    }
+
+    fn after_offer(&mut self, offer: &Offer, outputs: &mut Vec<FleetOutput>) {
+        let Offer::Adopted { .. } = offer else {
+            return;
+        };
+        if let Some(configuration) = self.floor.in_force() {
+            outputs.push(FleetOutput::Adopted(configuration.clone()));
+        }
+        if !self.floor.lags() {
+            self.wanted_since = None;
+            self.assembly = None;
+        }
+        if self.settings.mechanisms.push {
+            self.push_configuration(outputs);
+        }
+    }
+
+    /// Sends what was just adopted to a few peers, which do the same.
+    fn push_configuration(&mut self, outputs: &mut Vec<FleetOutput>) {
+        let small = |delta: &&Arc<Delta>| delta.content_bytes() <= MAXIMUM_PUSHED_BYTES;
+        let message = match self.floor.last_delta().filter(small) {
+            Some(delta) => FleetMessage::ConfigurationDelta { delta: delta.clone() },
+            None => FleetMessage::ConfigurationAnnounced { version: self.floor.version() },
+        };
+        for to in self.random_peers(self.settings.push_fan_out) {
+            self.send(to, message.clone(), outputs);
+        }
+    }
+
+    /// A peer runs, or knows of, this version.
+    pub(super) fn hear_version(
+        &mut self,
+        from: SocketAddr,
+        version: Version,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        if !self.floor.hear(version) {
+            return;
+        }
+        let asked_lately = self.wanted_since.is_some_and(|at| now.since(at) < REQUEST_PATIENCE);
+        if !asked_lately {
+            self.want_from(from, now, outputs);
+        }
+    }
+
+    fn want_from(&mut self, from: SocketAddr, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        self.wanted_since = Some(now);
+        let have = self.floor.version();
+        self.send(from, FleetMessage::ConfigurationWanted { have }, outputs);
+    }
+
+    /// Asks another peer when the one that was asked does not answer.
+    pub(super) fn tick_configuration(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        if !self.floor.lags() {
+            return;
+        }
+        let arriving = self.assembly.as_ref().is_some_and(|assembly| !assembly.is_stalled(now));
+        let asked_lately = self.wanted_since.is_some_and(|at| now.since(at) < REQUEST_PATIENCE);
+        if arriving || asked_lately {
+            return;
+        }
+        for to in self.random_peers(1) {
+            self.want_from(to, now, outputs);
+        }
+    }
+
+    pub(super) fn on_wanted(&mut self, to: SocketAddr, have: Version, outputs: &mut Vec<FleetOutput>) {
+        let version = self.floor.version();
+        if have >= version {
+            return;
+        }
+        if let Some(deltas) = self.floor.deltas_since(have) {
+            for delta in deltas {
+                self.send(to, FleetMessage::ConfigurationDelta { delta }, outputs);
+            }
+            return;
+        }
+        let Some(configuration) = self.floor.in_force() else {
+            return;
+        };
+        for part in parts_of(&configuration.document) {
+            self.send(to, part, outputs);
+        }
+    }
+
+    pub(super) fn on_delta(
+        &mut self,
+        from: SocketAddr,
+        delta: Arc<Delta>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        let target = delta.to;
+        match self.floor.offer_delta(&delta, now) {
+            Some(offer) => self.after_offer(&offer, outputs),
+            None => self.hear_version(from, target, now, outputs),
+        }
+    }
+
+    pub(super) fn on_part(
+        &mut self,
+        version: Version,
+        part: u32,
+        parts: u32,
+        entries: Vec<(EntryKey, String)>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        self.floor.hear(version);
+        if version <= self.floor.version() {
+            return;
+        }
+        let newer = self.assembly.as_ref().is_none_or(|assembly| assembly.version() < version);
+        if newer {
+            self.assembly = Some(Assembly::new(version, parts, now));
+        }
+        let Some(assembly) = self.assembly.as_mut().filter(|assembly| assembly.version() == version) else {
+            return;
+        };
+        let Some(document) = assembly.add(part, entries, now) else {
+            return;
+        };
+        self.assembly = None;
+        if let Ok(configuration) = Configuration::from_document(document) {
+            self.offer(Arc::new(configuration), now, outputs);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay-fleet/src/fleet_node/membership.rs
@@ -0,0 +1,380 @@
+//! Joining, probing, suspicion and rumours.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+
+use sablebay_config::Version;
+use sablebay_model::{InstanceKey, Micros, NodeId};
+
+use super::{FleetNode, FleetOutput};
+use crate::floor::Rejection;
+use crate::member::{MemberInfo, MemberStatus};
+use crate::members::MemberClaim;
+use crate::message::FleetMessage;
+use crate::probing::ProbeStep;
+use crate::rumour::{LeafNotice, Rumour};
+
+/// Members that are asked to probe a silent one.
+const INDIRECT_PROBES: usize = 3;
+/// Probe periods that a suspicion lasts, for each factor of ten of the fleet's size.
+const SUSPICION_PERIODS: f64 = 3.0;
+/// How long members that are gone are remembered, so that old rumours do not bring them back.
+const REMEMBER_GONE: Micros = Micros::from_secs(300);
+/// How often a starting node asks its seeds again.
+const JOIN_INTERVAL: Micros = Micros::from_millis(300);
+/// The shortest time between exchanges of the whole member list.
+const MINIMUM_SYNC_INTERVAL: Micros = Micros::from_secs(30);
+/// Added to that time for each member, so that its cost does not grow with the fleet.
+const SYNC_INTERVAL_PER_MEMBER: Micros = Micros::from_millis(200);
+
+impl FleetNode {
+    pub(super) fn send(&self, to: SocketAddr, message: FleetMessage, outputs: &mut Vec<FleetOutput>) {
+        outputs.push(FleetOutput::Send { to, message });
+    }
+
+    /// Addresses of `count` present members drawn at random.
+    pub(super) fn random_peers(&mut self, count: usize) -> Vec<SocketAddr> {
+        let present = self.members.present().map(|member| member.info.peer_address);
+        present.sample(&mut self.random, count)
+    }
+
+    pub(super) fn tick_join(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let alone = self.members.present_count() == 0;
+        if (self.joined && !alone) || now < self.next_join_at || self.leaving {
+            return;
+        }
+        self.next_join_at = now.plus(JOIN_INTERVAL).plus(self.jitter(JOIN_INTERVAL));
+        for seed in self.seeds.clone() {
+            self.send(seed, FleetMessage::MembersWanted, outputs);
+            let have = self.floor.version();
+            self.send(seed, FleetMessage::ConfigurationWanted { have }, outputs);
+        }
+    }
+
+    /// A random time up to `limit`.
+    pub(super) fn jitter(&mut self, limit: Micros) -> Micros {
+        Micros(self.random.random_range(0..=limit.0))
+    }
+
+    pub(super) fn tick_probes(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        for step in self.probes.tick(&self.members, now, &mut self.random) {
+            match step {
+                ProbeStep::Direct(node) => self.probe(&node, None, now, outputs),
+                ProbeStep::Indirect(node, sequence) => self.probe_through_others(node, sequence, outputs),
+                ProbeStep::Failed(key) => self.suspect(&key, now, outputs),
+            }
+        }
+    }
+
+    fn probe(
+        &mut self,
+        node: &NodeId,
+        behalf: Option<(NodeId, u64)>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        let Some(member) = self.members.get(node) else {
+            return;
+        };
+        let to = member.info.peer_address;
+        let target = member.info.key.clone();
+        let sequence = self.probes.sent(target, behalf, now);
+        let message = self.probe_message(sequence);
+        self.send(to, message, outputs);
+    }
+
+    fn probe_message(&mut self, sequence: u64) -> FleetMessage {
+        FleetMessage::Probe {
+            sequence,
+            info: self.info.clone(),
+            refutation: self.refutation,
+            version: self.floor.floor(),
+            rumours: self.rumours.take(self.members.len()),
+        }
+    }
+
+    /// Asks `count` random members at once whether they know of a newer configuration.
+    pub fn ask_for_confirmation(&mut self, count: usize, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let present = self.members.present().map(|member| member.info.key.node.clone());
+        let nodes: Vec<NodeId> = present.sample(&mut self.random, count);
+        for node in nodes {
+            self.probe(&node, None, now, outputs);
+        }
+    }
+
+    fn probe_through_others(&mut self, target: NodeId, sequence: u64, outputs: &mut Vec<FleetOutput>) {
+        let helpers = self.members.present().filter(|member| member.info.key.node != target);
+        let addresses = helpers.map(|member| member.info.peer_address);
+        let chosen: Vec<SocketAddr> = addresses.sample(&mut self.random, INDIRECT_PROBES);
+        for to in chosen {
+            let message = FleetMessage::IndirectProbe { sequence, target: target.clone() };
+            self.send(to, message, outputs);
+        }
+    }
+
+    fn suspect(&mut self, key: &InstanceKey, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let Some(member) = self.members.get(&key.node) else {
+            return;
+        };
+        if member.info.key != *key || member.status() != MemberStatus::Alive {
+            return;
+        }
+        let claim = MemberClaim { status: MemberStatus::Suspect, ..member.claim() };
+        self.take_member_claim(claim, now, outputs);
+    }
+
+    pub(super) fn tick_suspicions(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let size = self.members.present_count() as f64 + 1.0;
+        let periods = SUSPICION_PERIODS * size.log10().max(1.0);
+        let patience = Micros((self.settings.probe_period.0 as f64 * periods) as u64);
+        let overdue: Vec<NodeId> = self
+            .members
+            .suspects()
+            .filter(|member| now.since(member.since()) >= patience)
+            .map(|member| member.info.key.node.clone())
+            .collect();
+        for node in overdue {
+            if let Some(claim) = self.members.expire_suspicion(&node, now) {
+                outputs.push(FleetOutput::MemberChanged(claim.info.key.clone(), claim.status));
+                self.rumours.add(Rumour::Member(claim));
+            }
+        }
+    }
+
+    /// Now and then exchanges the whole list with one member, present or gone: this mends what
+    /// rumours missed, and joins the halves of a fleet that was cut.
+    pub(super) fn tick_sync(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        if now < self.next_sync_at || !self.joined || self.leaving {
+            return;
+        }
+        let per_member = SYNC_INTERVAL_PER_MEMBER.0 * self.members.len() as u64;
+        let interval = Micros(MINIMUM_SYNC_INTERVAL.0 + per_member);
+        self.next_sync_at = now.plus(Micros(interval.0 / 2)).plus(self.jitter(interval));
+        self.members.forget_gone(Micros(now.0.saturating_sub(REMEMBER_GONE.0)));
+        for to in self.random_peers(1) {
+            self.send(to, FleetMessage::MembersWanted, outputs);
+        }
+        self.knock_on_a_gone_member(now, outputs);
+    }
+
+    /// A member that is believed dead is probed now and then: it may have been cut off.
+    fn knock_on_a_gone_member(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let gone = self.members.iter().filter(|member| member.status() == MemberStatus::Dead);
+        let nodes = gone.map(|member| member.info.key.node.clone());
+        if let Some(node) = nodes.choose(&mut self.random) {
+            self.probe(&node, None, now, outputs);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn on_probe(
+        &mut self,
+        sequence: u64,
+        info: Arc<MemberInfo>,
+        refutation: u32,
+        version: Version,
+        rumours: Vec<Rumour>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        let from = info.key.clone();
+        let to = info.peer_address;
+        let claim = MemberClaim { info, status: MemberStatus::Alive, refutation };
+        self.take_member_claim(claim, now, outputs);
+        self.tell_if_believed_gone(&from, to, outputs);
+        self.members.heard(&from, version, now);
+        self.take_rumours(rumours, now, outputs);
+        let ack = FleetMessage::ProbeAck {
+            sequence,
+            version: self.floor.floor(),
+            rumours: self.rumours.take(self.members.len()),
+        };
+        self.send(to, ack, outputs);
+        self.hear_version(to, version, now, outputs);
+    }
+
+    /// A member that probes while it is believed dead is told so, and can refute it.
+    fn tell_if_believed_gone(&self, key: &InstanceKey, to: SocketAddr, outputs: &mut Vec<FleetOutput>) {
+        let Some(member) = self.members.get(&key.node) else {
+            return;
+        };
+        if member.status() != MemberStatus::Alive {
+            let rumours = vec![Rumour::Member(member.claim())];
+            self.send(to, FleetMessage::News { rumours }, outputs);
+        }
+    }
+
+    pub(super) fn on_probe_ack(
+        &mut self,
+        from: &InstanceKey,
+        sequence: u64,
+        version: Version,
+        rumours: Vec<Rumour>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        self.members.heard(from, version, now);
+        self.take_rumours(rumours, now, outputs);
+        let Some(probe) = self.probes.answered(sequence) else {
+            return;
+        };
+        let address = self.members.get(&from.node).map(|member| member.info.peer_address);
+        if let Some(address) = address {
+            self.hear_version(address, version, now, outputs);
+        }
+        if !self.floor.lags() {
+            self.lease.confirm(probe.sent_at);
+        }
+        if let Some((asker, asked_sequence)) = probe.on_behalf_of
+            && let Some(member) = self.members.get(&asker)
+        {
+            let to = member.info.peer_address;
+            self.send(to, FleetMessage::IndirectAck { sequence: asked_sequence }, outputs);
+        }
+    }
+
+    pub(super) fn on_indirect_probe(
+        &mut self,
+        from: &InstanceKey,
+        sequence: u64,
+        target: &NodeId,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        self.probe(target, Some((from.node.clone(), sequence)), now, outputs);
+    }
+
+    pub(super) fn on_members_wanted(&mut self, to: SocketAddr, outputs: &mut Vec<FleetOutput>) {
+        let own = MemberClaim {
+            info: self.info.clone(),
+            status: if self.leaving { MemberStatus::Leaving } else { MemberStatus::Alive },
+            refutation: self.refutation,
+        };
+        let known = self.members.iter().map(|member| member.claim());
+        let members = std::iter::once(own).chain(known).collect();
+        self.send(to, FleetMessage::Members { members }, outputs);
+        let notices: Vec<Rumour> = self.leaves.notices().map(Rumour::Leaf).collect();
+        if !notices.is_empty() {
+            self.send(to, FleetMessage::News { rumours: notices }, outputs);
+        }
+        let version = self.floor.floor();
+        self.send(to, FleetMessage::ConfigurationAnnounced { version }, outputs);
+    }
+
+    pub(super) fn on_members(
+        &mut self,
+        members: Vec<MemberClaim>,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        for claim in members {
+            self.take_member_claim(claim, now, outputs);
+        }
+        if !self.joined {
+            self.joined = true;
+            self.next_sync_at = now.plus(self.jitter(MINIMUM_SYNC_INTERVAL));
+            self.ask_for_confirmation(INDIRECT_PROBES, now, outputs);
+        }
+    }
+
+    pub(super) fn take_rumours(&mut self, rumours: Vec<Rumour>, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        for rumour in rumours {
+            match rumour {
+                Rumour::Member(claim) => self.take_member_claim(claim, now, outputs),
+                Rumour::Leaf(notice) => self.take_leaf_notice(notice, outputs),
+                Rumour::Rejected { version, by, findings } => {
+                    let rejection = Rejection { version, by: by.to_string(), findings };
+                    self.take_rejection(rejection, by, outputs);
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_member_claim(
+        &mut self,
+        claim: MemberClaim,
+        now: Micros,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        if claim.info.key.node == self.info.key.node {
+            self.refute(&claim);
+            return;
+        }
+        let before = self.members.get(&claim.info.key.node).map(|member| member.status());
+        if !self.members.merge(&claim, now) {
+            return;
+        }
+        let status = claim.status;
+        if before != Some(status) {
+            outputs.push(FleetOutput::MemberChanged(claim.info.key.clone(), status));
+        }
+        self.spread(Rumour::Member(claim), outputs);
+    }
+
+    /// Somebody says that this node is suspected, dead or leaving: it says that it lives.
+    fn refute(&mut self, claim: &MemberClaim) {
+        let about_this_life = claim.info.key == self.info.key;
+        let wrong = claim.status != MemberStatus::Alive && !self.leaving;
+        if about_this_life && wrong && claim.refutation >= self.refutation {
+            self.refutation = claim.refutation + 1;
+            self.rumours.add(Rumour::Member(self.own_claim(MemberStatus::Alive)));
+        }
+    }
+
+    fn own_claim(&self, status: MemberStatus) -> MemberClaim {
+        MemberClaim { info: self.info.clone(), status, refutation: self.refutation }
+    }
+
+    /// Passes news on: with the next probes, and at once when it is urgent.
+    pub(super) fn spread(&mut self, rumour: Rumour, outputs: &mut Vec<FleetOutput>) {
+        if rumour.is_urgent() {
+            for to in self.random_peers(self.settings.push_fan_out) {
+                let rumours = vec![rumour.clone()];
+                self.send(to, FleetMessage::News { rumours }, outputs);
+            }
+        }
+        self.rumours.add(rumour);
+    }
+
+    pub(super) fn take_leaf_notice(&mut self, notice: LeafNotice, outputs: &mut Vec<FleetOutput>) {
+        if !self.leaves.merge(&notice) {
+            return;
+        }
+        outputs.push(FleetOutput::LeafChanged(notice.leaf.clone(), notice.leaving));
+        if self.settings.mechanisms.leaf_rumours {
+            self.spread(Rumour::Leaf(notice), outputs);
+        }
+    }
+
+    /// Tells the fleet that this node stops.
+    pub fn leave(&mut self, outputs: &mut Vec<FleetOutput>) {
+        self.leaving = true;
+        let claim = self.own_claim(MemberStatus::Leaving);
+        self.spread(Rumour::Member(claim), outputs);
+    }
+
+    /// Takes back [`FleetNode::leave`]: the node was undrained before it stopped.
+    pub fn return_to_work(&mut self, outputs: &mut Vec<FleetOutput>) {
+        self.leaving = false;
+        self.refutation += 1;
+        let claim = self.own_claim(MemberStatus::Alive);
+        for to in self.random_peers(self.settings.push_fan_out) {
+            let rumours = vec![Rumour::Member(claim.clone())];
+            self.send(to, FleetMessage::News { rumours }, outputs);
+        }
+        self.rumours.add(Rumour::Member(claim));
+    }
+
+    /// Whether the node has said that it stops.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether no other member is present.
+    pub fn is_alone(&self) -> bool {
+        self.members.present_count() == 0
+    }
+}
--- /dev/null
+++ b/crates/sablebay-fleet/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decision logic of the fleet: membership, the floor under the configuration, freshness,
+//! and claims on operations that may run once at most. No I/O, no clock, no ambient randomness.
+
+mod aggregators;
+mod claims;
+mod error;
+mod fleet_node;
+mod floor;
+mod lease;
+mod leaving;
+mod member;
+mod members;
+mod message;
+mod probing;
+mod rumour;
+mod submission;
+mod ticket;
+mod transfer;
+
+pub use aggregators::aggregators_of;
+pub use claims::{ClaimAnswer, ClaimHolder, ClaimRequest, Claimant, TicketState};
+pub use error::FleetError;
+pub use fleet_node::{FleetMechanisms, FleetNode, FleetOutput, FleetSettings};
+pub use floor::{ConfigurationFloor, Conflict, Offer, Rejection};
+pub use lease::FreshnessLease;
+pub use member::{LifeEvent, MemberInfo, MemberStatus};
+pub use members::{Member, MemberClaim, MemberTable};
+pub use message::FleetMessage;
+pub use rumour::{LeafNotice, Rumour};
+pub use submission::{HolderReply, Submission, SubmissionStep};
+pub use ticket::{CLAIM_HOLDERS, CLAIM_QUORUM, Ticket, TicketId};
--- /dev/null
+++ b/crates/sablebay-fleet/src/rumour.rs
@@ -0,0 +1,96 @@
+//! Rumours: news that ride on probes, each passed on a bounded number of times.
+
+use musli::{Decode, Encode};
+
+use sablebay_config::{Finding, Version};
+use sablebay_model::{InstanceKey, LeafId};
+
+use crate::members::MemberClaim;
+
+/// The newest word about whether a leaf is leaving.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct LeafNotice {
+    /// The leaf.
+    pub leaf: LeafId,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Wall-clock milliseconds of the word; of two words the later one counts.
+    pub stamp: u64,
+}
+
+/// One piece of news.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Rumour {
+    /// A member's status.
+    Member(MemberClaim),
+    /// A leaf is leaving, or has come back.
+    Leaf(LeafNotice),
+    /// A revision was rejected.
+    Rejected {
+        /// The revision and the digest of its text.
+        version: Version,
+        /// Who rejected it first.
+        by: InstanceKey,
+        /// The first of its findings.
+        findings: Vec<Finding>,
+    },
+}
+
+impl Rumour {
+    /// Whether the rumour is sent on at once rather than with the next probe.
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            Rumour::Member(claim) => claim.status == crate::member::MemberStatus::Leaving,
+            Rumour::Leaf(_) | Rumour::Rejected { .. } => true,
+        }
+    }
+
+    /// Whether a newer rumour takes this one's place in the queue.
+    fn is_replaced_by(&self, newer: &Rumour) -> bool {
+        match (self, newer) {
+            (Rumour::Member(old), Rumour::Member(new)) => old.info.key.node == new.info.key.node,
+            (Rumour::Leaf(old), Rumour::Leaf(new)) => old.leaf == new.leaf,
+            (Rumour::Rejected { version: old, .. }, Rumour::Rejected { version: new, .. }) => old == new,
+            _ => false,
+        }
+    }
+}
+
+/// Rumours that this node still passes on.
+#[derive(Clone, Debug, Default)]
+pub struct RumourQueue {
+    waiting: Vec<(Rumour, u32)>,
+}
+
+/// Rumours in one message at the most.
+const RUMOURS_PER_MESSAGE: usize = 8;
+/// Times a rumour is passed on, for each doubling of the fleet.
+const REPEATS_PER_DOUBLING: f64 = 2.0;
+/// Rumours that wait at the most; the most often repeated are dropped first.
+const MAXIMUM_WAITING: usize = 1_024;
+
+impl RumourQueue {
+    /// Adds a rumour; an older one about the same thing is dropped.
+    pub fn add(&mut self, rumour: Rumour) {
+        self.waiting.retain(|(old, _)| !old.is_replaced_by(&rumour));
+        self.waiting.push((rumour, 0));
+        if self.waiting.len() > MAXIMUM_WAITING {
+            self.waiting.sort_by_key(|(_, repeats)| *repeats);
+            self.waiting.truncate(MAXIMUM_WAITING);
+        }
+    }
+
+    /// The rumours for one message, least repeated first; drops what was repeated enough.
+    pub fn take(&mut self, fleet_size: usize) -> Vec<Rumour> {
+        let doublings = ((fleet_size + 2) as f64).log2();
+        let limit = (REPEATS_PER_DOUBLING * doublings).ceil() as u32;
+        self.waiting.sort_by_key(|(_, repeats)| *repeats);
+        let mut taken = Vec::new();
+        for (rumour, repeats) in self.waiting.iter_mut().take(RUMOURS_PER_MESSAGE) {
+            *repeats += 1;
+            taken.push(rumour.clone());
+        }
+        self.waiting.retain(|(_, repeats)| *repeats < limit);
+        taken
+    }
+}
--- /dev/null
+++ b/crates/sablebay-fleet/src/ticket.rs
@@ -0,0 +1,102 @@
+//! Tickets: what makes two submissions of an operation the same request.
+//!
+//! A ticket names, once and for all, the three node lives that hold its claim. The group never
+//! changes, so that no agreement on membership is needed.
+
+use std::fmt;
+use std::str::FromStr;
+
+use derive_more::Display;
+use musli::{Decode, Encode};
+
+use sablebay_model::{Incarnation, InstanceKey, NodeId, ServiceId, WallMillis};
+
+use crate::error::FleetError;
+
+/// Nodes that hold the claim on one ticket.
+pub const CLAIM_HOLDERS: usize = 3;
+/// Holders that must have recorded a claim before the claimant may run the operation.
+pub const CLAIM_QUORUM: usize = 2;
+
+const FORMAT: &str = "t1";
+const FIELDS: usize = 5 + CLAIM_HOLDERS;
+
+/// Names a ticket among all tickets.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[display("{_0:032x}")]
+#[musli(transparent)]
+pub struct TicketId(pub u128);
+
+/// Leave to run one operation once. As text: fields with dots between them.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Ticket {
+    /// Its identity, drawn at random.
+    pub id: TicketId,
+    /// When it was minted, by the minting node's wall clock.
+    pub minted_at: WallMillis,
+    /// For how long it can be used, in milliseconds.
+    pub lifetime_ms: u64,
+    /// The service that the operation is for.
+    pub service: ServiceId,
+    /// The node lives that hold its claim. Fewer than three in a smaller fleet.
+    pub holders: Vec<InstanceKey>,
+}
+
+impl Ticket {
+    /// How many holders must have recorded a claim: a majority of them.
+    pub fn quorum(&self) -> usize {
+        self.holders.len() / 2 + 1
+    }
+
+    /// When it can no longer be used.
+    pub fn expires_at(&self) -> WallMillis {
+        WallMillis(self.minted_at.0.saturating_add(self.lifetime_ms))
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{FORMAT}.{}.{}.{}.{}", self.minted_at, self.lifetime_ms, self.id, self.service)?;
+        for holder in &self.holders {
+            write!(formatter, ".{holder}")?;
+        }
+        Ok(())
+    }
+}
+
+fn number(text: &str, field: &'static str) -> Result<u64, FleetError> {
+    text.parse().map_err(|_| FleetError::TicketField { field })
+}
+
+fn holder(text: &str) -> Result<InstanceKey, FleetError> {
+    let (node, incarnation) = text.split_once('@').ok_or(FleetError::TicketField { field: "holder" })?;
+    Ok(InstanceKey {
+        node: NodeId::new(node),
+        incarnation: Incarnation(number(incarnation, "holder's incarnation")?),
+    })
+}
+
+impl FromStr for Ticket {
+    type Err = FleetError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fields: Vec<&str> = text.split('.').collect();
+        if fields[0] != FORMAT {
+            return Err(FleetError::TicketFormat { format: fields[0].chars().take(16).collect() });
+        }
+        let holders_from = FIELDS - CLAIM_HOLDERS;
+        if fields.len() <= holders_from || fields.len() > FIELDS {
+            return Err(FleetError::TicketFields { expected: FIELDS, found: fields.len() });
+        }
+        let id =
+            u128::from_str_radix(fields[3], 16).map_err(|_| FleetError::TicketField { field: "identity" })?;
+        let holders = fields[holders_from..].iter().map(|text| holder(text)).collect::<Result<_, _>>()?;
+        Ok(Self {
+            id: TicketId(id),
+            minted_at: WallMillis(number(fields[1], "mint time")?),
+            lifetime_ms: number(fields[2], "lifetime")?,
+            service: ServiceId::new(fields[4]),
+            holders,
+        })
+    }
+}
--- /dev/null
+++ b/crates/sablebay-fleet/src/transfer.rs
@@ -0,0 +1,77 @@
+//! Sending a whole configuration in parts, and putting it together again.
+
+use std::collections::BTreeMap;
+
+use sablebay_config::{Document, EntryKey, Version};
+use sablebay_model::Micros;
+
+use crate::message::FleetMessage;
+
+/// Content bytes of one part, roughly.
+const PART_BYTES: usize = 256 * 1024;
+/// How long a part is waited for before the whole is asked for again.
+const PART_PATIENCE: Micros = Micros::from_secs(5);
+
+/// The parts of a document.
+pub fn parts_of(document: &Document) -> Vec<FleetMessage> {
+    let mut parts: Vec<Vec<(EntryKey, String)>> = vec![Vec::new()];
+    let mut bytes = 0;
+    for (key, body) in document.entries() {
+        if bytes >= PART_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += key.name.len() + body.len();
+        let last = parts.last_mut().expect("there is a first part");
+        last.push((key.clone(), body.to_string()));
+    }
+    let count = parts.len() as u32;
+    let message = |(part, entries)| FleetMessage::ConfigurationPart {
+        version: document.version(),
+        part: part as u32,
+        parts: count,
+        entries,
+    };
+    parts.into_iter().enumerate().map(message).collect()
+}
+
+/// A whole configuration on its way in.
+#[derive(Clone, Debug)]
+pub struct Assembly {
+    version: Version,
+    parts: u32,
+    received: BTreeMap<u32, Vec<(EntryKey, String)>>,
+    last_part_at: Micros,
+}
+
+impl Assembly {
+    /// An assembly of `parts` parts.
+    pub fn new(version: Version, parts: u32, now: Micros) -> Self {
+        Self { version, parts, received: BTreeMap::new(), last_part_at: now }
+    }
+
+    /// The version that is put together.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Whether it has waited too long for its next part.
+    pub fn is_stalled(&self, now: Micros) -> bool {
+        now.since(self.last_part_at) > PART_PATIENCE
+    }
+
+    /// Takes a part in. Returns the document when it is whole and has the digest it should.
+    pub fn add(&mut self, part: u32, entries: Vec<(EntryKey, String)>, now: Micros) -> Option<Document> {
+        if part >= self.parts {
+            return None;
+        }
+        self.received.insert(part, entries);
+        self.last_part_at = now;
+        if self.received.len() < self.parts as usize {
+            return None;
+        }
+        let entries = std::mem::take(&mut self.received).into_values().flatten();
+        let document = Document::new(self.version.revision, entries);
+        (document.version() == self.version).then_some(document)
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -0,0 +1,356 @@
+//! The operators' HTTP API.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::extract::{ConnectInfo, DefaultBodyLimit, Path, Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post, put};
+use axum::{Json, Router};
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+
+use sablebay_config::{Configuration, ConfigurationError, Finding, ServiceSettings, Version};
+use sablebay_model::{Reason, Refusal, ServiceId};
+use sablebay_protocol::caller::TOKEN_HEADER;
+use sablebay_protocol::peer::{PeerRequest, PeerResponse};
+
+use crate::fleet_task::step_fleet;
+use crate::outcome_body::refusal_response;
+use crate::peers::Lane;
+use crate::report::{NodeReport, ServiceReport, node_report};
+use crate::shared::Shared;
+
+/// The longest candidate configuration.
+const MAXIMUM_CANDIDATE_BYTES: usize = 64 << 20;
+/// How long peers have to send their reports.
+const REPORT_PATIENCE: Duration = Duration::from_secs(2);
+/// Peers asked for their report at once.
+const REPORTS_AT_ONCE: usize = 64;
+
+/// The routes.
+pub fn admin_routes(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/status", get(status))
+        .route("/v1/configuration", get(configuration))
+        .route("/v1/configuration/check", post(check_candidate))
+        .route("/v1/services/{service}", get(service))
+        .route("/v1/drain", post(drain))
+        .route("/v1/undrain", post(undrain))
+        .route("/v1/log-level", put(log_level))
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(metrics))
+        .fallback(no_such_path)
+        .method_not_allowed_fallback(no_such_path)
+        .layer(DefaultBodyLimit::max(MAXIMUM_CANDIDATE_BYTES))
+        .with_state(shared)
+}
+
+async fn no_such_path() -> Response {
+    refusal_response(Refusal::not_run(Reason::NoSuchPath, "there is no such path or method"))
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> Response {
+    let ready = shared.freshness.is_ready() && !shared.lifecycle.is_draining();
+    if ready {
+        "ready\n".into_response()
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+    }
+}
+
+/// State-changing calls need the operator's token; without one configured they are taken from
+/// this machine alone.
+fn authorize(shared: &Shared, from: SocketAddr, headers: &HeaderMap) -> Result<(), Refusal> {
+    let Some(token) = &shared.settings.operator_token else {
+        if from.ip().is_loopback() {
+            return Ok(());
+        }
+        let message = "no operator_token is set, so that this call is taken from this machine alone";
+        return Err(Refusal::not_run(Reason::Unauthorized, message));
+    };
+    let given = headers.get(TOKEN_HEADER).map_or(&[][..], |value| value.as_bytes());
+    if bool::from(token.as_bytes().ct_eq(given)) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(Reason::Unauthorized, "the operator's token is missing or wrong"))
+}
+
+#[derive(Deserialize)]
+struct StatusScope {
+    #[serde(default)]
+    fleet: bool,
+}
+
+/// What every node of the fleet says, or why it did not.
+#[derive(Serialize)]
+struct FleetStatus {
+    /// How many nodes run each version.
+    versions: BTreeMap<String, usize>,
+    /// Nodes that gave no report.
+    silent: Vec<String>,
+    /// The reports.
+    nodes: Vec<NodeReport>,
+}
+
+async fn status(State(shared): State<Arc<Shared>>, Query(scope): Query<StatusScope>) -> Response {
+    if !scope.fleet {
+        return Json(node_report(&shared)).into_response();
+    }
+    Json(fleet_status(&shared).await).into_response()
+}
+
+async fn fleet_status(shared: &Arc<Shared>) -> FleetStatus {
+    let peers = shared.world.load().peers.clone();
+    let mut asking = tokio::task::JoinSet::new();
+    let mut answers = Vec::new();
+    for peer in peers.iter().cloned() {
+        if asking.len() >= REPORTS_AT_ONCE {
+            answers.extend(asking.join_next().await.and_then(Result::ok));
+        }
+        let shared = shared.clone();
+        asking.spawn(async move {
+            let until = tokio::time::Instant::now() + REPORT_PATIENCE;
+            let response =
+                shared.peers.request(peer.address, Lane::Control, PeerRequest::Report, until).await;
+            let report = match response {
+                Ok(PeerResponse::Report(text)) => serde_json::from_str::<NodeReport>(&text).ok(),
+                _ => None,
+            };
+            (peer.node.to_string(), report)
+        });
+    }
+    answers.extend(asking.join_all().await);
+    let mut nodes = vec![node_report(shared)];
+    let mut silent = Vec::new();
+    for (node, report) in answers {
+        match report {
+            Some(report) => nodes.push(report),
+            None => silent.push(node),
+        }
+    }
+    nodes.sort_by(|a, b| a.node.cmp(&b.node));
+    let mut versions: BTreeMap<String, usize> = BTreeMap::new();
+    for node in &nodes {
+        *versions.entry(node.version.to_string()).or_default() += 1;
+    }
+    FleetStatus { versions, silent, nodes }
+}
+
+#[derive(Serialize)]
+struct ConfigurationAnswer {
+    version: Version,
+    floor: Version,
+    in_force_for_ms: u64,
+    services: Vec<ServiceSettings>,
+    indexes: usize,
+    leaves: usize,
+    rejections: Vec<sablebay_fleet::Rejection>,
+    conflicts: Vec<sablebay_fleet::Conflict>,
+}
+
+async fn configuration(State(shared): State<Arc<Shared>>) -> Response {
+    let Some(configuration) = shared.configuration() else {
+        return refusal_response(Refusal::not_run(Reason::NotReady, "the node has no configuration yet"));
+    };
+    let fleet = shared.fleet.lock();
+    let floor = fleet.floor();
+    let answer = ConfigurationAnswer {
+        version: configuration.version,
+        floor: floor.floor(),
+        in_force_for_ms: shared.clock.now().since(floor.adopted_at()).as_millis(),
+        services: configuration.services.values().map(|service| (**service).clone()).collect(),
+        indexes: configuration.indexes.len(),
+        leaves: configuration.leaves.len(),
+        rejections: floor.rejections().cloned().collect(),
+        conflicts: floor.conflicts().copied().collect(),
+    };
+    drop(fleet);
+    Json(answer).into_response()
+}
+
+/// What a candidate configuration would change.
+#[derive(Serialize)]
+struct CandidateAnswer {
+    valid: bool,
+    findings: Vec<Finding>,
+    would_be_adopted: bool,
+    in_force: Option<Version>,
+    candidate: Option<Version>,
+    changed: Vec<String>,
+    removed: Vec<String>,
+}
+
+async fn check_candidate(State(shared): State<Arc<Shared>>, body: Bytes) -> Response {
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let in_force = shared.configuration();
+    let floor = shared.fleet.lock().floor().floor();
+    let parsed = tokio::task::spawn_blocking(move || Configuration::parse("candidate", &text)).await;
+    let Ok(parsed) = parsed else {
+        return refusal_response(Refusal::not_run(Reason::BadRequest, "the candidate could not be read"));
+    };
+    let in_force_version = in_force.as_ref().map(|configuration| configuration.version);
+    let answer = match parsed {
+        Err(ConfigurationError::Invalid { findings }) => CandidateAnswer {
+            valid: false,
+            findings,
+            would_be_adopted: false,
+            in_force: in_force_version,
+            candidate: None,
+            changed: Vec::new(),
+            removed: Vec::new(),
+        },
+        Err(error) => return refusal_response(Refusal::not_run(Reason::BadRequest, error.to_string())),
+        Ok(candidate) => {
+            let delta = in_force.map(|before| before.document.delta_to(&candidate.document));
+            let names = |keys: Vec<String>| keys;
+            CandidateAnswer {
+                valid: true,
+                findings: Vec::new(),
+                would_be_adopted: candidate.version > floor,
+                in_force: in_force_version,
+                candidate: Some(candidate.version),
+                changed: delta.as_ref().map_or_else(Vec::new, |delta| {
+                    names(delta.changed.iter().map(|(key, _)| key.to_string()).collect())
+                }),
+                removed: delta.as_ref().map_or_else(Vec::new, |delta| {
+                    names(delta.removed.iter().map(|key| key.to_string()).collect())
+                }),
+            }
+        }
+    };
+    Json(answer).into_response()
+}
+
+#[derive(Serialize)]
+struct ServiceAnswer {
+    version: Version,
+    settings: ServiceSettings,
+    nodes: usize,
+    behaviour: ServiceReport,
+    latency_p50_ms: f64,
+    latency_p99_ms: f64,
+    latency_p999_ms: f64,
+    extra_load_percent: f64,
+}
+
+async fn service(State(shared): State<Arc<Shared>>, Path(name): Path<String>) -> Response {
+    let configuration = shared.configuration();
+    let found =
+        configuration.and_then(|c| Some((c.version, c.services.get(&ServiceId::new(&name))?.clone())));
+    let Some((version, settings)) = found else {
+        let message = format!("there is no service `{name}`");
+        return refusal_response(Refusal::not_run(Reason::UnknownService, message));
+    };
+    let fleet = fleet_status(&shared).await;
+    let mut behaviour = ServiceReport::default();
+    let mut nodes = 0;
+    for report in fleet.nodes.iter().filter_map(|node| node.services.get(&name)) {
+        behaviour.merge(report);
+        nodes += 1;
+    }
+    let latency = behaviour.latency_ms(&[0.5, 0.99, 0.999]);
+    let extra_load_percent = behaviour.extra_load_percent();
+    behaviour.latency_us.clear();
+    let answer = ServiceAnswer {
+        version,
+        settings: (*settings).clone(),
+        nodes,
+        behaviour,
+        latency_p50_ms: latency[0],
+        latency_p99_ms: latency[1],
+        latency_p999_ms: latency[2],
+        extra_load_percent,
+    };
+    Json(answer).into_response()
+}
+
+async fn drain(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(from): ConnectInfo<SocketAddr>,
+    headers: HeaderMap,
+) -> Response {
+    if let Err(refusal) = authorize(&shared, from, &headers) {
+        return refusal_response(refusal);
+    }
+    start_draining(&shared);
+    Json(node_report(&shared)).into_response()
+}
+
+/// Refuses new work, and tells the fleet.
+pub fn start_draining(shared: &Arc<Shared>) {
+    if shared.lifecycle.is_draining() {
+        return;
+    }
+    log::info!("stop: the node drains; new work is refused.");
+    shared.lifecycle.set_draining(true);
+    step_fleet(shared, |fleet, _, outputs| fleet.leave(outputs));
+}
+
+async fn undrain(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(from): ConnectInfo<SocketAddr>,
+    headers: HeaderMap,
+) -> Response {
+    if let Err(refusal) = authorize(&shared, from, &headers) {
+        return refusal_response(refusal);
+    }
+    if shared.lifecycle.is_draining() {
+        log::info!("stop: the node takes work again.");
+        shared.lifecycle.set_draining(false);
+        step_fleet(&shared, |fleet, _, outputs| fleet.return_to_work(outputs));
+    }
+    Json(node_report(&shared)).into_response()
+}
+
+#[derive(Deserialize)]
+struct LevelBody {
+    level: log::LevelFilter,
+}
+
+async fn log_level(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(from): ConnectInfo<SocketAddr>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    if let Err(refusal) = authorize(&shared, from, &headers) {
+        return refusal_response(refusal);
+    }
+    let Ok(body) = serde_json::from_slice::<LevelBody>(&body) else {
+        let message = "expected {\"level\": \"error|warn|info|debug|trace\"}";
+        return refusal_response(Refusal::not_run(Reason::BadRequest, message));
+    };
+    let Some(control) = &shared.log_control else {
+        let message = "this process has no log of its own";
+        return refusal_response(Refusal::not_run(Reason::BadRequest, message));
+    };
+    match control.set_level(body.level) {
+        Ok(()) => {
+            log::info!("log: the level is {}.", body.level);
+            StatusCode::NO_CONTENT.into_response()
+        }
+        Err(error) => refusal_response(Refusal::not_run(Reason::BadRequest, error.to_string())),
+    }
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> String {
+    let metrics = &shared.metrics;
+    let counters = shared.peers.counters();
+    let read = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed) as i64;
+    metrics.members.set(shared.world.load().peers.len() as i64 + 1);
+    metrics.in_flight.set(shared.lifecycle.in_flight());
+    metrics.frames_wrong_proof.set(read(&counters.wrong_proof));
+    metrics.frames_malformed.set(read(&counters.malformed));
+    metrics.control_bytes.set(read(&counters.control_bytes_sent));
+    metrics.misaddressed.set(read(&shared.client_counters.misaddressed));
+    let confirmed = shared.freshness.confirmed_ms_ago(shared.clock.now());
+    metrics.confirmed_ms_ago.set(confirmed.map_or(-1, |ms| ms as i64));
+    metrics.render()
+}
--- /dev/null
+++ b/crates/sablebay-node/src/caller_api.rs
@@ -0,0 +1,267 @@
+//! The callers' HTTP API.
+
+use std::sync::Arc;
+
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use rand::RngExt;
+use serde_json::value::RawValue;
+
+use sablebay_fleet::{Ticket, TicketState};
+use sablebay_model::{Reason, Refusal, RequestId, ServiceId};
+use sablebay_protocol::caller::{
+    DEADLINE_HEADER, OperationAnswer, QueryBody, REQUEST_ID_HEADER, TICKET_HEADER, TicketAnswer,
+    TicketStatusAnswer,
+};
+
+use crate::operation::{OperationInput, mint_ticket, run_operation, ticket_state};
+use crate::outcome_body::refusal_response;
+use crate::root_search::{QueryInput, find_service, root_search, stopping};
+use crate::shared::Shared;
+
+/// The longest body.
+const MAXIMUM_BODY_BYTES: usize = 256 * 1024;
+/// Hits in one answer at the most.
+const MAXIMUM_LIMIT: usize = 10_000;
+/// The longest deadline a caller may ask for, in milliseconds.
+const MAXIMUM_DEADLINE_MS: u64 = 600_000;
+/// The longest request identifier.
+const MAXIMUM_REQUEST_ID_LENGTH: usize = 128;
+
+type Answer = Result<Response, Refusal>;
+
+/// The routes.
+pub fn caller_routes(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/services/{service}/query", post(query))
+        .route("/v1/services/{service}/operations", post(operation))
+        .route("/v1/services/{service}/tickets", post(new_ticket))
+        .route("/v1/tickets/{ticket}", get(ticket))
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(ready))
+        .fallback(no_such_path)
+        .method_not_allowed_fallback(no_such_path)
+        .layer(DefaultBodyLimit::max(MAXIMUM_BODY_BYTES))
+        .layer(from_fn_with_state(shared.clone(), close_when_draining))
+        .with_state(shared)
+}
+
+/// A draining node tells its callers to take their next request elsewhere.
+async fn close_when_draining(
+    State(shared): State<Arc<Shared>>,
+    request: axum::extract::Request,
+    next: Next,
+) -> Response {
+    let mut response = next.run(request).await;
+    if shared.lifecycle.is_draining() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn no_such_path() -> Response {
+    refusal_response(Refusal::not_run(Reason::NoSuchPath, "there is no such path or method"))
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> Response {
+    let ready = shared.freshness.is_ready() && !shared.lifecycle.is_draining();
+    if ready {
+        "ready\n".into_response()
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+    }
+}
+
+fn respond(answer: Answer) -> Response {
+    answer.unwrap_or_else(refusal_response)
+}
+
+/// What callers may say in headers.
+struct CallerHeaders {
+    request_id: RequestId,
+    deadline_ms: Option<u64>,
+    ticket: Option<String>,
+}
+
+fn text_header<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str();
+    let bad = |_| Refusal::not_run(Reason::BadRequest, format!("the header {name} is not plain text"));
+    text.map(Some).map_err(bad)
+}
+
+fn read_headers(headers: &HeaderMap) -> Result<CallerHeaders, Refusal> {
+    let request_id = match text_header(headers, REQUEST_ID_HEADER)? {
+        Some(id) if id.len() > MAXIMUM_REQUEST_ID_LENGTH => {
+            let message = format!("{REQUEST_ID_HEADER} is over {MAXIMUM_REQUEST_ID_LENGTH} bytes");
+            return Err(Refusal::not_run(Reason::TooLarge, message));
+        }
+        Some(id) => RequestId::new(id),
+        None => RequestId::new(format!("{:016x}", rand::rng().random::<u64>())),
+    };
+    let deadline_ms = match text_header(headers, DEADLINE_HEADER)? {
+        None => None,
+        Some(text) => {
+            let limits = 1..=MAXIMUM_DEADLINE_MS;
+            let value = text.parse::<u64>().ok().filter(|value| limits.contains(value));
+            let message = format!("{DEADLINE_HEADER} is `{text}`, not 1 to {MAXIMUM_DEADLINE_MS}");
+            Some(value.ok_or_else(|| Refusal::not_run(Reason::BadRequest, message))?)
+        }
+    };
+    let ticket = text_header(headers, TICKET_HEADER)?.map(str::to_string);
+    Ok(CallerHeaders { request_id, deadline_ms, ticket })
+}
+
+/// The body as sent, or why it was not taken.
+type ReceivedBody = Result<Bytes, axum::extract::rejection::BytesRejection>;
+
+fn read_body(body: ReceivedBody) -> Result<Bytes, Refusal> {
+    body.map_err(|rejection| {
+        if rejection.status() == StatusCode::PAYLOAD_TOO_LARGE {
+            let message = format!("the body is over {MAXIMUM_BODY_BYTES} bytes");
+            Refusal::not_run(Reason::TooLarge, message)
+        } else {
+            Refusal::not_run(Reason::BadRequest, "the body could not be read")
+        }
+    })
+}
+
+fn parse_body<'a, T: serde::Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| {
+        Refusal::not_run(Reason::BadRequest, format!("the body is not as expected: {error}"))
+    })
+}
+
+async fn query(
+    State(shared): State<Arc<Shared>>,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    body: ReceivedBody,
+) -> Response {
+    respond(answer_query(&shared, &service, &headers, body).await)
+}
+
+async fn answer_query(
+    shared: &Arc<Shared>,
+    service: &str,
+    headers: &HeaderMap,
+    body: ReceivedBody,
+) -> Answer {
+    let headers = read_headers(headers)?;
+    let body = read_body(body)?;
+    let body: QueryBody = parse_body(&body)?;
+    if body.limit > MAXIMUM_LIMIT {
+        let message = format!("limit is {}, over {MAXIMUM_LIMIT}", body.limit);
+        return Err(Refusal::not_run(Reason::TooLarge, message));
+    }
+    let request_id = headers.request_id.clone();
+    let input = QueryInput {
+        request_id: headers.request_id,
+        query: body.query.into(),
+        limit: body.limit,
+        sort: body.sort,
+        deadline_ms: headers.deadline_ms,
+    };
+    let result = root_search(shared, &ServiceId::new(service), input).await;
+    match &result {
+        Ok(answer) => {
+            let covered = answer.coverage.partitions_answered;
+            log::debug!(service = service, request = request_id.as_str(), partitions = covered; "query: answered.");
+        }
+        Err(refusal) => {
+            let reason = refusal.reason.to_string();
+            log::info!(service = service, request = request_id.as_str(), reason = reason.as_str(); "query: refused.");
+        }
+    }
+    Ok(Json(result?).into_response())
+}
+
+async fn operation(
+    State(shared): State<Arc<Shared>>,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    body: ReceivedBody,
+) -> Response {
+    respond(answer_operation(&shared, &service, &headers, body).await)
+}
+
+async fn answer_operation(
+    shared: &Arc<Shared>,
+    service: &str,
+    headers: &HeaderMap,
+    body: ReceivedBody,
+) -> Answer {
+    let headers = read_headers(headers)?;
+    let body = read_body(body)?;
+    let operation: Box<RawValue> = parse_body(&body)?;
+    let request_id = headers.request_id.clone();
+    let input = OperationInput { operation, ticket: headers.ticket, deadline_ms: headers.deadline_ms };
+    // The operation goes on when the caller goes away: it may have been sent, and its outcome has
+    // to be recorded.
+    let service_id = ServiceId::new(service);
+    let running = {
+        let shared = shared.clone();
+        tokio::spawn(async move { run_operation(&shared, &service_id, input).await })
+    };
+    let joined = running.await;
+    let result = joined.unwrap_or_else(|_| {
+        Err(Refusal::unknown(Reason::PeerFailed, "the node failed while the operation ran"))
+    });
+    if let Err(refusal) = &result {
+        let reason = refusal.reason.to_string();
+        log::info!(service = service, request = request_id.as_str(), reason = reason.as_str(); "operation: refused.");
+    }
+    let (ticket, result) = result?;
+    let answer = OperationAnswer { request_id: request_id.to_string(), ticket: ticket.to_string(), result };
+    Ok(Json(answer).into_response())
+}
+
+async fn new_ticket(State(shared): State<Arc<Shared>>, Path(service): Path<String>) -> Response {
+    respond(answer_new_ticket(&shared, &service))
+}
+
+fn answer_new_ticket(shared: &Arc<Shared>, service: &str) -> Answer {
+    let _in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared))?;
+    let (_, settings) = find_service(shared, &ServiceId::new(service))?;
+    let ticket = mint_ticket(shared, &settings);
+    let answer = TicketAnswer { ticket: ticket.to_string(), lifetime_ms: ticket.lifetime_ms };
+    Ok(Json(answer).into_response())
+}
+
+async fn ticket(State(shared): State<Arc<Shared>>, Path(ticket): Path<String>) -> Response {
+    respond(answer_ticket(&shared, ticket).await)
+}
+
+async fn answer_ticket(shared: &Arc<Shared>, text: String) -> Answer {
+    let ticket: Ticket = text.parse().map_err(|error: sablebay_fleet::FleetError| {
+        Refusal::not_run(Reason::BadTicket, error.to_string())
+    })?;
+    let state = ticket_state(shared, &ticket).await?;
+    let named = |name: &str| TicketStatusAnswer {
+        ticket: text.clone(),
+        state: name.to_string(),
+        result: None,
+        reason: None,
+    };
+    let answer = match state {
+        None => named("unclaimed"),
+        Some(TicketState::Claimed) => named("claimed"),
+        Some(TicketState::Done { result }) => {
+            TicketStatusAnswer { result: RawValue::from_string(result).ok(), ..named("done") }
+        }
+        Some(TicketState::NotRun { reason }) => {
+            TicketStatusAnswer { reason: Some(reason.to_string()), ..named("not_run") }
+        }
+        Some(TicketState::Unknown { reason }) => {
+            TicketStatusAnswer { reason: Some(reason.to_string()), ..named("unknown") }
+        }
+    };
+    Ok(Json(answer).into_response())
+}
--- /dev/null
+++ b/crates/sablebay-node/src/leaf_client/batch.rs
@@ -0,0 +1,257 @@
+//! Batches of searches: gathering calls, sending them as one request, reading answers as they
+//! are streamed back.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::Method;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+
+use sablebay_http::{ExchangeFailure, Lease, json_request};
+use sablebay_model::{CallId, Micros};
+use sablebay_protocol::backend::{LeafAnswer, LeafCall, LeafRefusal, SEARCH_PATH, SearchBatch};
+use sablebay_query::{CallFailure, Coverage, ShardAnswer};
+
+use super::{CallEvent, ClientContext, Command, QueuedCall, report_of};
+
+/// How long after the last deadline of a batch its connection is given up.
+const ANSWER_GRACE: Micros = Micros::from_millis(250);
+/// The longest line that a leaf may answer with.
+const MAXIMUM_LINE_BYTES: usize = 8 << 20;
+
+/// Gathers calls into batches and sends each on a connection of its own turn.
+pub(super) async fn run_dispatcher(
+    context: Arc<ClientContext>,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let mut waiting: Vec<QueuedCall> = Vec::new();
+    loop {
+        if waiting.is_empty() {
+            let Some(command) = commands.recv().await else {
+                return;
+            };
+            take_command(&context, command, &mut waiting);
+            continue;
+        }
+        wait_for_company(&context, &mut commands, &mut waiting).await;
+        let permit = wait_for_permit(&context, &mut commands, &mut waiting).await;
+        drop_expired(&context, &mut waiting);
+        let size = waiting.first().map_or(0, |call| call.search.batch).min(waiting.len());
+        if size > 0 {
+            let batch: Vec<QueuedCall> = waiting.drain(..size).collect();
+            tokio::spawn(send_batch(context.clone(), permit, batch));
+        }
+    }
+}
+
+fn take_command(context: &Arc<ClientContext>, command: Command, waiting: &mut Vec<QueuedCall>) {
+    match command {
+        Command::Search(call) => waiting.push(call),
+        Command::Cancel(call_id) => {
+            let before = waiting.len();
+            waiting.retain(|call| call.call_id != call_id);
+            if waiting.len() == before {
+                let context = context.clone();
+                tokio::spawn(async move { context.send_cancellations(vec![call_id]).await });
+            }
+        }
+    }
+}
+
+/// Lets the first call wait a little for others, when its service allows that.
+async fn wait_for_company(
+    context: &Arc<ClientContext>,
+    commands: &mut mpsc::UnboundedReceiver<Command>,
+    waiting: &mut Vec<QueuedCall>,
+) {
+    let Some(first) = waiting.first() else {
+        return;
+    };
+    let full = first.search.batch;
+    let until = context.clock.instant(context.clock.now().plus(first.search.coalesce));
+    while waiting.len() < full {
+        match commands.try_recv() {
+            Ok(command) => {
+                take_command(context, command, waiting);
+                continue;
+            }
+            Err(_) if tokio::time::Instant::now() >= until => return,
+            Err(_) => {}
+        }
+        match tokio::time::timeout_at(until, commands.recv()).await {
+            Ok(Some(command)) => take_command(context, command, waiting),
+            Ok(None) | Err(_) => return,
+        }
+    }
+}
+
+/// Waits for a connection's turn, and gathers further calls meanwhile.
+async fn wait_for_permit(
+    context: &Arc<ClientContext>,
+    commands: &mut mpsc::UnboundedReceiver<Command>,
+    waiting: &mut Vec<QueuedCall>,
+) -> OwnedSemaphorePermit {
+    let permit = context.pool.permit();
+    tokio::pin!(permit);
+    loop {
+        tokio::select! {
+            biased;
+            permit = &mut permit => return permit,
+            Some(command) = commands.recv() => take_command(context, command, waiting),
+        }
+    }
+}
+
+/// Nothing is sent at or after its deadline, also when the process was paused before this line.
+fn drop_expired(context: &ClientContext, waiting: &mut Vec<QueuedCall>) {
+    let now = context.clock.now();
+    waiting.retain(|call| {
+        let expired = call.deadline <= now;
+        if expired {
+            call.fail(CallFailure::TooLate, None);
+        }
+        !expired && !call.events.is_closed()
+    });
+}
+
+fn encode(context: &ClientContext, calls: &[QueuedCall]) -> Option<Bytes> {
+    let now = context.clock.now();
+    let calls = calls
+        .iter()
+        .map(|call| LeafCall {
+            call_id: call.call_id,
+            service: call.search.service.clone(),
+            partitions: call.partitions.clone(),
+            version: call.version,
+            remaining_ms: call.deadline.since(now).as_millis().max(1),
+            limit: call.search.limit,
+            sort: call.search.sort,
+            query: call.search.query.clone(),
+        })
+        .collect();
+    let batch = SearchBatch { caller: context.caller.clone(), calls };
+    serde_json::to_vec(&batch).ok().map(Bytes::from)
+}
+
+async fn send_batch(context: Arc<ClientContext>, permit: OwnedSemaphorePermit, calls: Vec<QueuedCall>) {
+    context.counters.batches.fetch_add(1, Ordering::Relaxed);
+    context.counters.calls.fetch_add(calls.len() as u64, Ordering::Relaxed);
+    let last_deadline = calls.iter().map(|call| call.deadline).max().unwrap_or_default();
+    let until = context.clock.instant(last_deadline.plus(ANSWER_GRACE));
+    let mut open = OpenCalls { calls: calls.into_iter().map(Some).collect() };
+    let exchange = exchange(&context, permit, &mut open);
+    let outcome = tokio::time::timeout_at(until, exchange).await;
+    let failure = match outcome {
+        Ok(Err(ExchangeFailure::NotSent)) => CallFailure::NotSent,
+        _ => CallFailure::Broken,
+    };
+    open.fail_all(failure);
+}
+
+async fn exchange(
+    context: &Arc<ClientContext>,
+    permit: OwnedSemaphorePermit,
+    open: &mut OpenCalls,
+) -> Result<(), ExchangeFailure> {
+    let mut lease = context.pool.connect(permit).await.ok_or(ExchangeFailure::NotSent)?;
+    let body = {
+        let calls: Vec<QueuedCall> = open.calls.iter_mut().filter_map(Option::take).collect();
+        let body = encode(context, &calls);
+        open.calls = calls.into_iter().map(Some).collect();
+        body.ok_or(ExchangeFailure::NotSent)?
+    };
+    let response = context.pool.send(&mut lease, json_request(Method::POST, SEARCH_PATH, body)).await?;
+    if !response.status().is_success() {
+        log::warn!("leaf: {} answered a batch with status {}.", context.leaf, response.status());
+        return Err(ExchangeFailure::Broken);
+    }
+    read_answers(context, response.into_body(), open, lease).await
+}
+
+/// Reads answers line by line. The connection goes back to the pool only when every line was
+/// one that had been asked for.
+async fn read_answers(
+    context: &Arc<ClientContext>,
+    mut body: Incoming,
+    open: &mut OpenCalls,
+    lease: Lease,
+) -> Result<(), ExchangeFailure> {
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ExchangeFailure::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffer.extend_from_slice(&data);
+        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+            let line = buffer.split_to(end);
+            buffer.advance(1);
+            take_line(context, &line, open)?;
+        }
+        if buffer.len() > MAXIMUM_LINE_BYTES {
+            return Err(ExchangeFailure::Broken);
+        }
+    }
+    context.pool.give_back(lease);
+    Ok(())
+}
+
+fn take_line(context: &ClientContext, line: &[u8], open: &mut OpenCalls) -> Result<(), ExchangeFailure> {
+    if line.is_empty() {
+        return Ok(());
+    }
+    let answer: LeafAnswer = serde_json::from_slice(line).map_err(|error| {
+        context.counters.malformed.fetch_add(1, Ordering::Relaxed);
+        log::warn!("leaf: {} sent a line that is no answer: {error}.", context.leaf);
+        ExchangeFailure::Broken
+    })?;
+    let Some(call) = open.take(answer.call_id) else {
+        context.counters.misaddressed.fetch_add(1, Ordering::Relaxed);
+        log::warn!("leaf: {} answered call {}, which is not open here.", context.leaf, answer.call_id);
+        return Err(ExchangeFailure::Broken);
+    };
+    let _ = call.events.send(CallEvent { attempt: call.attempt, outcome: outcome_of(answer) });
+    Ok(())
+}
+
+fn outcome_of(answer: LeafAnswer) -> Result<ShardAnswer, (CallFailure, Option<sablebay_query::LoadReport>)> {
+    let report = report_of(answer.load);
+    if let Some(refusal) = answer.refusal {
+        let failure = match refusal {
+            LeafRefusal::NotHeld => CallFailure::NotHeld,
+            LeafRefusal::Draining => CallFailure::Draining,
+            LeafRefusal::Shedding => CallFailure::Shedding,
+            LeafRefusal::TooLate | LeafRefusal::Cancelled => CallFailure::TooLate,
+            LeafRefusal::BadCall => CallFailure::Mismatched,
+        };
+        return Err((failure, Some(report)));
+    }
+    Ok(ShardAnswer {
+        version: answer.version,
+        coverage: Coverage { answered: answer.partitions, missing: Vec::new() },
+        hits: answer.hits,
+        report: Some(report),
+    })
+}
+
+/// The calls of a batch that have no answer yet, in order of call id.
+struct OpenCalls {
+    calls: Vec<Option<QueuedCall>>,
+}
+
+impl OpenCalls {
+    /// Takes a call out; an answer that is repeated finds nothing.
+    fn take(&mut self, call_id: CallId) -> Option<QueuedCall> {
+        let matches = |slot: &&mut Option<QueuedCall>| slot.as_ref().is_some_and(|c| c.call_id == call_id);
+        self.calls.iter_mut().find(matches).and_then(Option::take)
+    }
+
+    fn fail_all(&mut self, failure: CallFailure) {
+        for call in self.calls.iter_mut().filter_map(Option::take) {
+            call.fail(failure, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/leaf_client/operation.rs
@@ -0,0 +1,93 @@
+//! One operation, sent once: never queued, batched, hedged or retried.
+
+use derive_more::Display;
+use http::Method;
+use http_body_util::{BodyExt, Limited};
+use serde_json::value::RawValue;
+
+use sablebay_http::{ExchangeFailure, json_request};
+use sablebay_model::{CallId, Micros, ServiceId};
+use sablebay_protocol::backend::{LeafOperation, LeafOperationAnswer, LeafRefusal, OPERATION_PATH};
+
+use super::LeafClient;
+
+/// The longest result of an operation.
+const MAXIMUM_RESULT_BYTES: usize = 1 << 20;
+
+/// Why an operation has no result.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum OperationFailure {
+    /// No byte can have reached the leaf.
+    #[display("not sent")]
+    NotSent,
+    /// The leaf says that it did not run it, and will not.
+    #[display("refused: {_0:?}")]
+    Refused(LeafRefusal),
+    /// It was sent, and no word came back.
+    #[display("no word")]
+    NoWord,
+}
+
+impl LeafClient {
+    /// Sends an operation and waits for its result until `deadline`.
+    ///
+    /// # Errors
+    /// [`OperationFailure`], which tells whether it can have run.
+    pub async fn operation(
+        &self,
+        service: &ServiceId,
+        ticket: &str,
+        operation: Box<RawValue>,
+        deadline: Micros,
+    ) -> Result<Box<RawValue>, OperationFailure> {
+        let context = &self.context;
+        let until = context.clock.instant(deadline);
+        let connecting = async {
+            let permit = context.pool.permit().await;
+            context.pool.connect(permit).await
+        };
+        let lease = tokio::time::timeout_at(until, connecting).await.ok().flatten();
+        let mut lease = lease.ok_or(OperationFailure::NotSent)?;
+        let now = context.clock.now();
+        if now >= deadline {
+            return Err(OperationFailure::NotSent);
+        }
+        let call_id = CallId(self.next_call.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        let message = LeafOperation {
+            caller: context.caller.clone(),
+            call_id,
+            service: service.clone(),
+            ticket: ticket.to_string(),
+            remaining_ms: deadline.since(now).as_millis().max(1),
+            operation,
+        };
+        let body = serde_json::to_vec(&message).map_err(|_| OperationFailure::NotSent)?;
+        let exchange = async {
+            let sent =
+                context.pool.send(&mut lease, json_request(Method::POST, OPERATION_PATH, body.into())).await;
+            let response = sent.map_err(|failure| match failure {
+                ExchangeFailure::NotSent => OperationFailure::NotSent,
+                ExchangeFailure::Broken => OperationFailure::NoWord,
+            })?;
+            let limited = Limited::new(response.into_body(), MAXIMUM_RESULT_BYTES);
+            let collected = limited.collect().await.map_err(|_| OperationFailure::NoWord)?;
+            Ok(collected.to_bytes())
+        };
+        let exchanged = tokio::time::timeout_at(until, exchange).await;
+        let bytes = exchanged.map_err(|_| OperationFailure::NoWord)??;
+        context.pool.give_back(lease);
+        read_result(call_id, &bytes)
+    }
+}
+
+fn read_result(call_id: CallId, bytes: &[u8]) -> Result<Box<RawValue>, OperationFailure> {
+    let answer: LeafOperationAnswer = serde_json::from_slice(bytes).map_err(|_| OperationFailure::NoWord)?;
+    if answer.call_id != call_id {
+        return Err(OperationFailure::NoWord);
+    }
+    match (answer.result, answer.refusal) {
+        (Some(result), None) => Ok(result),
+        (None, Some(refusal)) => Err(OperationFailure::Refused(refusal)),
+        _ => Err(OperationFailure::NoWord),
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/lib.rs
@@ -0,0 +1,35 @@
+//! The tokio shell of a node: listeners, connections and tasks around the decision logic of
+//! `sablebay-query` and `sablebay-fleet`.
+
+mod admin_api;
+mod caller_api;
+mod clock;
+mod error;
+mod fleet_task;
+mod freshness;
+mod leaf_client;
+mod lifecycle;
+mod load_poll;
+mod logging;
+mod metrics;
+mod node;
+mod operation;
+mod outcome_body;
+mod partial_search;
+mod peers;
+mod platform;
+mod report;
+mod root_search;
+mod search_driver;
+mod service_state;
+mod shared;
+mod world;
+
+pub use clock::Clock;
+pub use error::NodeError;
+pub use leaf_client::{CallEvent, LeafClient, OutgoingSearch};
+pub use logging::{LogControl, start_logging};
+pub use node::{BoundAddresses, Node, NodeMechanisms};
+pub use report::{NodeReport, ServiceReport};
+pub use root_search::{QueryInput, root_search};
+pub use shared::Shared;
--- /dev/null
+++ b/crates/sablebay-node/src/load_poll.rs
@@ -0,0 +1,173 @@
+//! Asks leaves for their load: what versions they hold, whether they are leaving. Also keeps a
+//! connection to each warm.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use sablebay_model::{LeafId, Micros, PartitionSet};
+use sablebay_protocol::backend::LeafLoad;
+use sablebay_protocol::peer::{PeerRequest, PeerResponse};
+use sablebay_query::{LoadReport, Target};
+
+use crate::fleet_task::note_leaf;
+use crate::leaf_client::report_of;
+use crate::peers::Lane;
+use crate::service_state::ServiceState;
+use crate::shared::Shared;
+
+/// How often a leaf that has not answered a call lately is asked.
+const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How old a report may be before the leaf is asked.
+const REPORT_AGE: Micros = Micros::from_millis(900);
+/// How long a query waits to learn which versions there are.
+const VERSIONS_PATIENCE: Micros = Micros::from_millis(1_000);
+/// Leaves asked at once.
+const POLLS_AT_ONCE: usize = 64;
+
+/// Polls the leaves of every service that is in use here, until the node ends.
+pub async fn run_load_polls(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        for state in shared.service_states() {
+            if !state.uses_peers() {
+                poll_leaves(&shared, &state, shared.clock.now()).await;
+            }
+        }
+    }
+}
+
+/// Asks the leaves of a service whose reports are old.
+async fn poll_leaves(shared: &Arc<Shared>, state: &Arc<ServiceState>, now: Micros) {
+    let stale: Vec<LeafId> = {
+        let routing = state.direct.lock();
+        let old = |at: Micros| now.since(at) >= REPORT_AGE;
+        let replicas = routing.balancer.replicas();
+        replicas
+            .filter(|replica| replica.report.as_ref().is_none_or(|(_, at)| old(*at)))
+            .filter_map(|replica| match &replica.target {
+                Target::Leaf(leaf) => Some(leaf.clone()),
+                Target::Peer(_) => None,
+            })
+            .collect()
+    };
+    let mut asking = JoinSet::new();
+    for leaf in stale {
+        if asking.len() >= POLLS_AT_ONCE {
+            asking.join_next().await;
+        }
+        let (shared, state) = (shared.clone(), state.clone());
+        asking.spawn(async move { poll_leaf(&shared, &state, leaf).await });
+    }
+    asking.join_all().await;
+}
+
+async fn poll_leaf(shared: &Arc<Shared>, state: &Arc<ServiceState>, leaf: LeafId) {
+    let Some(client) = shared.leaf_client(&leaf) else {
+        return;
+    };
+    let Some(load) = client.load().await else {
+        return;
+    };
+    take_load(shared, state, &leaf, load);
+}
+
+fn take_load(shared: &Arc<Shared>, state: &Arc<ServiceState>, leaf: &LeafId, load: LeafLoad) {
+    let draining = load.draining;
+    {
+        let mut routing = state.direct.lock();
+        let target = Target::Leaf(leaf.clone());
+        if let Some(index) = routing.balancer.position(&target) {
+            routing.balancer.reported(index, report_of(load), shared.clock.now());
+        }
+    }
+    let listed = shared.listed_leaving.lock().contains(leaf);
+    note_leaf(shared, leaf, draining || listed);
+}
+
+/// Makes sure that the versions of a service's replicas are known, as far as they answer.
+pub async fn ensure_versions(shared: &Arc<Shared>, state: &Arc<ServiceState>, deadline: Micros) {
+    if state.direct.lock().knows_versions() {
+        return;
+    }
+    let now = shared.clock.now();
+    let until = now.plus(VERSIONS_PATIENCE).min(deadline);
+    let polling = poll_leaves(shared, state, Micros::MAX);
+    // What is not known by then the search finds out by itself.
+    let _ = tokio::time::timeout_at(shared.clock.instant(until), polling).await;
+}
+
+/// Makes sure that the versions that aggregators can answer at are known.
+pub async fn ensure_peer_versions(shared: &Arc<Shared>, state: &Arc<ServiceState>, deadline: Micros) {
+    if state.through_peers.lock().knows_versions() {
+        return;
+    }
+    let plan = state.through_peers.lock().plan.clone();
+    let mut asking = JoinSet::new();
+    for shard in &plan.shards {
+        let (shared, state) = (shared.clone(), state.clone());
+        let (partitions, replicas) = (shard.partitions.clone(), shard.replicas.clone());
+        asking.spawn(async move {
+            for replica in replicas {
+                if ask_peer(&shared, &state, replica, partitions.clone(), deadline).await {
+                    return;
+                }
+            }
+        });
+    }
+    let until = shared.clock.now().plus(VERSIONS_PATIENCE).min(deadline);
+    // As above.
+    let _ = tokio::time::timeout_at(shared.clock.instant(until), asking.join_all()).await;
+}
+
+async fn ask_peer(
+    shared: &Arc<Shared>,
+    state: &Arc<ServiceState>,
+    replica: sablebay_query::ReplicaIndex,
+    partitions: PartitionSet,
+    deadline: Micros,
+) -> bool {
+    let target = state.through_peers.lock().balancer.replica(replica).target.clone();
+    let Target::Peer(node) = target else {
+        return false;
+    };
+    let service = state.service_id();
+    let versions = if node == shared.settings.node {
+        Some(local_versions(shared, &service, &partitions, deadline).await)
+    } else {
+        let address = shared.world.load().peer(&node).map(|peer| peer.address);
+        let Some(address) = address else {
+            return false;
+        };
+        let request = PeerRequest::Versions { service, partitions };
+        let until = shared.clock.instant(deadline);
+        match shared.peers.request(address, Lane::Data, request, until).await {
+            Ok(PeerResponse::Versions(versions)) => Some(versions),
+            _ => None,
+        }
+    };
+    let Some(versions) = versions else {
+        return false;
+    };
+    let report = LoadReport { versions, ..LoadReport::default() };
+    state.through_peers.lock().balancer.reported(replica, report, shared.clock.now());
+    true
+}
+
+/// Versions that some partitions of a service can be had in, through this node.
+pub async fn local_versions(
+    shared: &Arc<Shared>,
+    service: &sablebay_model::ServiceId,
+    partitions: &PartitionSet,
+    deadline: Micros,
+) -> Vec<sablebay_model::SnapshotVersion> {
+    let Some(state) = shared.service(service) else {
+        return Vec::new();
+    };
+    ensure_versions(shared, &state, deadline).await;
+    let routing = state.direct.lock();
+    routing.versions_for(partitions)
+}
--- /dev/null
+++ b/crates/sablebay-node/src/metrics.rs
@@ -0,0 +1,162 @@
+//! Metrics for Prometheus.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use sablebay_model::{Micros, Refusal, ServiceId};
+use sablebay_query::SearchResult;
+
+/// The label of per-service metrics.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    service: String,
+}
+
+/// The labels of refusals.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    service: String,
+    outcome: String,
+    reason: String,
+}
+
+/// Upper bounds of the latency histogram, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.5];
+
+/// Every metric of a node.
+pub struct Metrics {
+    registry: Registry,
+    answers: Family<ServiceLabel, Counter>,
+    partial_answers: Family<ServiceLabel, Counter>,
+    refusals: Family<RefusalLabels, Counter>,
+    latency: Family<ServiceLabel, Histogram>,
+    leaf_calls: Family<ServiceLabel, Counter>,
+    hedges: Family<ServiceLabel, Counter>,
+    retries: Family<ServiceLabel, Counter>,
+    discarded: Family<ServiceLabel, Counter>,
+    /// The revision in force.
+    pub revision: Gauge,
+    /// Members that take work, this node among them.
+    pub members: Gauge,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+    /// Peer frames with a wrong proof.
+    pub frames_wrong_proof: Gauge,
+    /// Peer frames that were malformed or oversized.
+    pub frames_malformed: Gauge,
+    /// Bytes sent to peers for control.
+    pub control_bytes: Gauge,
+    /// Answers of leaves that belonged to no open call.
+    pub misaddressed: Gauge,
+    /// Milliseconds since the configuration was confirmed; -1 when it never was.
+    pub confirmed_ms_ago: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("sablebay"),
+            answers: Family::default(),
+            partial_answers: Family::default(),
+            refusals: Family::default(),
+            latency: Family::new_with_constructor(latency_histogram),
+            leaf_calls: Family::default(),
+            hedges: Family::default(),
+            retries: Family::default(),
+            discarded: Family::default(),
+            revision: Gauge::default(),
+            members: Gauge::default(),
+            in_flight: Gauge::default(),
+            frames_wrong_proof: Gauge::default(),
+            frames_malformed: Gauge::default(),
+            control_bytes: Gauge::default(),
+            misaddressed: Gauge::default(),
+            confirmed_ms_ago: Gauge::default(),
+        };
+        metrics.register_services();
+        metrics.register_node();
+        metrics
+    }
+
+    fn register_services(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Queries answered", self.answers.clone());
+        registry.register("partial_answers", "Answers with missing partitions", self.partial_answers.clone());
+        registry.register("refusals", "Queries without an answer", self.refusals.clone());
+        registry.register("latency_seconds", "Time from arrival to answer", self.latency.clone());
+        registry.register("leaf_calls", "Calls to leaves", self.leaf_calls.clone());
+        registry.register("hedges", "Calls sent because another was slow", self.hedges.clone());
+        registry.register("retries", "Calls sent because another failed", self.retries.clone());
+        registry.register("discarded", "Leaf answers that were discarded", self.discarded.clone());
+    }
+
+    fn register_node(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("revision", "Revision in force", self.revision.clone());
+        registry.register("members", "Members that take work", self.members.clone());
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register(
+            "frames_wrong_proof",
+            "Peer frames with a wrong proof",
+            self.frames_wrong_proof.clone(),
+        );
+        registry.register("frames_malformed", "Malformed peer frames", self.frames_malformed.clone());
+        registry.register("control_bytes", "Bytes sent to peers for control", self.control_bytes.clone());
+        registry.register("misaddressed", "Leaf answers to no open call", self.misaddressed.clone());
+        registry.register(
+            "confirmed_ms_ago",
+            "Milliseconds since the configuration was confirmed",
+            self.confirmed_ms_ago.clone(),
+        );
+    }
+
+    /// Counts the end of a query.
+    pub fn count_query(&self, service: &ServiceId, result: &Result<SearchResult, Refusal>, took: Micros) {
+        let label = ServiceLabel { service: service.to_string() };
+        match result {
+            Ok(result) => {
+                self.answers.get_or_create(&label).inc();
+                if !result.coverage.is_full() {
+                    self.partial_answers.get_or_create(&label).inc();
+                }
+                self.latency.get_or_create(&label).observe(took.as_secs_f64());
+                self.leaf_calls.get_or_create(&label).inc_by(result.work.leaf_calls);
+                self.hedges.get_or_create(&label).inc_by(result.work.hedges);
+                self.retries.get_or_create(&label).inc_by(result.work.retries);
+                self.discarded.get_or_create(&label).inc_by(result.work.discarded);
+            }
+            Err(refusal) => {
+                let labels = RefusalLabels {
+                    service: service.to_string(),
+                    outcome: refusal.outcome.to_string(),
+                    reason: refusal.reason.to_string(),
+                };
+                self.refusals.get_or_create(&labels).inc();
+            }
+        }
+    }
+
+    /// All metrics in the text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/node.rs
@@ -0,0 +1,289 @@
+//! A node: opens its listeners, starts its tasks, and stops as planned.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use rand::RngExt;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use sablebay_config::NodeSettings;
+use sablebay_fleet::{ClaimHolder, FleetMechanisms, FleetNode, FleetSettings, MemberInfo};
+use sablebay_model::{Incarnation, InstanceKey, Micros, Reason, Refusal};
+use sablebay_protocol::peer::{PeerRequest, PeerResponse};
+use sablebay_query::Mechanisms;
+
+use crate::admin_api::{admin_routes, start_draining};
+use crate::caller_api::caller_routes;
+use crate::clock::Clock;
+use crate::error::NodeError;
+use crate::fleet_task::run_fleet;
+use crate::freshness::Freshness;
+use crate::lifecycle::Lifecycle;
+use crate::load_poll::{local_versions, run_load_polls};
+use crate::logging::LogControl;
+use crate::metrics::Metrics;
+use crate::partial_search::partial_search;
+use crate::peers::{PeerContext, PeerCounters, PeerTransport, RequestHandler, run_listener};
+use crate::platform::run_platform_reader;
+use crate::report::node_report;
+use crate::shared::Shared;
+use crate::world::World;
+
+/// Mechanisms that an experiment can turn off, to show that its checker notices.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeMechanisms {
+    /// Those of the query path.
+    pub routing: Mechanisms,
+    /// Those of the fleet.
+    pub fleet: FleetMechanisms,
+    /// Write-once claims.
+    pub claims: bool,
+    /// Waiting for requests in flight at a planned stop.
+    pub wait_at_stop: bool,
+}
+
+impl Default for NodeMechanisms {
+    fn default() -> Self {
+        Self {
+            routing: Mechanisms::default(),
+            fleet: FleetMechanisms::default(),
+            claims: true,
+            wait_at_stop: true,
+        }
+    }
+}
+
+/// The addresses that a node's listeners got.
+#[derive(Clone, Debug, Serialize)]
+pub struct BoundAddresses {
+    /// The node's name.
+    pub node: String,
+    /// For callers.
+    pub caller_address: SocketAddr,
+    /// For operators.
+    pub admin_address: SocketAddr,
+    /// For peers.
+    pub peer_address: SocketAddr,
+}
+
+/// Incoming fleet messages that wait at the most.
+const FLEET_QUEUE: usize = 65_536;
+/// How long the listeners stay open after the last request, for callers that have not yet heard
+/// that the node is stopping.
+const LINGER: Duration = Duration::from_millis(300);
+/// How long open connections may take to end after that.
+const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
+
+/// A running node. Dropping it ends its tasks at once; [`Node::stop`] is the planned stop.
+pub struct Node {
+    /// The addresses of its listeners.
+    pub addresses: BoundAddresses,
+    /// What its parts share.
+    pub shared: Arc<Shared>,
+    tasks: Vec<JoinHandle<()>>,
+    servers: Vec<JoinHandle<()>>,
+    closing: watch::Sender<bool>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        for task in self.tasks.iter().chain(&self.servers) {
+            task.abort();
+        }
+    }
+}
+
+async fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| NodeError::Listen { address, purpose, source })
+}
+
+/// Where a listener can be reached; it was just bound, so that it has an address.
+fn bound(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("a bound listener has an address")
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// When a listener cannot be opened, or peers off this machine would go without a key.
+    pub async fn start(
+        settings: NodeSettings,
+        mechanisms: NodeMechanisms,
+        log_control: Option<LogControl>,
+    ) -> Result<Node, NodeError> {
+        if settings.fleet_key.is_none() && !settings.peer_address.ip().is_loopback() {
+            return Err(NodeError::KeyRequired { address: settings.peer_address });
+        }
+        let callers = listen(settings.caller_address, "callers").await?;
+        let admin = listen(settings.admin_address, "operators").await?;
+        let peers = listen(settings.peer_address, "peers").await?;
+        let addresses = BoundAddresses {
+            node: settings.node.to_string(),
+            caller_address: bound(&callers),
+            admin_address: bound(&admin),
+            peer_address: bound(&peers),
+        };
+        let (incoming, fleet_messages) = mpsc::channel(FLEET_QUEUE);
+        let (shared, peer_context) = build(settings, mechanisms, log_control, &addresses, incoming);
+        let (closing, closed) = watch::channel(false);
+        let tasks = vec![
+            tokio::spawn(run_fleet(shared.clone(), fleet_messages)),
+            tokio::spawn(run_listener(peer_context, peers, Arc::new(Handler(shared.clone())))),
+            tokio::spawn(run_platform_reader(shared.clone())),
+            tokio::spawn(run_load_polls(shared.clone())),
+        ];
+        let servers = vec![
+            serve(callers, caller_routes(shared.clone()), closed.clone()),
+            serve(admin, admin_routes(shared.clone()), closed),
+        ];
+        log::info!(
+            "node: {} listens for callers on {}, operators on {}, peers on {}.",
+            addresses.node,
+            addresses.caller_address,
+            addresses.admin_address,
+            addresses.peer_address
+        );
+        Ok(Node { addresses, shared, tasks, servers, closing })
+    }
+
+    /// The planned stop: refuses new work, tells the fleet and the callers, finishes what is in
+    /// flight, and ends in bounded time. Returns whether nothing was cut.
+    pub async fn stop(mut self) -> bool {
+        start_draining(&self.shared);
+        let limit = Duration::from_millis(self.shared.settings.stop_timeout_ms);
+        let finished = if self.shared.mechanisms.wait_at_stop {
+            let lifecycle = &self.shared.lifecycle;
+            let finishing = async {
+                lifecycle.wait_idle().await;
+                tokio::time::sleep(LINGER).await;
+                lifecycle.wait_idle().await;
+            };
+            tokio::time::timeout(limit, finishing).await.is_ok()
+        } else {
+            false
+        };
+        let cut = self.shared.lifecycle.in_flight();
+        // The servers hold receivers as long as they run.
+        let _ = self.closing.send(true);
+        let servers = std::mem::take(&mut self.servers);
+        if self.shared.mechanisms.wait_at_stop {
+            for server in servers {
+                // A connection that stays open without a request is closed when the process ends.
+                let _ = tokio::time::timeout(CLOSE_PATIENCE, server).await;
+            }
+        }
+        log::info!("stop: the node stops; {cut} requests were in flight.");
+        finished
+    }
+}
+
+fn build(
+    settings: NodeSettings,
+    mechanisms: NodeMechanisms,
+    log_control: Option<LogControl>,
+    addresses: &BoundAddresses,
+    incoming: mpsc::Sender<crate::peers::Incoming>,
+) -> (Arc<Shared>, Arc<PeerContext>) {
+    let clock = Clock::start();
+    let incarnation = Incarnation::from_start(clock.wall().0, rand::rng().random());
+    let info = MemberInfo {
+        key: InstanceKey { node: settings.node.clone(), incarnation },
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer_address: settings.advertised_peer_address.unwrap_or(addresses.peer_address),
+        caller_address: addresses.caller_address,
+        admin_address: addresses.admin_address,
+    };
+    let peer_context = Arc::new(PeerContext {
+        fleet: settings.fleet.clone(),
+        secret: settings.fleet_key.clone().unwrap_or_default(),
+        info: info.clone(),
+        incoming,
+        counters: PeerCounters::default(),
+    });
+    let mut fleet_settings = FleetSettings::with_probe_period(Micros::from_millis(settings.probe_period_ms));
+    fleet_settings.mechanisms = mechanisms.fleet;
+    let seeds = settings.peers.clone();
+    let fleet = FleetNode::new(info.clone(), fleet_settings, seeds, rand::rng().random(), clock.now());
+    let mut claims = ClaimHolder::new(info.key.clone());
+    if !mechanisms.claims {
+        claims.turn_off_write_once();
+    }
+    let shared = Arc::new(Shared {
+        settings,
+        info,
+        clock,
+        fleet: Mutex::new(fleet),
+        freshness: Freshness::default(),
+        world: ArcSwap::from_pointee(World::default()),
+        peers: Arc::new(PeerTransport::new(peer_context.clone())),
+        services: Mutex::default(),
+        leaves: Mutex::default(),
+        claims: Mutex::new(claims),
+        listed_leaving: Mutex::new(HashSet::new()),
+        metrics: Metrics::new(),
+        lifecycle: Lifecycle::default(),
+        next_call: Arc::new(AtomicU64::new(1)),
+        next_claim: AtomicU64::new(1),
+        client_counters: Arc::default(),
+        log_control,
+        mechanisms,
+    });
+    (shared, peer_context)
+}
+
+fn serve(listener: TcpListener, routes: axum::Router, mut closed: watch::Receiver<bool>) -> JoinHandle<()> {
+    let service = routes.into_make_service_with_connect_info::<SocketAddr>();
+    tokio::spawn(async move {
+        let until_closed = async move {
+            // A sender that is gone means the same as the word to close.
+            let _ = closed.wait_for(|closed| *closed).await;
+        };
+        let serving = axum::serve(listener, service).with_graceful_shutdown(until_closed);
+        if let Err(error) = serving.await {
+            log::error!("node: a listener failed: {error}.");
+        }
+    })
+}
+
+/// Answers requests of peers.
+struct Handler(Arc<Shared>);
+
+impl RequestHandler for Handler {
+    async fn handle(self: Arc<Self>, _from: InstanceKey, request: PeerRequest) -> PeerResponse {
+        let shared = &self.0;
+        match request {
+            PeerRequest::PartialSearch(partial) => partial_search(shared, partial).await,
+            PeerRequest::Versions { service, partitions } => {
+                const PATIENCE: Micros = Micros::from_secs(1);
+                let deadline = shared.clock.now().plus(PATIENCE);
+                PeerResponse::Versions(local_versions(shared, &service, &partitions, deadline).await)
+            }
+            PeerRequest::Claim(request) => {
+                let answer = shared.claims.lock().claim(&request, shared.clock.wall());
+                PeerResponse::Claim(answer)
+            }
+            PeerRequest::RecordOutcome { ticket, claimant, state } => {
+                PeerResponse::Recorded(shared.claims.lock().record(ticket, &claimant, state))
+            }
+            PeerRequest::QuestionTicket { ticket } => {
+                let answer = shared.claims.lock().question(&ticket, shared.clock.wall());
+                PeerResponse::Claim(answer)
+            }
+            PeerRequest::Report => match serde_json::to_string(&node_report(shared)) {
+                Ok(text) => PeerResponse::Report(text),
+                Err(error) => PeerResponse::Refused(Refusal::not_run(Reason::PeerFailed, error.to_string())),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/partial_search.rs
@@ -0,0 +1,67 @@
+//! A part of a search, run for another node: this node is the aggregator.
+
+use std::sync::Arc;
+
+use serde_json::value::RawValue;
+
+use sablebay_model::{Micros, Outcome, Reason, Refusal};
+use sablebay_protocol::peer::{PartialResult, PartialSearch, PeerResponse};
+use sablebay_query::{Search, SearchRequest};
+
+use crate::leaf_client::OutgoingSearch;
+use crate::load_poll::ensure_versions;
+use crate::search_driver::drive;
+use crate::shared::Shared;
+
+/// Runs a part of a search and returns its result, or a refusal that says it did not run.
+pub async fn partial_search(shared: &Arc<Shared>, partial: PartialSearch) -> PeerResponse {
+    let received = shared.clock.now();
+    let deadline = received.plus(Micros(partial.remaining_us));
+    let Some(_in_flight) = shared.lifecycle.enter() else {
+        return refuse(Reason::Stopping, "the node is stopping");
+    };
+    let Some(service) = shared.service(&partial.service) else {
+        return refuse(Reason::UnknownService, "the service is not in force here");
+    };
+    let Ok(query) = RawValue::from_string(partial.query) else {
+        return refuse(Reason::BadRequest, "the query is not JSON");
+    };
+    ensure_versions(shared, &service, deadline).await;
+    let settings = shared.configuration().and_then(|c| c.services.get(&partial.service).cloned());
+    let outgoing = Arc::new(OutgoingSearch {
+        service: partial.service,
+        limit: partial.limit as usize,
+        sort: partial.order,
+        query: query.into(),
+        coalesce: Micros(settings.as_ref().map_or(0, |settings| settings.coalesce_us)),
+        batch: settings.as_ref().map_or(1, |settings| settings.batch as usize),
+    });
+    let plan = Arc::new(service.direct.lock().plan.restricted_to(&partial.partitions));
+    if plan.partitions() != partial.partitions {
+        return refuse(Reason::NoReplica, "the index map in force here lacks some of the partitions");
+    }
+    let request = SearchRequest {
+        deadline,
+        limit: partial.limit as usize,
+        order: partial.order,
+        may_plan_again: false,
+    };
+    let search = Search::new(request, plan, partial.version);
+    let result = drive(shared, &service.direct, outgoing, search).await;
+    let versions = service.direct.lock().versions_for(&partial.partitions);
+    let Ok(hits) = serde_json::to_vec(&result.hits) else {
+        return refuse(Reason::PeerFailed, "the hits cannot be written");
+    };
+    PeerResponse::PartialSearch(Box::new(PartialResult {
+        version: result.version,
+        coverage: result.coverage,
+        hits,
+        work: result.work,
+        versions,
+        leaving: shared.lifecycle.is_draining(),
+    }))
+}
+
+fn refuse(reason: Reason, message: &str) -> PeerResponse {
+    PeerResponse::Refused(Refusal { outcome: Outcome::NotRun, ..Refusal::not_run(reason, message) })
+}
--- /dev/null
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -0,0 +1,171 @@
+//! One connection that this node opened, or accepted.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+
+use sablebay_fleet::{FleetMessage, MemberInfo};
+use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
+
+use super::handshake::{MessageReader, MessageWriter, shake_hands};
+use super::{Incoming, Lane, PeerContext};
+
+/// Messages that wait to be written at the most; more are dropped.
+const QUEUE_LENGTH: usize = 8_192;
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<PeerResponse>>>>;
+
+/// The sending side of a connection.
+pub struct Connection {
+    queue: mpsc::Sender<PeerMessage>,
+    pending: Pending,
+    open: Arc<AtomicBool>,
+    last_used: Mutex<Instant>,
+}
+
+/// The answer to a request; cancels the request when it is dropped before the answer came.
+pub struct PendingAnswer {
+    number: u64,
+    receiver: oneshot::Receiver<PeerResponse>,
+    pending: Pending,
+    queue: mpsc::Sender<PeerMessage>,
+    done: bool,
+}
+
+impl Future for PendingAnswer {
+    type Output = Option<PeerResponse>;
+
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Self::Output> {
+        let polled = std::pin::Pin::new(&mut self.receiver).poll(context);
+        polled.map(|answer| {
+            self.done = true;
+            answer.ok()
+        })
+    }
+}
+
+impl Drop for PendingAnswer {
+    fn drop(&mut self) {
+        if !self.done && self.pending.lock().remove(&self.number).is_some() {
+            // A full queue loses the cancellation: the peer then works in vain, and no more.
+            let _ = self.queue.try_send(PeerMessage::Cancel { number: self.number });
+        }
+    }
+}
+
+impl Connection {
+    /// Whether messages can still be sent.
+    pub fn is_open(&self) -> bool {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Whether nothing was sent for `limit`, and nothing is waited for.
+    pub fn is_idle(&self, limit: Duration) -> bool {
+        self.pending.lock().is_empty() && self.last_used.lock().elapsed() >= limit
+    }
+
+    fn put(&self, message: PeerMessage) -> bool {
+        *self.last_used.lock() = Instant::now();
+        self.queue.try_send(message).is_ok()
+    }
+
+    /// Sends a fleet message; false when it was dropped.
+    pub fn send_fleet(&self, message: FleetMessage) -> bool {
+        self.put(PeerMessage::Fleet(message))
+    }
+
+    /// Sends a request; nothing when it was not sent.
+    pub fn request(&self, number: u64, request: PeerRequest) -> Option<PendingAnswer> {
+        let (sender, receiver) = oneshot::channel();
+        self.pending.lock().insert(number, sender);
+        if !self.is_open() || !self.put(PeerMessage::Request { number, request }) {
+            self.pending.lock().remove(&number);
+            return None;
+        }
+        let pending = self.pending.clone();
+        Some(PendingAnswer { number, receiver, pending, queue: self.queue.clone(), done: false })
+    }
+}
+
+/// Opens a connection and starts its tasks.
+pub async fn open_connection(
+    context: &Arc<PeerContext>,
+    address: SocketAddr,
+    lane: Lane,
+) -> Option<Arc<Connection>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (info, reader, writer) = shake_hands(context, stream).await?;
+    let (queue, receiver) = mpsc::channel(QUEUE_LENGTH);
+    let connection = Arc::new(Connection {
+        queue,
+        pending: Pending::default(),
+        open: Arc::new(AtomicBool::new(true)),
+        last_used: Mutex::new(Instant::now()),
+    });
+    tokio::spawn(run_writer(context.clone(), writer, receiver, lane));
+    tokio::spawn(run_reader(context.clone(), reader, info, connection.clone()));
+    Some(connection)
+}
+
+/// Writes what is queued, as many messages at a time as there are.
+pub async fn run_writer(
+    context: Arc<PeerContext>,
+    mut writer: MessageWriter,
+    mut queue: mpsc::Receiver<PeerMessage>,
+    lane: Lane,
+) {
+    const MESSAGES_PER_WRITE: usize = 64;
+    let mut messages = Vec::with_capacity(MESSAGES_PER_WRITE);
+    while queue.recv_many(&mut messages, MESSAGES_PER_WRITE).await > 0 {
+        for message in messages.drain(..) {
+            if let Err(error) = writer.put(&message) {
+                log::warn!("peer: a message was not sent: {error}.");
+            }
+        }
+        let Ok(bytes) = writer.flush().await else {
+            return;
+        };
+        if lane == Lane::Control {
+            context.counters.control_bytes_sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Reads answers and fleet messages on a connection that this node opened.
+async fn run_reader(
+    context: Arc<PeerContext>,
+    mut reader: MessageReader,
+    peer: MemberInfo,
+    connection: Arc<Connection>,
+) {
+    while let Some(message) = reader.next(&context).await {
+        match message {
+            PeerMessage::Response { number, response } => {
+                if let Some(sender) = connection.pending.lock().remove(&number) {
+                    // The asker may have given up between the two lines.
+                    let _ = sender.send(response);
+                }
+            }
+            PeerMessage::Fleet(message) => deliver(&context, &peer, message).await,
+            PeerMessage::Greeting(_) | PeerMessage::Request { .. } | PeerMessage::Cancel { .. } => {}
+        }
+    }
+    connection.open.store(false, Ordering::Release);
+    connection.pending.lock().clear();
+}
+
+/// Hands a fleet message on.
+pub async fn deliver(context: &PeerContext, peer: &MemberInfo, message: FleetMessage) {
+    let incoming = Incoming { from: peer.key.clone(), address: peer.peer_address, message };
+    // The receiver ends with the node; what comes later is for nobody.
+    let _ = context.incoming.send(incoming).await;
+}
--- /dev/null
+++ b/crates/sablebay-node/src/peers/handshake.rs
@@ -0,0 +1,114 @@
+//! The start of a connection: nonces, then greetings under the fleet's key.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use rand::RngExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use sablebay_fleet::MemberInfo;
+use sablebay_protocol::peer::{Greeting, PeerMessage};
+use sablebay_protocol::{ChannelKey, FrameReader, Nonce, ProtocolError, encode_frame};
+
+use super::PeerContext;
+
+/// How long the other side has for its nonce and greeting.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads messages of one connection.
+pub struct MessageReader {
+    half: OwnedReadHalf,
+    buffer: BytesMut,
+    frames: FrameReader,
+}
+
+impl MessageReader {
+    /// The next message; nothing when the connection ended or turned bad.
+    pub async fn next(&mut self, context: &PeerContext) -> Option<PeerMessage> {
+        loop {
+            match self.frames.next::<PeerMessage>(&mut self.buffer) {
+                Ok(Some(message)) => return Some(message),
+                Ok(None) => {}
+                Err(error) => {
+                    count_bad_frame(context, &error);
+                    return None;
+                }
+            }
+            let read = self.half.read_buf(&mut self.buffer).await.ok()?;
+            if read == 0 {
+                return None;
+            }
+        }
+    }
+}
+
+fn count_bad_frame(context: &PeerContext, error: &ProtocolError) {
+    let counter = match error {
+        ProtocolError::WrongProof => &context.counters.wrong_proof,
+        _ => &context.counters.malformed,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+    log::warn!("peer: closed a connection: {error}.");
+}
+
+/// Writes messages of one connection.
+pub struct MessageWriter {
+    half: OwnedWriteHalf,
+    key: ChannelKey,
+    buffer: BytesMut,
+}
+
+impl MessageWriter {
+    /// Puts a message into the buffer.
+    pub fn put(&mut self, message: &PeerMessage) -> Result<(), ProtocolError> {
+        encode_frame(message, &mut self.key, &mut self.buffer)
+    }
+
+    /// Sends what is in the buffer; returns the bytes sent.
+    pub async fn flush(&mut self) -> std::io::Result<usize> {
+        let bytes = self.buffer.len();
+        self.half.write_all(&self.buffer).await?;
+        self.buffer.clear();
+        Ok(bytes)
+    }
+}
+
+/// Exchanges nonces and greetings. Nothing when the other side is a stranger, another fleet's
+/// node, or too slow.
+pub async fn shake_hands(
+    context: &PeerContext,
+    stream: TcpStream,
+) -> Option<(MemberInfo, MessageReader, MessageWriter)> {
+    let shaking = shake_hands_patiently(context, stream);
+    tokio::time::timeout(HANDSHAKE_TIMEOUT, shaking).await.ok()?
+}
+
+async fn shake_hands_patiently(
+    context: &PeerContext,
+    mut stream: TcpStream,
+) -> Option<(MemberInfo, MessageReader, MessageWriter)> {
+    stream.set_nodelay(true).ok()?;
+    let own: Nonce = rand::rng().random();
+    stream.write_all(&own).await.ok()?;
+    let mut other: Nonce = [0; 16];
+    stream.read_exact(&mut other).await.ok()?;
+    let (read_half, write_half) = stream.into_split();
+    let incoming = ChannelKey::new(&context.fleet, &context.secret, &other, &own);
+    let outgoing = ChannelKey::new(&context.fleet, &context.secret, &own, &other);
+    let mut writer = MessageWriter { half: write_half, key: outgoing, buffer: BytesMut::new() };
+    let greeting = PeerMessage::Greeting(Greeting { info: context.info.clone() });
+    writer.put(&greeting).ok()?;
+    writer.flush().await.ok()?;
+    let mut reader = MessageReader {
+        half: read_half,
+        buffer: BytesMut::with_capacity(16 * 1024),
+        frames: FrameReader::new(incoming),
+    };
+    match reader.next(context).await? {
+        PeerMessage::Greeting(greeting) => Some((greeting.info, reader, writer)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/peers/listener.rs
@@ -0,0 +1,102 @@
+//! Connections that peers open to this node.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::AbortHandle;
+
+use sablebay_protocol::peer::{PeerMessage, PeerRequest};
+
+use super::connection::{deliver, run_writer};
+use super::handshake::shake_hands;
+use super::{Lane, PeerContext, RequestHandler};
+
+/// Connections accepted at the most.
+const MAXIMUM_ACCEPTED: usize = 8_192;
+/// Answers that wait to be written at the most.
+const QUEUE_LENGTH: usize = 8_192;
+
+/// Accepts peers' connections until the task is dropped.
+pub async fn run_listener<H: RequestHandler>(
+    context: Arc<PeerContext>,
+    listener: TcpListener,
+    handler: Arc<H>,
+) {
+    let places = Arc::new(Semaphore::new(MAXIMUM_ACCEPTED));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("peer: a connection was not accepted: {error}.");
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let context = context.clone();
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            serve_peer(context, stream, handler).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve_peer<H: RequestHandler>(context: Arc<PeerContext>, stream: TcpStream, handler: Arc<H>) {
+    let Some((peer, mut reader, writer)) = shake_hands(&context, stream).await else {
+        return;
+    };
+    let (answers, receiver) = mpsc::channel(QUEUE_LENGTH);
+    tokio::spawn(run_writer(context.clone(), writer, receiver, Lane::Data));
+    let running: Arc<Mutex<HashMap<u64, AbortHandle>>> = Arc::default();
+    while let Some(message) = reader.next(&context).await {
+        match message {
+            PeerMessage::Fleet(message) => deliver(&context, &peer, message).await,
+            PeerMessage::Request { number, request } => {
+                let cancellable = matches!(request, PeerRequest::PartialSearch(_));
+                let answering = answer(
+                    handler.clone(),
+                    peer.key.clone(),
+                    number,
+                    request,
+                    answers.clone(),
+                    running.clone(),
+                );
+                let mut table = running.lock();
+                let task = tokio::spawn(answering);
+                if cancellable {
+                    table.insert(number, task.abort_handle());
+                }
+            }
+            PeerMessage::Cancel { number } => {
+                if let Some(task) = running.lock().remove(&number) {
+                    task.abort();
+                }
+            }
+            PeerMessage::Greeting(_) | PeerMessage::Response { .. } => {}
+        }
+    }
+    // The peer is gone: nobody wants the searches that it asked for.
+    for (_, task) in running.lock().drain() {
+        task.abort();
+    }
+}
+
+async fn answer<H: RequestHandler>(
+    handler: Arc<H>,
+    from: sablebay_model::InstanceKey,
+    number: u64,
+    request: PeerRequest,
+    answers: mpsc::Sender<PeerMessage>,
+    running: Arc<Mutex<HashMap<u64, AbortHandle>>>,
+) {
+    let response = handler.handle(from, request).await;
+    running.lock().remove(&number);
+    // A peer that is gone wants no answer.
+    let _ = answers.send(PeerMessage::Response { number, response }).await;
+}
--- /dev/null
+++ b/crates/sablebay-node/src/platform.rs
@@ -0,0 +1,182 @@
+//! Reads the platform's service: the configuration by conditional requests, the list of machines.
+//!
+//! Reads are spread over the nodes and over time, so that the platform sees about the same number
+//! of them whatever the size of the fleet.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use rand::RngExt;
+
+use sablebay_config::{Configuration, ConfigurationError, Digest, Version};
+use sablebay_http::{ConnectionPool, ExchangeFailure, json_request};
+use sablebay_model::{LeafId, Revision};
+use sablebay_protocol::backend::{
+    MachineList, MachineRole, PLATFORM_CONFIGURATION_PATH, PLATFORM_MACHINES_PATH,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet_task::{note_leaf, step_fleet};
+use crate::shared::Shared;
+
+/// The longest document.
+const MAXIMUM_DOCUMENT_BYTES: usize = 128 << 20;
+/// How long one read may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The shortest time between reads of one node.
+const MINIMUM_INTERVAL_MS: u64 = 200;
+/// Time between reads of a node that has no configuration yet.
+const FIRST_INTERVAL_MS: u64 = 300;
+
+/// Reads the platform until the node ends.
+pub async fn run_platform_reader(shared: Arc<Shared>) {
+    let Some(address) = shared.settings.platform_address else {
+        return;
+    };
+    let mut reader =
+        PlatformReader { shared, pool: ConnectionPool::new(address, 1), known: None, failing: false };
+    loop {
+        reader.read_machines().await;
+        reader.read_configuration().await;
+        tokio::time::sleep(reader.interval()).await;
+    }
+}
+
+struct PlatformReader {
+    shared: Arc<Shared>,
+    pool: ConnectionPool,
+    /// The tag of the last document that was dealt with.
+    known: Option<HeaderValue>,
+    failing: bool,
+}
+
+enum Document {
+    Unchanged,
+    Changed { tag: Option<HeaderValue>, text: String },
+}
+
+impl PlatformReader {
+    /// Full jitter around the time that makes the whole fleet read at its rate.
+    fn interval(&self) -> Duration {
+        if self.shared.configuration().is_none() {
+            return Duration::from_millis(FIRST_INTERVAL_MS);
+        }
+        let nodes = self.shared.world.load().peers.len() + 1;
+        let mean_ms = nodes as f64 * 1_000.0 / self.shared.settings.platform_reads_per_second;
+        let jittered = mean_ms * rand::rng().random_range(0.5..1.5);
+        Duration::from_millis((jittered as u64).max(MINIMUM_INTERVAL_MS))
+    }
+
+    async fn read_configuration(&mut self) {
+        let asked_at = self.shared.clock.now();
+        if !self.shared.fleet.lock().may_take_from_platform(asked_at) {
+            return;
+        }
+        match tokio::time::timeout(READ_TIMEOUT, self.fetch()).await {
+            Ok(Ok(Document::Unchanged)) => {
+                self.note_reachable();
+                step_fleet(&self.shared, |fleet, _, _| fleet.platform_confirmed(asked_at));
+            }
+            Ok(Ok(Document::Changed { tag, text })) => {
+                self.note_reachable();
+                self.take(text).await;
+                self.known = tag;
+                step_fleet(&self.shared, |fleet, _, _| fleet.platform_confirmed(asked_at));
+            }
+            _ if self.failing => {}
+            _ => {
+                self.failing = true;
+                log::warn!("platform: it cannot be read; what is in force stays.");
+            }
+        }
+    }
+
+    fn note_reachable(&mut self) {
+        if self.failing {
+            log::info!("platform: it can be read again.");
+        }
+        self.failing = false;
+    }
+
+    async fn fetch(&self) -> Result<Document, ExchangeFailure> {
+        let permit = self.pool.permit().await;
+        let mut lease = self.pool.connect(permit).await.ok_or(ExchangeFailure::NotSent)?;
+        let mut request = json_request(Method::GET, PLATFORM_CONFIGURATION_PATH, Bytes::new());
+        if let Some(tag) = &self.known {
+            request.headers_mut().insert(header::IF_NONE_MATCH, tag.clone());
+        }
+        let response = self.pool.send(&mut lease, request).await?;
+        let status = response.status();
+        let tag = response.headers().get(header::ETAG).cloned();
+        let body = Limited::new(response.into_body(), MAXIMUM_DOCUMENT_BYTES).collect().await;
+        let body = body.map_err(|_| ExchangeFailure::Broken)?.to_bytes();
+        self.pool.give_back(lease);
+        match status {
+            StatusCode::NOT_MODIFIED => Ok(Document::Unchanged),
+            StatusCode::OK => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                Ok(Document::Changed { tag, text })
+            }
+            _ => Err(ExchangeFailure::Broken),
+        }
+    }
+
+    /// Validates a document off the runtime's threads, and offers it or reports its findings.
+    async fn take(&self, text: String) {
+        let rejected = Version { revision: revision_of(&text), digest: Digest(xxh3_64(text.as_bytes())) };
+        let parsed = tokio::task::spawn_blocking(move || Configuration::parse("platform", &text)).await;
+        match parsed {
+            Ok(Ok(configuration)) => {
+                let configuration = Arc::new(configuration);
+                let version = configuration.version;
+                let offer = step_fleet(&self.shared, |fleet, now, outputs| {
+                    fleet.offer_from_platform(configuration, now, outputs)
+                });
+                log::debug!("platform: revision {version} was read: {offer:?}.");
+            }
+            Ok(Err(ConfigurationError::Invalid { findings })) => {
+                step_fleet(&self.shared, |fleet, _, outputs| fleet.reject(rejected, findings, outputs));
+            }
+            Ok(Err(error)) => log::warn!("platform: a document was not taken: {error}."),
+            Err(error) => log::error!("platform: a document could not be validated: {error}."),
+        }
+    }
+
+    async fn read_machines(&self) {
+        let Some(body) = self.pool.get(PLATFORM_MACHINES_PATH).await else {
+            return;
+        };
+        let Ok(list) = serde_json::from_slice::<MachineList>(&body) else {
+            log::warn!("platform: the list of machines is malformed.");
+            return;
+        };
+        self.take_machines(list);
+    }
+
+    /// The list is a hint that lags both ways: it names seeds, and leaves that are leaving.
+    fn take_machines(&self, list: MachineList) {
+        let nodes = list.machines.iter().filter(|machine| machine.role == MachineRole::Node);
+        let seeds: Vec<_> = nodes.filter(|node| !node.leaving).filter_map(|node| node.address).collect();
+        step_fleet(&self.shared, |fleet, _, _| fleet.add_seeds(seeds));
+        let leaving: Vec<LeafId> = list
+            .machines
+            .iter()
+            .filter(|machine| machine.role == MachineRole::Leaf && machine.leaving)
+            .map(|machine| LeafId::new(&machine.name))
+            .collect();
+        *self.shared.listed_leaving.lock() = leaving.iter().cloned().collect();
+        for leaf in &leaving {
+            note_leaf(&self.shared, leaf, true);
+        }
+    }
+}
+
+/// The revision that a document claims, also when it is not valid as a whole.
+fn revision_of(text: &str) -> Revision {
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("revision"));
+    let number = line.and_then(|rest| rest.trim().strip_prefix('='));
+    Revision(number.and_then(|number| number.trim().parse().ok()).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/sablebay-node/src/search_driver.rs
@@ -0,0 +1,302 @@
+//! Runs one search's state machine: performs its actions, feeds it what comes back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::mpsc;
+
+use sablebay_model::{CallId, Micros, PartitionSet, SnapshotVersion};
+use sablebay_protocol::peer::{PartialSearch, PeerRequest, PeerResponse};
+use sablebay_query::{
+    Action, AttemptNumber, CallFailure, Coverage, LoadReport, ReplicaIndex, Search, SearchResult,
+    ServiceRouting, ShardAnswer, Target, Turn,
+};
+
+use crate::fleet_task::note_leaf;
+use crate::leaf_client::{CallEvent, LeafClient, OutgoingSearch};
+use crate::partial_search::partial_search;
+use crate::peers::{Lane, PeerFailure};
+use crate::shared::Shared;
+
+/// Events handled in one turn.
+const EVENTS_PER_TURN: usize = 64;
+/// The part of the remaining time that an aggregator keeps for its way back, in percent.
+const RETURN_PERCENT: u64 = 5;
+/// That time at the most.
+const MAXIMUM_RETURN: Micros = Micros::from_millis(10);
+
+/// One search being run.
+pub struct SearchDriver<'a> {
+    shared: &'a Arc<Shared>,
+    routing: &'a Mutex<ServiceRouting>,
+    outgoing: Arc<OutgoingSearch>,
+    events: mpsc::UnboundedSender<CallEvent>,
+    sent: HashMap<AttemptNumber, SentCall>,
+    clients: HashMap<ReplicaIndex, Option<Arc<LeafClient>>>,
+    draining_seen: Vec<ReplicaIndex>,
+}
+
+/// How a call that was sent can be cancelled.
+enum SentCall {
+    ToLeaf(Arc<LeafClient>, CallId, ReplicaIndex),
+    ToPeer(tokio::task::AbortHandle),
+}
+
+/// Runs a search to its end.
+pub async fn drive(
+    shared: &Arc<Shared>,
+    routing: &Mutex<ServiceRouting>,
+    outgoing: Arc<OutgoingSearch>,
+    mut search: Search,
+) -> SearchResult {
+    let (events, mut receiver) = mpsc::unbounded_channel();
+    let mut random = SmallRng::from_rng(&mut rand::rng());
+    let mut driver = SearchDriver {
+        shared,
+        routing,
+        outgoing,
+        events,
+        sent: HashMap::new(),
+        clients: HashMap::new(),
+        draining_seen: Vec::new(),
+    };
+    let mut actions = Vec::new();
+    search.start(&mut Turn {
+        routing: &mut routing.lock(),
+        now: shared.clock.now(),
+        random: &mut random,
+        actions: &mut actions,
+    });
+    driver.perform(&mut actions);
+    let mut guard = AbandonOnDrop { search: Some(search), driver };
+    let mut events = Vec::with_capacity(EVENTS_PER_TURN);
+    loop {
+        let (search, driver) = guard.parts();
+        if search.is_finished() {
+            break;
+        }
+        let wake = shared.clock.instant(search.next_wake());
+        let received = tokio::time::timeout_at(wake, receiver.recv_many(&mut events, EVENTS_PER_TURN)).await;
+        let now = shared.clock.now();
+        {
+            let routing = &mut routing.lock();
+            let mut turn = Turn { routing, now, random: &mut random, actions: &mut actions };
+            for event in events.drain(..) {
+                driver.note(&event);
+                feed(search, event, &mut turn);
+            }
+            if received.is_err() || now >= search.next_wake() {
+                search.on_wake(&mut turn);
+            }
+        }
+        driver.perform(&mut actions);
+        driver.tell_draining();
+    }
+    guard.search.take().expect("the search is taken once").into_result()
+}
+
+fn feed(search: &mut Search, event: CallEvent, turn: &mut Turn<'_, SmallRng>) {
+    match event.outcome {
+        Ok(answer) => {
+            search.on_answer(event.attempt, answer, turn);
+        }
+        Err((failure, report)) => search.on_failure(event.attempt, failure, report, turn),
+    }
+}
+
+/// Cancels what is open when the caller goes away in the middle of a search.
+struct AbandonOnDrop<'a> {
+    search: Option<Search>,
+    driver: SearchDriver<'a>,
+}
+
+impl<'a> AbandonOnDrop<'a> {
+    fn parts(&mut self) -> (&mut Search, &mut SearchDriver<'a>) {
+        (self.search.as_mut().expect("present while the search runs"), &mut self.driver)
+    }
+}
+
+impl Drop for AbandonOnDrop<'_> {
+    fn drop(&mut self) {
+        let Some(mut search) = self.search.take() else {
+            return;
+        };
+        let mut actions = Vec::new();
+        let now = self.driver.shared.clock.now();
+        search.abandon(&mut Turn {
+            routing: &mut self.driver.routing.lock(),
+            now,
+            random: &mut SmallRng::seed_from_u64(0),
+            actions: &mut actions,
+        });
+        self.driver.perform(&mut actions);
+    }
+}
+
+impl SearchDriver<'_> {
+    fn perform(&mut self, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Dispatch { attempt, replica, partitions, version, deadline } => {
+                    self.dispatch(attempt, replica, partitions, version, deadline);
+                }
+                Action::Cancel { attempt, .. } => self.cancel(attempt),
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        attempt: AttemptNumber,
+        replica: ReplicaIndex,
+        partitions: PartitionSet,
+        version: SnapshotVersion,
+        deadline: Micros,
+    ) {
+        if let Some(client) = self.leaf_client(replica) {
+            let call = client.search(&self.outgoing, attempt, partitions, version, deadline, &self.events);
+            self.sent.insert(attempt, SentCall::ToLeaf(client, call, replica));
+            return;
+        }
+        let target = self.routing.lock().balancer.replica(replica).target.clone();
+        let Target::Peer(node) = target else {
+            self.fail(attempt, CallFailure::NotSent);
+            return;
+        };
+        let task = tokio::spawn(call_peer(
+            self.shared.clone(),
+            node,
+            self.outgoing.clone(),
+            PartialCall { attempt, partitions, version, deadline },
+            self.events.clone(),
+        ));
+        self.sent.insert(attempt, SentCall::ToPeer(task.abort_handle()));
+    }
+
+    fn fail(&self, attempt: AttemptNumber, failure: CallFailure) {
+        let _ = self.events.send(CallEvent { attempt, outcome: Err((failure, None)) });
+    }
+
+    fn leaf_client(&mut self, replica: ReplicaIndex) -> Option<Arc<LeafClient>> {
+        let (shared, routing) = (self.shared, self.routing);
+        let found = self.clients.entry(replica).or_insert_with(|| {
+            let target = routing.lock().balancer.replica(replica).target.clone();
+            match target {
+                Target::Leaf(leaf) => shared.leaf_client(&leaf),
+                Target::Peer(_) => None,
+            }
+        });
+        found.clone()
+    }
+
+    fn cancel(&mut self, attempt: AttemptNumber) {
+        match self.sent.remove(&attempt) {
+            Some(SentCall::ToLeaf(client, call, _)) => client.cancel(call),
+            Some(SentCall::ToPeer(task)) => task.abort(),
+            None => {}
+        }
+    }
+
+    /// Notes a leaf that says it is leaving, to tell the fleet.
+    fn note(&mut self, event: &CallEvent) {
+        let report = match &event.outcome {
+            Ok(answer) => answer.report.as_ref(),
+            Err((_, report)) => report.as_ref(),
+        };
+        if !report.is_some_and(|report| report.draining) {
+            return;
+        }
+        if let Some(SentCall::ToLeaf(_, _, replica)) = self.sent.get(&event.attempt)
+            && !self.draining_seen.contains(replica)
+        {
+            self.draining_seen.push(*replica);
+        }
+    }
+
+    fn tell_draining(&mut self) {
+        for replica in std::mem::take(&mut self.draining_seen) {
+            let target = self.routing.lock().balancer.replica(replica).target.clone();
+            if let Target::Leaf(leaf) = target {
+                note_leaf(self.shared, &leaf, true);
+            }
+        }
+    }
+}
+
+/// One call to an aggregator.
+struct PartialCall {
+    attempt: AttemptNumber,
+    partitions: PartitionSet,
+    version: SnapshotVersion,
+    deadline: Micros,
+}
+
+/// Sends a part of the search to an aggregator, which may be this node itself.
+async fn call_peer(
+    shared: Arc<Shared>,
+    node: sablebay_model::NodeId,
+    outgoing: Arc<OutgoingSearch>,
+    call: PartialCall,
+    events: mpsc::UnboundedSender<CallEvent>,
+) {
+    let now = shared.clock.now();
+    let remaining = call.deadline.since(now);
+    let way_back = Micros(remaining.0 * RETURN_PERCENT / 100).min(MAXIMUM_RETURN);
+    let partial = PartialSearch {
+        service: outgoing.service.clone(),
+        revision: shared.configuration().map(|c| c.version.revision).unwrap_or_default(),
+        version: call.version,
+        partitions: call.partitions,
+        remaining_us: remaining.since(way_back).0,
+        limit: u32::try_from(outgoing.limit).unwrap_or(u32::MAX),
+        order: outgoing.sort,
+        query: outgoing.query.get().to_string(),
+    };
+    let response = if node == shared.settings.node {
+        Ok(partial_search(&shared, partial).await)
+    } else {
+        let address = shared.world.load().peer(&node).map(|peer| peer.address);
+        match address {
+            None => Err(PeerFailure::NotSent),
+            Some(address) => {
+                let until = shared.clock.instant(call.deadline);
+                let request = PeerRequest::PartialSearch(partial);
+                shared.peers.request(address, Lane::Data, request, until).await
+            }
+        }
+    };
+    let _ = events.send(CallEvent { attempt: call.attempt, outcome: partial_outcome(response) });
+}
+
+fn partial_outcome(
+    response: Result<PeerResponse, PeerFailure>,
+) -> Result<ShardAnswer, (CallFailure, Option<LoadReport>)> {
+    match response {
+        Ok(PeerResponse::PartialSearch(result)) => {
+            let report =
+                LoadReport { draining: result.leaving, versions: result.versions, ..LoadReport::default() };
+            let Ok(hits) = serde_json::from_slice(&result.hits) else {
+                return Err((CallFailure::Mismatched, None));
+            };
+            if lost_to_version(&result.coverage) {
+                return Err((CallFailure::NotHeld, Some(report)));
+            }
+            let (version, coverage) = (result.version, result.coverage);
+            Ok(ShardAnswer { version, coverage, hits, report: Some(report) })
+        }
+        Ok(PeerResponse::Refused(_)) | Err(PeerFailure::Refused(_)) => Err((CallFailure::Draining, None)),
+        Ok(_) => Err((CallFailure::Mismatched, None)),
+        Err(PeerFailure::NotSent) => Err((CallFailure::NotSent, None)),
+        Err(PeerFailure::Broken) => Err((CallFailure::Broken, None)),
+        Err(PeerFailure::TimedOut) => Err((CallFailure::TooLate, None)),
+    }
+}
+
+/// Whether nothing was answered because no replica holds the version.
+fn lost_to_version(coverage: &Coverage) -> bool {
+    let not_held = |gap: &sablebay_query::Gap| gap.reason == sablebay_query::GapReason::NotHeld;
+    coverage.answered.is_empty() && !coverage.missing.is_empty() && coverage.missing.iter().all(not_held)
+}
--- /dev/null
+++ b/crates/sablebay-node/src/shared.rs
@@ -0,0 +1,132 @@
+//! What all parts of a node share.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+
+use sablebay_config::{Configuration, NodeSettings};
+use sablebay_fleet::{ClaimHolder, FleetNode, MemberInfo};
+use sablebay_model::{InstanceKey, LeafId, ServiceId};
+
+use crate::clock::Clock;
+use crate::freshness::Freshness;
+use crate::leaf_client::{ClientCounters, LeafClient};
+use crate::lifecycle::Lifecycle;
+use crate::logging::LogControl;
+use crate::metrics::Metrics;
+use crate::node::NodeMechanisms;
+use crate::peers::PeerTransport;
+use crate::service_state::ServiceState;
+use crate::world::World;
+
+/// What all parts of a node share.
+pub struct Shared {
+    /// The settings.
+    pub settings: NodeSettings,
+    /// This node as others know it.
+    pub info: MemberInfo,
+    /// The clocks.
+    pub clock: Clock,
+    /// Membership and configuration.
+    pub fleet: Mutex<FleetNode>,
+    /// Whether the configuration is confirmed; kept beside the lock for the query path.
+    pub freshness: Freshness,
+    /// The configuration and members that plans are made from.
+    pub world: ArcSwap<World>,
+    /// Connections to peers.
+    pub peers: Arc<PeerTransport>,
+    /// State of each service that was asked for.
+    pub services: Mutex<HashMap<ServiceId, Arc<ServiceState>>>,
+    /// Clients of each leaf that was called.
+    pub leaves: Mutex<HashMap<LeafId, Arc<LeafClient>>>,
+    /// Claims that this node holds.
+    pub claims: Mutex<ClaimHolder>,
+    /// Leaves that the platform's list names as leaving.
+    pub listed_leaving: Mutex<HashSet<LeafId>>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Where the node is in its life.
+    pub lifecycle: Lifecycle,
+    /// Numbers calls to leaves.
+    pub next_call: Arc<AtomicU64>,
+    /// Numbers claims.
+    pub next_claim: AtomicU64,
+    /// What leaf clients discarded.
+    pub client_counters: Arc<ClientCounters>,
+    /// Changes the log level, when the process has a log of its own.
+    pub log_control: Option<LogControl>,
+    /// Mechanisms that are on.
+    pub mechanisms: NodeMechanisms,
+}
+
+impl Shared {
+    /// Name and life of this node.
+    pub fn key(&self) -> &InstanceKey {
+        &self.info.key
+    }
+
+    /// What is in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.world.load().configuration.clone()
+    }
+
+    /// The client of a leaf; made at its first use, and made anew when its address changed.
+    pub fn leaf_client(&self, leaf: &LeafId) -> Option<Arc<LeafClient>> {
+        let world = self.world.load();
+        let settings = world.configuration.as_ref()?.leaves.get(leaf)?.clone();
+        let connections = world.connections_for(&settings, &self.settings);
+        let mut leaves = self.leaves.lock();
+        if let Some(client) = leaves.get(leaf).filter(|client| client.address() == settings.address) {
+            return Some(client.clone());
+        }
+        let client = Arc::new(LeafClient::new(
+            leaf.clone(),
+            settings.address,
+            connections,
+            self.key(),
+            self.clock,
+            self.next_call.clone(),
+            self.client_counters.clone(),
+        ));
+        leaves.insert(leaf.clone(), client.clone());
+        Some(client)
+    }
+
+    /// The state of a service in force; made at its first use.
+    pub fn service(&self, service: &ServiceId) -> Option<Arc<ServiceState>> {
+        let world = self.world.load_full();
+        let settings = world.configuration.as_ref()?.services.get(service)?.clone();
+        let state = {
+            let mut services = self.services.lock();
+            let fresh = || Arc::new(ServiceState::new(&settings, &self.mechanisms, self.clock.now()));
+            services.entry(service.clone()).or_insert_with(fresh).clone()
+        };
+        state.refresh(self, &world, &settings);
+        Some(state)
+    }
+
+    /// Every service state there is.
+    pub fn service_states(&self) -> Vec<Arc<ServiceState>> {
+        self.services.lock().values().cloned().collect()
+    }
+
+    /// Takes a new configuration or member list into use.
+    pub fn update_world(&self, update: impl Fn(&World) -> World) {
+        self.world.rcu(|world| Arc::new(update(world)));
+        let world = self.world.load();
+        let Some(configuration) = world.configuration.as_ref() else {
+            return;
+        };
+        self.services.lock().retain(|service, _| configuration.services.contains_key(service));
+        self.leaves.lock().retain(|leaf, client| match configuration.leaves.get(leaf) {
+            Some(settings) => {
+                client.set_connections(world.connections_for(settings, &self.settings));
+                true
+            }
+            None => false,
+        });
+    }
+}
--- /dev/null
+++ b/crates/sablebay-node/src/world.rs
@@ -0,0 +1,74 @@
+//! The configuration in force and the members present: what plans are made from.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sablebay_config::{Configuration, LeafSettings, NodeSettings};
+use sablebay_fleet::{MemberTable, aggregators_of};
+use sablebay_model::{NodeId, ServiceId, ZoneName};
+
+/// One present member.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// The node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where peers connect.
+    pub address: SocketAddr,
+}
+
+/// An immutable view; replaced whole when anything changes.
+#[derive(Clone, Debug, Default)]
+pub struct World {
+    /// Rises with every change.
+    pub epoch: u64,
+    /// What is in force.
+    pub configuration: Option<Arc<Configuration>>,
+    /// The members that take work, without this node.
+    pub peers: Arc<Vec<Peer>>,
+}
+
+/// The share of a leaf's connections that the fleet uses; the rest is for changes of plan.
+const CONNECTION_SHARE: f64 = 0.9;
+
+impl World {
+    /// The view with another configuration.
+    pub fn with_configuration(&self, configuration: Arc<Configuration>) -> World {
+        World { epoch: self.epoch + 1, configuration: Some(configuration), peers: self.peers.clone() }
+    }
+
+    /// The view with other members.
+    pub fn with_members(&self, members: &MemberTable) -> World {
+        let mut peers: Vec<Peer> = members
+            .present()
+            .map(|member| Peer {
+                node: member.info.key.node.clone(),
+                zone: member.info.zone.clone(),
+                address: member.info.peer_address,
+            })
+            .collect();
+        peers.sort_by(|a, b| a.node.cmp(&b.node));
+        World { epoch: self.epoch + 1, configuration: self.configuration.clone(), peers: Arc::new(peers) }
+    }
+
+    /// The nodes that hold the connections to a service's leaves, this node perhaps among them.
+    pub fn aggregators(&self, service: &ServiceId, own: &NodeSettings) -> Vec<NodeId> {
+        let peers = self.peers.iter().map(|peer| (&peer.node, &peer.zone));
+        let nodes = peers.chain(std::iter::once((&own.node, &own.zone)));
+        aggregators_of(service, nodes, own.aggregators_per_service as usize)
+    }
+
+    /// Where a peer listens.
+    pub fn peer(&self, node: &NodeId) -> Option<&Peer> {
+        let position = self.peers.binary_search_by(|peer| peer.node.cmp(node)).ok()?;
+        self.peers.get(position)
+    }
+
+    /// Connections that this node may open to a leaf: its share of what the leaf takes.
+    pub fn connections_for(&self, leaf: &LeafSettings, own: &NodeSettings) -> usize {
+        let sharing = (self.peers.len() + 1).min(own.aggregators_per_service as usize);
+        let whole = f64::from(leaf.connections) * CONNECTION_SHARE;
+        ((whole / sharing as f64) as usize).max(1)
+    }
+}
--- /dev/null
+++ b/crates/sablebay-query/src/admission.rs
@@ -0,0 +1,122 @@
+//! Admission by concurrency, with a short queue whose wait counts against the deadline.
+
+use std::collections::VecDeque;
+
+use sablebay_model::Micros;
+
+/// Names one request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct WaiterId(pub u64);
+
+/// What becomes of a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It runs now.
+    Run,
+    /// It waits.
+    Wait(WaiterId),
+    /// It is refused; come back after this many milliseconds.
+    Refuse {
+        /// Milliseconds until a slot is likely to be free.
+        retry_after_ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    id: WaiterId,
+    deadline: Micros,
+}
+
+/// Slots of one service, or of a node.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    queue: u32,
+    running: u32,
+    waiting: VecDeque<Waiter>,
+    next_id: u64,
+    mean_duration_us: f64,
+}
+
+/// Weight of one more duration in the mean.
+const DURATION_WEIGHT: f64 = 0.05;
+/// Bounds of the advice on when to come back, in milliseconds.
+const RETRY_AFTER_LIMITS: (u64, u64) = (5, 5_000);
+
+impl Admission {
+    /// `slots` requests at once, `queue` more that wait.
+    pub fn new(slots: u32, queue: u32) -> Self {
+        Self { slots, queue, running: 0, waiting: VecDeque::new(), next_id: 0, mean_duration_us: 0.0 }
+    }
+
+    /// Changes the limits. Requests that run or wait keep their places.
+    pub fn set_limits(&mut self, slots: u32, queue: u32) {
+        self.slots = slots;
+        self.queue = queue;
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// A request arrives.
+    ///
+    /// A request that could not start before its deadline, by the mean duration of those before
+    /// it, is refused at once rather than left to wait in vain.
+    pub fn arrive(&mut self, now: Micros, deadline: Micros) -> Arrival {
+        self.drop_expired(now);
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return Arrival::Run;
+        }
+        let wait_us = self.expected_wait_us();
+        let in_vain = now.0 as f64 + wait_us >= deadline.0 as f64;
+        if self.waiting.len() >= self.queue as usize || in_vain {
+            let (lowest, highest) = RETRY_AFTER_LIMITS;
+            let retry_after_ms = ((wait_us / 1_000.0) as u64).clamp(lowest, highest);
+            return Arrival::Refuse { retry_after_ms };
+        }
+        let id = WaiterId(self.next_id);
+        self.next_id += 1;
+        self.waiting.push_back(Waiter { id, deadline });
+        Arrival::Wait(id)
+    }
+
+    fn expected_wait_us(&self) -> f64 {
+        let ahead = self.waiting.len() as f64 + 1.0;
+        ahead * self.mean_duration_us / f64::from(self.slots.max(1))
+    }
+
+    fn drop_expired(&mut self, now: Micros) {
+        self.waiting.retain(|waiter| waiter.deadline > now);
+    }
+
+    /// A running request ends after `duration`. Returns the waiter that starts in its place.
+    pub fn leave(&mut self, now: Micros, duration: Micros) -> Option<WaiterId> {
+        self.mean_duration_us += DURATION_WEIGHT * (duration.0 as f64 - self.mean_duration_us);
+        self.running = self.running.saturating_sub(1);
+        self.start_next(now)
+    }
+
+    /// A waiter gives up. Harmless when it has started in the meantime or is gone.
+    pub fn give_up(&mut self, id: WaiterId) {
+        self.waiting.retain(|waiter| waiter.id != id);
+    }
+
+    fn start_next(&mut self, now: Micros) -> Option<WaiterId> {
+        self.drop_expired(now);
+        if self.running >= self.slots {
+            return None;
+        }
+        let next = self.waiting.pop_front()?;
+        self.running += 1;
+        Some(next.id)
+    }
+}
--- /dev/null
+++ b/crates/sablebay-query/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decision logic of the query path: which replica answers, when to hedge or retry, what an
+//! answer covers. No I/O, no clock, no ambient randomness: time and random draws are arguments.
+
+mod admission;
+mod balance;
+mod budget;
+mod coverage;
+mod latency;
+mod plan;
+mod replica;
+mod routing;
+mod search;
+
+pub use admission::{Admission, Arrival, WaiterId};
+pub use balance::Balancer;
+pub use budget::ExtraLoadBudget;
+pub use coverage::{Coverage, Gap, GapReason};
+pub use latency::LatencyWindow;
+pub use plan::{PlannedShard, ShardPlan};
+pub use replica::{LoadReport, ReplicaIndex, ReplicaState, Target};
+pub use routing::{Mechanisms, RoutingSettings, ServiceRouting};
+pub use search::{
+    Action, AttemptKind, AttemptNumber, CallFailure, Search, SearchRequest, SearchResult, ShardAnswer, Turn,
+    Work,
+};
--- /dev/null
+++ b/crates/sablebay-query/src/search.rs
@@ -0,0 +1,454 @@
+//! One query: a state machine from answers, failures and the passing of time to calls.
+//!
+//! Invariants kept here:
+//! - every accepted answer is at the version pinned at the start of the plan (one snapshot);
+//! - every shard is accepted once, for exactly the partitions asked for (true coverage);
+//! - nothing is dispatched at or after the deadline, also when the process was paused;
+//! - every extra call is paid from the service's budget, or replaces one that did not run.
+
+mod attempt;
+mod request;
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use sablebay_model::{Hit, Micros, SnapshotVersion, top_hits};
+
+use crate::coverage::{Coverage, GapReason};
+use crate::plan::ShardPlan;
+use crate::replica::ReplicaIndex;
+use crate::routing::ServiceRouting;
+
+pub use attempt::{AttemptKind, AttemptNumber, CallFailure};
+pub use request::{Action, SearchRequest, SearchResult, ShardAnswer, Work};
+
+use attempt::{Attempt, ShardProgress};
+
+/// Plans that one query may go through: the first, and again when a version vanishes.
+const MAXIMUM_PLANS: u32 = 3;
+/// Attempts for one shard at the most, in one plan.
+const MAXIMUM_ATTEMPTS_PER_SHARD: usize = 4;
+/// The share of the remaining time after which a silent aggregator is replaced.
+const PEER_PATIENCE: f64 = 0.5;
+/// How soon a hedge that the budget refused is looked at again.
+const HEDGE_RECHECK: Micros = Micros(2_000);
+
+/// What a step of the machine works with.
+pub struct Turn<'a, R> {
+    /// The service's state.
+    pub routing: &'a mut ServiceRouting,
+    /// Now.
+    pub now: Micros,
+    /// Random draws.
+    pub random: &'a mut R,
+    /// Where actions are put.
+    pub actions: &'a mut Vec<Action>,
+}
+
+/// One query in progress.
+#[derive(Debug)]
+pub struct Search {
+    request: SearchRequest,
+    plan: Arc<ShardPlan>,
+    version: SnapshotVersion,
+    plans: u32,
+    first_attempt_of_plan: u32,
+    attempts: Vec<Attempt>,
+    shards: Vec<ShardProgress>,
+    open_shards: usize,
+    hits: Vec<Hit>,
+    coverage_parts: Vec<Coverage>,
+    hedge_at: Micros,
+    work: Work,
+    version_gone: bool,
+    finished: bool,
+}
+
+impl Search {
+    /// A query at `version` over `plan`. Nothing is sent before [`Search::start`].
+    pub fn new(request: SearchRequest, plan: Arc<ShardPlan>, version: SnapshotVersion) -> Self {
+        Self {
+            shards: vec![ShardProgress::default(); plan.shards.len()],
+            open_shards: plan.shards.len(),
+            plan,
+            version,
+            request,
+            plans: 0,
+            first_attempt_of_plan: 0,
+            attempts: Vec::new(),
+            hits: Vec::new(),
+            coverage_parts: Vec::new(),
+            hedge_at: Micros::MAX,
+            work: Work::default(),
+            version_gone: false,
+            finished: false,
+        }
+    }
+
+    /// Sends the first call for each shard.
+    pub fn start<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        self.plans += 1;
+        if turn.now >= self.request.deadline {
+            self.finish_all(GapReason::Late, turn);
+            return;
+        }
+        for shard in 0..self.shards.len() {
+            if !self.dispatch(shard, AttemptKind::First, turn) {
+                self.close_shard(shard, GapReason::Lost);
+            }
+        }
+        self.set_hedge_time(turn);
+        self.after_change(turn);
+    }
+
+    fn set_hedge_time<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        if self.plan.through_peers {
+            let remaining = self.request.deadline.since(turn.now).0 as f64;
+            self.hedge_at = turn.now.plus(Micros((remaining * PEER_PATIENCE) as u64));
+        } else {
+            self.hedge_at =
+                turn.routing.hedge_delay(turn.now).map_or(Micros::MAX, |delay| turn.now.plus(delay));
+        }
+    }
+
+    /// Sends one call for a shard; false when no replica is left.
+    fn dispatch<R: Rng>(&mut self, shard: usize, kind: AttemptKind, turn: &mut Turn<'_, R>) -> bool {
+        let planned = &self.plan.shards[shard];
+        let tried = &self.shards[shard].tried;
+        let replica = if turn.routing.settings.mechanisms.observation {
+            turn.routing.balancer.choose(&planned.replicas, tried, self.version, turn.now, turn.random)
+        } else {
+            planned.replicas.iter().find(|index| !tried.contains(index)).copied()
+        };
+        let Some(replica) = replica else {
+            return false;
+        };
+        let number = AttemptNumber(self.attempts.len() as u32);
+        self.attempts.push(Attempt { shard, replica, kind, sent_at: turn.now, open: true });
+        let progress = &mut self.shards[shard];
+        progress.tried.push(replica);
+        progress.open_attempts += 1;
+        turn.routing.balancer.dispatched(replica);
+        match kind {
+            AttemptKind::First => turn.routing.budget.first_call(),
+            AttemptKind::Hedge => self.work.hedges += 1,
+            AttemptKind::Retry => self.work.retries += 1,
+        }
+        self.work.leaf_calls += 1;
+        turn.actions.push(Action::Dispatch {
+            attempt: number,
+            replica,
+            partitions: planned.partitions.clone(),
+            version: self.version,
+            deadline: self.request.deadline,
+        });
+        true
+    }
+
+    /// The attempt, if it is open and of the present plan. Anything else is late or repeated.
+    fn take_open<R: Rng>(&mut self, number: AttemptNumber, turn: &mut Turn<'_, R>) -> Option<Attempt> {
+        let attempt = self.attempts.get_mut(number.0 as usize)?;
+        if !attempt.open {
+            return None;
+        }
+        attempt.open = false;
+        let attempt = *attempt;
+        turn.routing.balancer.released(attempt.replica);
+        if number.0 < self.first_attempt_of_plan {
+            return None;
+        }
+        self.shards[attempt.shard].open_attempts -= 1;
+        Some(attempt)
+    }
+
+    /// A call was answered. Returns whether the answer was taken.
+    pub fn on_answer<R: Rng>(
+        &mut self,
+        number: AttemptNumber,
+        answer: ShardAnswer,
+        turn: &mut Turn<'_, R>,
+    ) -> bool {
+        if self.finished {
+            return false;
+        }
+        let Some(attempt) = self.take_open(number, turn) else {
+            self.work.discarded += 1;
+            return false;
+        };
+        let latency = turn.now.since(attempt.sent_at);
+        if let Some(report) = answer.report {
+            turn.routing.balancer.reported(attempt.replica, report, turn.now);
+        }
+        let mechanisms = turn.routing.settings.mechanisms;
+        if mechanisms.version_check && answer.version != self.version {
+            self.work.discarded += 1;
+            self.on_refusal(attempt, CallFailure::NotHeld, turn);
+            return false;
+        }
+        let asked = &self.plan.shards[attempt.shard].partitions;
+        if mechanisms.partition_check && !answer.coverage.divides(asked) {
+            self.work.discarded += 1;
+            self.on_refusal(attempt, CallFailure::Mismatched, turn);
+            return false;
+        }
+        if mechanisms.partition_check && self.shards[attempt.shard].closed.is_some() {
+            self.work.discarded += 1;
+            return false;
+        }
+        turn.routing.balancer.answered(attempt.replica, latency, turn.now);
+        if attempt.kind == AttemptKind::First {
+            turn.routing.record_latency(latency, turn.now);
+        }
+        if turn.now < self.hedge_at {
+            turn.routing.budget.earn();
+        }
+        self.accept(attempt.shard, answer.coverage, answer.hits, turn);
+        self.after_change(turn);
+        true
+    }
+
+    fn accept<R: Rng>(&mut self, shard: usize, coverage: Coverage, hits: Vec<Hit>, turn: &mut Turn<'_, R>) {
+        self.hits.extend(hits);
+        self.coverage_parts.push(coverage);
+        let progress = &mut self.shards[shard];
+        if progress.closed.is_none() {
+            progress.closed = Some(None);
+            self.open_shards -= 1;
+        }
+        if progress.open_attempts > 0 {
+            self.cancel_attempts(turn, |attempt| attempt.shard == shard);
+        }
+    }
+
+    /// Cancels open attempts of the present plan that `selected` picks.
+    fn cancel_attempts<R: Rng>(&mut self, turn: &mut Turn<'_, R>, selected: impl Fn(&Attempt) -> bool) {
+        let first = self.first_attempt_of_plan as usize;
+        for (offset, attempt) in self.attempts[first..].iter_mut().enumerate() {
+            if !attempt.open || !selected(attempt) {
+                continue;
+            }
+            attempt.open = false;
+            self.shards[attempt.shard].open_attempts -= 1;
+            turn.routing.balancer.released(attempt.replica);
+            turn.routing.balancer.overdue(attempt.replica, turn.now.since(attempt.sent_at), turn.now);
+            let number = AttemptNumber((first + offset) as u32);
+            turn.actions.push(Action::Cancel { attempt: number, replica: attempt.replica });
+        }
+    }
+
+    /// A call failed, or was refused by the back end.
+    pub fn on_failure<R: Rng>(
+        &mut self,
+        number: AttemptNumber,
+        failure: CallFailure,
+        report: Option<crate::replica::LoadReport>,
+        turn: &mut Turn<'_, R>,
+    ) {
+        if self.finished {
+            return;
+        }
+        let Some(attempt) = self.take_open(number, turn) else {
+            return;
+        };
+        if let Some(report) = report {
+            turn.routing.balancer.reported(attempt.replica, report, turn.now);
+        }
+        self.on_refusal(attempt, failure, turn);
+    }
+
+    fn on_refusal<R: Rng>(&mut self, attempt: Attempt, failure: CallFailure, turn: &mut Turn<'_, R>) {
+        if failure.blames_replica() {
+            turn.routing.balancer.failed(attempt.replica, turn.now);
+        }
+        let progress = &mut self.shards[attempt.shard];
+        progress.reasons.push(failure.gap_reason());
+        if progress.closed.is_none() {
+            self.replace_call(attempt.shard, failure, turn);
+        }
+        self.after_change(turn);
+    }
+
+    /// Sends the work of a failed call to another replica, or closes the shard.
+    fn replace_call<R: Rng>(&mut self, shard: usize, failure: CallFailure, turn: &mut Turn<'_, R>) {
+        let progress = &self.shards[shard];
+        if progress.open_attempts > 0 {
+            return;
+        }
+        let in_time = turn.now < self.request.deadline;
+        let attempts_left = progress.tried.len() < MAXIMUM_ATTEMPTS_PER_SHARD;
+        let allowed = in_time && attempts_left && turn.routing.settings.retry;
+        let paid = allowed && (failure.is_free_to_repeat() || turn.routing.spend_extra(turn.now));
+        if paid && self.dispatch(shard, AttemptKind::Retry, turn) {
+            return;
+        }
+        let reason = self.shards[shard].gap_reason();
+        self.close_shard(shard, reason);
+    }
+
+    fn close_shard(&mut self, shard: usize, reason: GapReason) {
+        if self.shards[shard].closed.is_some() {
+            return;
+        }
+        self.shards[shard].closed = Some(Some(reason));
+        self.open_shards -= 1;
+        if reason == GapReason::NotHeld {
+            self.version_gone = true;
+        }
+    }
+
+    /// Time has passed. Hedges what is slow; at the deadline closes what is open.
+    pub fn on_wake<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        if self.finished {
+            return;
+        }
+        if turn.now >= self.request.deadline {
+            self.expire(turn);
+            return;
+        }
+        if turn.now >= self.hedge_at {
+            self.hedge_slow_shards(turn);
+        }
+    }
+
+    fn hedge_slow_shards<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        let mut refused = false;
+        for shard in 0..self.shards.len() {
+            let progress = &self.shards[shard];
+            if progress.closed.is_some() || progress.hedged {
+                continue;
+            }
+            let Some(replica) = progress.tried.last().copied() else {
+                continue;
+            };
+            if !self.has_untried_replica(shard, turn) {
+                self.shards[shard].hedged = true;
+                continue;
+            }
+            if !turn.routing.spend_extra(turn.now) {
+                refused = true;
+                break;
+            }
+            turn.routing.balancer.overdue(replica, self.oldest_age(shard, turn.now), turn.now);
+            self.shards[shard].hedged = true;
+            self.dispatch(shard, AttemptKind::Hedge, turn);
+        }
+        self.hedge_at = if refused { turn.now.plus(HEDGE_RECHECK) } else { Micros::MAX };
+    }
+
+    fn has_untried_replica<R: Rng>(&self, shard: usize, turn: &mut Turn<'_, R>) -> bool {
+        let planned = &self.plan.shards[shard];
+        let tried = &self.shards[shard].tried;
+        turn.routing.balancer.choose(&planned.replicas, tried, self.version, turn.now, turn.random).is_some()
+    }
+
+    fn oldest_age(&self, shard: usize, now: Micros) -> Micros {
+        let first = self.first_attempt_of_plan as usize;
+        let sent = self.attempts[first..].iter().find(|attempt| attempt.shard == shard && attempt.open);
+        sent.map_or(Micros(0), |attempt| now.since(attempt.sent_at))
+    }
+
+    /// The deadline has come: every open call counts as a failure of its replica.
+    fn expire<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        let first = self.first_attempt_of_plan as usize;
+        let silent: Vec<ReplicaIndex> =
+            self.attempts[first..].iter().filter(|attempt| attempt.open).map(|a| a.replica).collect();
+        for replica in silent {
+            turn.routing.balancer.failed(replica, turn.now);
+        }
+        self.finish_all(GapReason::Late, turn);
+    }
+
+    fn finish_all<R: Rng>(&mut self, reason: GapReason, turn: &mut Turn<'_, R>) {
+        self.cancel_attempts(turn, |_| true);
+        for shard in 0..self.shards.len() {
+            self.close_shard(shard, reason);
+        }
+        self.finished = true;
+    }
+
+    /// Plans again when the version vanished, or finishes when no shard is open.
+    fn after_change<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        if self.finished {
+            return;
+        }
+        if self.version_gone && self.should_plan_again(turn.routing, turn.now) {
+            self.plan_again(turn);
+            return;
+        }
+        if self.open_shards == 0 {
+            self.finished = true;
+        }
+    }
+
+    /// Whether the whole query is worth starting again at another version: when coverage goes
+    /// first, or when nothing was answered at this one.
+    fn should_plan_again(&self, routing: &ServiceRouting, now: Micros) -> bool {
+        let worthwhile =
+            routing.settings.coverage_first || (self.open_shards == 0 && self.coverage_parts.is_empty());
+        let possible =
+            self.request.may_plan_again && self.plans < MAXIMUM_PLANS && now < self.request.deadline;
+        let plan_changed = !Arc::ptr_eq(&self.plan, &routing.plan);
+        let other_version = routing.best_version(None).is_some_and(|version| version != self.version);
+        worthwhile && possible && (plan_changed || other_version)
+    }
+
+    fn plan_again<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        self.cancel_attempts(turn, |_| true);
+        self.version = turn.routing.best_version(None).unwrap_or(self.version);
+        self.plan = turn.routing.plan.clone();
+        self.shards = vec![ShardProgress::default(); self.plan.shards.len()];
+        self.open_shards = self.plan.shards.len();
+        self.first_attempt_of_plan = self.attempts.len() as u32;
+        self.hits.clear();
+        self.coverage_parts.clear();
+        self.version_gone = false;
+        self.work.plans_again += 1;
+        self.start(turn);
+    }
+
+    /// When [`Search::on_wake`] is next due.
+    pub fn next_wake(&self) -> Micros {
+        self.hedge_at.min(self.request.deadline)
+    }
+
+    /// Whether the result is final.
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// The revision that the plan was made from.
+    pub fn revision(&self) -> sablebay_model::Revision {
+        self.plan.revision
+    }
+
+    /// The caller went away: cancels what is open.
+    pub fn abandon<R: Rng>(&mut self, turn: &mut Turn<'_, R>) {
+        self.cancel_attempts(turn, |_| true);
+        self.finished = true;
+    }
+
+    /// The final result.
+    pub fn into_result(self) -> SearchResult {
+        let mut coverage = Coverage::default();
+        let answered = self.coverage_parts.iter().flat_map(|part| part.answered.iter());
+        coverage.answered = answered.collect();
+        for part in &self.coverage_parts {
+            for gap in &part.missing {
+                coverage.add_gap(&gap.partitions, gap.reason);
+            }
+        }
+        for (planned, progress) in self.plan.shards.iter().zip(&self.shards) {
+            if let Some(Some(reason)) = progress.closed {
+                coverage.add_gap(&planned.partitions, reason);
+            }
+        }
+        SearchResult {
+            version: self.version,
+            revision: self.plan.revision,
+            hits: top_hits(self.hits, self.request.order, self.request.limit),
+            coverage,
+            work: self.work,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay-standin/src/corpus.rs
@@ -0,0 +1,64 @@
+//! The documents that leaves hold: computed, not stored, so that a checker can tell exactly what
+//! the right answer is.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::to_raw_value;
+use xxhash_rust::xxh3::xxh3_64;
+
+use sablebay_model::{Hit, PartitionSet, SnapshotVersion, SortOrder, top_hits};
+
+/// What a hit's body says of where it comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredHit {
+    /// The outlet whose orders were asked for.
+    pub outlet: u64,
+    /// The partition that holds the document.
+    pub partition: u32,
+    /// The index version.
+    pub version: u64,
+    /// What was ordered.
+    pub item: String,
+}
+
+/// The documents of one index.
+#[derive(Clone, Copy, Debug)]
+pub struct Corpus {
+    /// Documents of each outlet in each partition.
+    pub documents: u32,
+}
+
+const ITEMS: [&str; 6] = ["wheat flour", "rye flour", "spelt", "yeast", "sugar", "butter"];
+
+impl Corpus {
+    /// The best hits for an outlet in some partitions at one version.
+    pub fn search(
+        &self,
+        outlet: u64,
+        partitions: &PartitionSet,
+        version: SnapshotVersion,
+        order: SortOrder,
+        limit: usize,
+    ) -> Vec<Hit> {
+        let mut hits = Vec::with_capacity(partitions.len() as usize * self.documents as usize);
+        for partition in partitions.iter() {
+            for document in 0..self.documents {
+                hits.push(self.hit(outlet, partition, version, document));
+            }
+        }
+        top_hits(hits, order, limit)
+    }
+
+    fn hit(&self, outlet: u64, partition: u32, version: SnapshotVersion, document: u32) -> Hit {
+        let key = format!("o{outlet}-p{partition}-d{document}");
+        let hash = xxh3_64(format!("{key}-v{version}").as_bytes());
+        let stored = StoredHit {
+            outlet,
+            partition,
+            version: version.0,
+            item: ITEMS[(hash % ITEMS.len() as u64) as usize].to_string(),
+        };
+        let body = to_raw_value(&stored).expect("a plain structure is written without error");
+        // Short enough to survive the way through JSON unchanged.
+        Hit { key: key.into(), sort: (hash % 1_000_000) as f64, body }
+    }
+}
