--- /dev/null
+++ b/crates/sablebay-standin/src/load.rs
@@ -0,0 +1,226 @@
+//! Callers: a client, a checker of what it is told, and an open-loop load.
+
+mod check;
+mod client;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tokio::task::JoinSet;
+
+use crate::corpus::Corpus;
+
+pub use check::{CheckedAnswer, Violation};
+pub use client::{CallerClient, OperationOutcome, QueryOutcome};
+
+/// What load to put on.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// The nodes, in turn.
+    pub nodes: Vec<SocketAddr>,
+    /// The services, drawn by their weights.
+    pub services: Vec<WeightedService>,
+    /// Queries a second, at exponentially distributed intervals.
+    pub rate: f64,
+    /// For how long.
+    pub duration: Duration,
+    /// Hits wanted.
+    pub limit: usize,
+    /// The callers' deadline.
+    pub deadline_ms: Option<u64>,
+    /// What the right answers are.
+    pub corpus: Corpus,
+    /// Seed of the arrival times and outlets.
+    pub seed: u64,
+    /// Queries in the beginning that are checked and not timed.
+    pub warm_up: Duration,
+    /// How often a `not_run` refusal is asked again at the next node.
+    pub attempts: u32,
+}
+
+/// A service, and its part of the load.
+#[derive(Clone, Debug)]
+pub struct WeightedService {
+    /// The service.
+    pub name: String,
+    /// Its weight.
+    pub weight: f64,
+}
+
+impl WeightedService {
+    /// Services of equal weight.
+    pub fn equal(names: &[String]) -> Vec<WeightedService> {
+        names.iter().map(|name| WeightedService { name: name.clone(), weight: 1.0 }).collect()
+    }
+}
+
+/// Draws a service by weight.
+fn draw_service(services: &[WeightedService], random: &mut SmallRng) -> String {
+    let total: f64 = services.iter().map(|service| service.weight).sum();
+    let mut point = random.random_range(0.0..total);
+    for service in services {
+        point -= service.weight;
+        if point < 0.0 {
+            return service.name.clone();
+        }
+    }
+    services[services.len() - 1].name.clone()
+}
+
+/// What came of a load.
+#[derive(Clone, Debug)]
+pub struct LoadSummary {
+    /// Queries sent.
+    pub queries: u64,
+    /// Queries answered.
+    pub answered: u64,
+    /// Answers with nothing missing.
+    pub full: u64,
+    /// Refusals that said `not_run`, at the last attempt.
+    pub not_run: u64,
+    /// Refusals that said `unknown`.
+    pub unknown: u64,
+    /// Connections that failed without an answer.
+    pub cut: u64,
+    /// Latencies of timed answers, in microseconds.
+    pub latency_us: Histogram<u64>,
+    /// Calls to leaves.
+    pub leaf_calls: u64,
+    /// Hedges.
+    pub hedges: u64,
+    /// Retries.
+    pub retries: u64,
+    /// What must never happen.
+    pub violations: Vec<Violation>,
+    /// Per second of the run: answers, and full answers among them.
+    pub coverage_over_time: Vec<(u64, u64)>,
+}
+
+impl Default for LoadSummary {
+    fn default() -> Self {
+        Self {
+            queries: 0,
+            answered: 0,
+            full: 0,
+            not_run: 0,
+            unknown: 0,
+            cut: 0,
+            latency_us: Histogram::new_with_bounds(1, 600_000_000, 3).expect("constant bounds are valid"),
+            leaf_calls: 0,
+            hedges: 0,
+            retries: 0,
+            violations: Vec::new(),
+            coverage_over_time: Vec::new(),
+        }
+    }
+}
+
+impl LoadSummary {
+    /// A latency quantile in milliseconds.
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latency_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    /// Extra calls as a share of first calls.
+    pub fn extra_load(&self) -> f64 {
+        let extra = self.hedges + self.retries;
+        let first = self.leaf_calls.saturating_sub(extra).max(1);
+        extra as f64 / first as f64
+    }
+
+    /// The share of queries that were answered in full.
+    pub fn full_coverage(&self) -> f64 {
+        self.full as f64 / self.queries.max(1) as f64
+    }
+
+    /// How many violations there are of one kind.
+    pub fn count(&self, kind: Violation) -> usize {
+        self.violations.iter().filter(|violation| **violation == kind).count()
+    }
+
+    fn add(&mut self, outcome: &QueryOutcome, took: Duration, timed: bool, second: usize) {
+        self.queries += 1;
+        match outcome {
+            QueryOutcome::Answered(checked) => {
+                self.answered += 1;
+                self.full += u64::from(checked.is_full);
+                self.leaf_calls += checked.work.leaf_calls;
+                self.hedges += checked.work.hedges;
+                self.retries += checked.work.retries;
+                self.violations.extend(&checked.violations);
+                if timed {
+                    self.latency_us.saturating_record(took.as_micros() as u64);
+                }
+                if self.coverage_over_time.len() <= second {
+                    self.coverage_over_time.resize(second + 1, (0, 0));
+                }
+                self.coverage_over_time[second].0 += 1;
+                self.coverage_over_time[second].1 += u64::from(checked.is_full);
+            }
+            QueryOutcome::NotRun { .. } => self.not_run += 1,
+            QueryOutcome::Unknown { .. } => self.unknown += 1,
+            QueryOutcome::Cut => self.cut += 1,
+        }
+    }
+}
+
+/// Puts on an open-loop load: a slow answer does not hold the next query back.
+pub async fn run_load(options: LoadOptions) -> LoadSummary {
+    let summary = Arc::new(Mutex::new(LoadSummary::default()));
+    let clients: Vec<Arc<CallerClient>> =
+        options.nodes.iter().map(|node| Arc::new(CallerClient::new(*node))).collect();
+    let mut random = SmallRng::seed_from_u64(options.seed);
+    let mut running = JoinSet::new();
+    let started = Instant::now();
+    let mut due = started;
+    let mut number = 0usize;
+    while due.duration_since(started) < options.duration {
+        tokio::time::sleep_until(due.into()).await;
+        let service = draw_service(&options.services, &mut random);
+        let outlet = random.random_range(1..100_000);
+        let query = OneQuery { clients: clients.clone(), service, outlet, first_node: number };
+        running.spawn(query.run(options.clone(), summary.clone(), started, due));
+        number += 1;
+        let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+        due += Duration::from_secs_f64(-uniform.ln() / options.rate);
+        while running.try_join_next().is_some() {}
+    }
+    running.join_all().await;
+    std::mem::take(&mut *summary.lock())
+}
+
+struct OneQuery {
+    clients: Vec<Arc<CallerClient>>,
+    service: String,
+    outlet: u64,
+    first_node: usize,
+}
+
+impl OneQuery {
+    async fn run(
+        self,
+        options: LoadOptions,
+        summary: Arc<Mutex<LoadSummary>>,
+        started: Instant,
+        due: Instant,
+    ) {
+        let mut outcome = QueryOutcome::Cut;
+        for attempt in 0..options.attempts.max(1) {
+            let client = &self.clients[(self.first_node + attempt as usize) % self.clients.len()];
+            let deadline = options.deadline_ms;
+            outcome =
+                client.query(&self.service, self.outlet, options.limit, deadline, &options.corpus).await;
+            if !matches!(outcome, QueryOutcome::NotRun { .. }) {
+                break;
+            }
+        }
+        let offset = due.duration_since(started);
+        let timed = offset >= options.warm_up;
+        summary.lock().add(&outcome, due.elapsed(), timed, offset.as_secs() as usize);
+    }
+}
--- /dev/null
+++ b/crates/sablebay-standin/src/load/client.rs
@@ -0,0 +1,192 @@
+//! A caller's client of one node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::de::DeserializeOwned;
+
+use sablebay_http::{ConnectionPool, ExchangeFailure};
+use sablebay_model::{Outcome, Reason, Refusal};
+use sablebay_protocol::caller::{
+    DEADLINE_HEADER, OperationAnswer, QueryAnswer, TICKET_HEADER, TicketAnswer, TicketStatusAnswer,
+};
+
+use super::check::{CheckedAnswer, check_answer};
+use crate::corpus::Corpus;
+
+/// Connections of one client.
+const CONNECTIONS: usize = 4_096;
+/// How long a caller waits at the most.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What came of a query.
+#[derive(Clone, Debug)]
+pub enum QueryOutcome {
+    /// It was answered.
+    Answered(CheckedAnswer),
+    /// It did not run: the node said so, or could not be reached.
+    NotRun {
+        /// The node's reason; absent when the node could not be reached.
+        reason: Option<Reason>,
+        /// When to come back.
+        retry_after_ms: Option<u64>,
+    },
+    /// The node does not know.
+    Unknown {
+        /// The node's reason.
+        reason: Reason,
+    },
+    /// The connection ended without an answer.
+    Cut,
+}
+
+/// What came of an operation.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperationOutcome {
+    /// It ran.
+    Done {
+        /// Its ticket.
+        ticket: String,
+    },
+    /// The node says that it did not run and never will; or it could not be reached.
+    NotRun {
+        /// The node's reason; absent when the node could not be reached.
+        reason: Option<Reason>,
+    },
+    /// Whether it ran is not known.
+    Unknown {
+        /// The node's reason; absent when the connection ended.
+        reason: Option<Reason>,
+    },
+}
+
+/// A caller's client of one node.
+pub struct CallerClient {
+    pool: ConnectionPool,
+}
+
+enum Exchanged<T> {
+    Answer(T),
+    Refused(Refusal),
+    NotSent,
+    Broken,
+}
+
+impl CallerClient {
+    /// A client of the node at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { pool: ConnectionPool::new(address, CONNECTIONS) }
+    }
+
+    async fn exchange<T: DeserializeOwned>(&self, request: Request<Full<Bytes>>) -> Exchanged<T> {
+        let exchanged = tokio::time::timeout(PATIENCE, self.fetch(request)).await;
+        let (status, body) = match exchanged {
+            Ok(Ok(fetched)) => fetched,
+            Ok(Err(ExchangeFailure::NotSent)) => return Exchanged::NotSent,
+            Ok(Err(ExchangeFailure::Broken)) | Err(_) => return Exchanged::Broken,
+        };
+        if status.is_success() {
+            return serde_json::from_slice(&body).map_or(Exchanged::Broken, Exchanged::Answer);
+        }
+        serde_json::from_slice(&body).map_or(Exchanged::Broken, Exchanged::Refused)
+    }
+
+    async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let permit = self.pool.permit().await;
+        let mut lease = self.pool.connect(permit).await.ok_or(ExchangeFailure::NotSent)?;
+        let response = self.pool.send(&mut lease, request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(|_| ExchangeFailure::Broken)?;
+        self.pool.give_back(lease);
+        Ok((status, body.to_bytes()))
+    }
+
+    /// Sends a query for the orders of an outlet, and checks the answer.
+    pub async fn query(
+        &self,
+        service: &str,
+        outlet: u64,
+        limit: usize,
+        deadline_ms: Option<u64>,
+        corpus: &Corpus,
+    ) -> QueryOutcome {
+        let body = format!("{{\"query\":{{\"outlet\":{outlet}}},\"limit\":{limit}}}");
+        let mut request = post(format!("/v1/services/{service}/query"), body);
+        if let Some(deadline_ms) = deadline_ms {
+            request.headers_mut().insert(DEADLINE_HEADER, HeaderValue::from(deadline_ms));
+        }
+        match self.exchange::<QueryAnswer>(request).await {
+            Exchanged::Answer(answer) => QueryOutcome::Answered(check_answer(&answer, outlet, limit, corpus)),
+            Exchanged::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
+                QueryOutcome::NotRun { reason: Some(refusal.reason), retry_after_ms: refusal.retry_after_ms }
+            }
+            Exchanged::Refused(refusal) => QueryOutcome::Unknown { reason: refusal.reason },
+            Exchanged::NotSent => QueryOutcome::NotRun { reason: None, retry_after_ms: None },
+            Exchanged::Broken => QueryOutcome::Cut,
+        }
+    }
+
+    /// Asks for a ticket.
+    pub async fn ticket(&self, service: &str) -> Option<String> {
+        let request = post(format!("/v1/services/{service}/tickets"), String::new());
+        match self.exchange::<TicketAnswer>(request).await {
+            Exchanged::Answer(answer) => Some(answer.ticket),
+            _ => None,
+        }
+    }
+
+    /// Submits an operation.
+    pub async fn operation(
+        &self,
+        service: &str,
+        ticket: Option<&str>,
+        deadline_ms: Option<u64>,
+    ) -> OperationOutcome {
+        let body = "{\"order\":\"forty trays\"}".to_string();
+        let mut request = post(format!("/v1/services/{service}/operations"), body);
+        if let Some(value) = ticket.and_then(|ticket| HeaderValue::from_str(ticket).ok()) {
+            request.headers_mut().insert(TICKET_HEADER, value);
+        }
+        if let Some(deadline_ms) = deadline_ms {
+            request.headers_mut().insert(DEADLINE_HEADER, HeaderValue::from(deadline_ms));
+        }
+        match self.exchange::<OperationAnswer>(request).await {
+            Exchanged::Answer(answer) => OperationOutcome::Done { ticket: answer.ticket },
+            Exchanged::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
+                OperationOutcome::NotRun { reason: Some(refusal.reason) }
+            }
+            Exchanged::Refused(refusal) => OperationOutcome::Unknown { reason: Some(refusal.reason) },
+            Exchanged::NotSent => OperationOutcome::NotRun { reason: None },
+            Exchanged::Broken => OperationOutcome::Unknown { reason: None },
+        }
+    }
+
+    /// What became of a ticket.
+    pub async fn ticket_state(&self, ticket: &str) -> Option<TicketStatusAnswer> {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = format!("/v1/tickets/{ticket}").parse().ok()?;
+        match self.exchange::<TicketStatusAnswer>(request).await {
+            Exchanged::Answer(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// The body at a path, whatever the status.
+    pub async fn send(&self, method: Method, path: &str, body: &str) -> Option<(StatusCode, Bytes)> {
+        let mut request = post(path.to_string(), body.to_string());
+        *request.method_mut() = method;
+        tokio::time::timeout(PATIENCE, self.fetch(request)).await.ok()?.ok()
+    }
+}
+
+fn post(path: String, body: String) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    request.headers_mut().insert(http::header::HOST, HeaderValue::from_static("node"));
+    request.headers_mut().insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    request
+}
--- /dev/null
+++ b/crates/sablebay/src/arguments.rs
@@ -0,0 +1,137 @@
+//! Command-line arguments: one way to read them for every command.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use lexopt::prelude::*;
+
+use sablebay_config::nearest_name;
+
+/// A mistake on the command line.
+#[derive(Debug, PartialEq, Eq)]
+pub struct UsageError {
+    message: String,
+}
+
+impl fmt::Display for UsageError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.message)
+    }
+}
+
+impl UsageError {
+    /// A mistake described by one sentence.
+    pub fn new(message: impl Into<String>) -> Self {
+        Self { message: message.into() }
+    }
+
+    /// A command that does not exist, with the nearest that does.
+    pub fn unknown_command(given: &str) -> Self {
+        const COMMANDS: [&str; 6] = ["serve", "check", "status", "config", "drain", "demo"];
+        Self::new(with_nearest(format!("there is no command `{given}`"), given, &COMMANDS))
+    }
+}
+
+impl From<lexopt::Error> for UsageError {
+    fn from(error: lexopt::Error) -> Self {
+        Self::new(error.to_string())
+    }
+}
+
+fn with_nearest(message: String, given: &str, known: &[&str]) -> String {
+    match nearest_name(given, known.iter().copied()) {
+        Some(nearest) => format!("{message}; did you mean `{nearest}`?"),
+        None => message,
+    }
+}
+
+/// What a command accepts.
+pub struct Accepted {
+    /// The command's help.
+    pub help: &'static str,
+    /// Options with a value, without their dashes.
+    pub options: &'static [&'static str],
+    /// Options without a value.
+    pub switches: &'static [&'static str],
+    /// Whether words without dashes are taken.
+    pub words: bool,
+}
+
+/// What was given.
+#[derive(Debug, Default)]
+pub struct Arguments {
+    options: BTreeMap<String, Vec<String>>,
+    switches: Vec<String>,
+    /// Words without dashes.
+    pub words: Vec<String>,
+}
+
+impl Arguments {
+    /// Reads the arguments. Nothing when help or the version was asked for and printed.
+    ///
+    /// # Errors
+    /// A mistake; a mistyped option is named with the nearest one.
+    pub fn read(mut parser: lexopt::Parser, accepted: &Accepted) -> Result<Option<Self>, UsageError> {
+        let mut arguments = Self::default();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Short('h') | Long("help") => {
+                    print!("{}", accepted.help);
+                    return Ok(None);
+                }
+                Short('V') | Long("version") => {
+                    println!("sablebay {}", env!("CARGO_PKG_VERSION"));
+                    return Ok(None);
+                }
+                Long(name) if accepted.switches.contains(&name) => {
+                    arguments.switches.push(name.to_string());
+                }
+                Long(name) if accepted.options.contains(&name) => {
+                    let name = name.to_string();
+                    let value = parser.value()?.string()?;
+                    arguments.options.entry(name).or_default().push(value);
+                }
+                Long(name) => return Err(unknown_option(name, accepted)),
+                Value(word) if accepted.words => arguments.words.push(word.string()?),
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(Some(arguments))
+    }
+
+    /// Whether a switch was given.
+    pub fn has(&self, name: &str) -> bool {
+        self.switches.iter().any(|given| given == name)
+    }
+
+    /// The last value of an option.
+    pub fn value(&self, name: &str) -> Option<&str> {
+        self.options.get(name).and_then(|values| values.last()).map(String::as_str)
+    }
+
+    /// Every value of an option that may be repeated.
+    pub fn values(&self, name: &str) -> &[String] {
+        self.options.get(name).map_or(&[], Vec::as_slice)
+    }
+
+    /// The last value of an option, parsed.
+    ///
+    /// # Errors
+    /// When it is not of the form expected.
+    pub fn parsed<T: std::str::FromStr>(&self, name: &str, expected: &str) -> Result<Option<T>, UsageError> {
+        let Some(text) = self.value(name) else {
+            return Ok(None);
+        };
+        let wrong = |_| UsageError::new(format!("--{name} is `{text}`, not {expected}"));
+        text.parse().map(Some).map_err(wrong)
+    }
+}
+
+fn unknown_option(name: &str, accepted: &Accepted) -> UsageError {
+    let known: Vec<&str> = accepted.options.iter().chain(accepted.switches).copied().collect();
+    let message = format!("there is no option `--{name}`");
+    match nearest_name(name, known.iter().copied()) {
+        Some(nearest) => UsageError::new(format!("{message}; did you mean `--{nearest}`?")),
+        None => UsageError::new(format!("{message}; see --help")),
+    }
+}
--- /dev/null
+++ b/crates/sablebay/src/command.rs
@@ -0,0 +1,8 @@
+//! The commands.
+
+pub mod check;
+pub mod config;
+pub mod demo;
+pub mod drain;
+pub mod serve;
+pub mod status;
--- /dev/null
+++ b/crates/sablebay/src/command/check.rs
@@ -0,0 +1,91 @@
+//! `sablebay check`: validates configuration files, and renders what would be in force.
+
+use std::process::ExitCode;
+
+use serde::Serialize;
+
+use sablebay_config::{Configuration, ConfigurationError, Finding, NodeSettings, ServiceSettings};
+
+use crate::CommandResult;
+use crate::arguments::{Accepted, Arguments, UsageError};
+
+const HELP: &str = "\
+Validates configuration files, offline, and prints every finding with its place.
+
+Usage: sablebay check [--settings] [--render] [--json] FILE ...
+
+  --settings  the files are nodes' settings, not configurations
+  --render    print each service as it will be in force
+  --json      print one JSON object a file
+
+Exit codes: 0 no findings, 1 findings, 2 usage.
+";
+
+#[derive(Serialize)]
+struct FileResult {
+    file: String,
+    valid: bool,
+    findings: Vec<Finding>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    services: Option<Vec<ServiceSettings>>,
+}
+
+/// Runs the command.
+pub fn run(parser: lexopt::Parser) -> CommandResult {
+    let accepted =
+        Accepted { help: HELP, options: &[], switches: &["settings", "render", "json"], words: true };
+    let Some(arguments) = Arguments::read(parser, &accepted)? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    if arguments.words.is_empty() {
+        return Err(UsageError::new("check needs a file; see --help"));
+    }
+    let mut all_valid = true;
+    for file in &arguments.words {
+        let text = std::fs::read_to_string(file)
+            .map_err(|error| UsageError::new(format!("cannot read {file}: {error}")))?;
+        let result = check_file(file, &text, &arguments);
+        all_valid &= result.valid;
+        print_result(&result, &arguments);
+    }
+    Ok(if all_valid { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn check_file(file: &str, text: &str, arguments: &Arguments) -> FileResult {
+    let checked = if arguments.has("settings") {
+        NodeSettings::parse(file, text).map(|_| None)
+    } else {
+        Configuration::parse(file, text).map(|configuration| {
+            let services = configuration.services.values().map(|service| (**service).clone());
+            arguments.has("render").then(|| services.collect())
+        })
+    };
+    let (valid, findings, services) = match checked {
+        Ok(services) => (true, Vec::new(), services),
+        Err(ConfigurationError::Invalid { findings }) => (false, findings, None),
+        Err(_) => (false, Vec::new(), None),
+    };
+    FileResult { file: file.to_string(), valid, findings, services }
+}
+
+fn print_result(result: &FileResult, arguments: &Arguments) {
+    if arguments.has("json") {
+        if let Ok(line) = serde_json::to_string(result) {
+            println!("{line}");
+        }
+        return;
+    }
+    for finding in &result.findings {
+        println!("{finding}");
+    }
+    if result.valid {
+        println!("{}: fine", result.file);
+    } else {
+        println!("{}: {} findings", result.file, result.findings.len());
+    }
+    for service in result.services.iter().flatten() {
+        if let Ok(text) = toml::to_string(service) {
+            println!("\n{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay/src/command/serve.rs
@@ -0,0 +1,195 @@
+//! `sablebay serve`: runs a node until it is told to stop.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::process::ExitCode;
+
+use log::LevelFilter;
+use tokio::signal::unix::{SignalKind, signal};
+
+use sablebay_config::{ConfigurationError, NodeSettings};
+use sablebay_node::{BoundAddresses, Node, NodeMechanisms, start_logging};
+
+use crate::CommandResult;
+use crate::arguments::{Accepted, Arguments, UsageError};
+
+const HELP: &str = "\
+Runs a node.
+
+Usage: sablebay serve [--settings FILE] [OPTION ...]
+
+Each setting can be given by a flag too, which goes before the file:
+  --node NAME  --zone NAME  --region NAME  --fleet NAME  --fleet-key TEXT
+  --caller-address A  --admin-address A  --peer-address A  --advertised-peer-address A
+  --platform-address A  --peers A (repeatable)  --operator-token TEXT
+  --log-level LEVEL  --log-format text|json  --concurrency N  --stop-timeout-ms N
+  --probe-period-ms N  --platform-reads-per-second X  --aggregators-per-service N
+
+  --settings FILE   read settings from a TOML file
+  --ready-fd N      also write the bound addresses to this file descriptor
+
+The bound addresses are printed as one JSON line on standard output. SIGTERM and SIGINT are the
+planned stop: new work is refused, what is in flight is finished, the exit code is 0.
+";
+
+const TEXT_KEYS: &[&str] = &[
+    "node",
+    "zone",
+    "region",
+    "fleet",
+    "fleet-key",
+    "caller-address",
+    "admin-address",
+    "peer-address",
+    "advertised-peer-address",
+    "platform-address",
+    "operator-token",
+    "log-level",
+    "log-format",
+];
+const NUMBER_KEYS: &[&str] = &[
+    "concurrency",
+    "stop-timeout-ms",
+    "probe-period-ms",
+    "platform-reads-per-second",
+    "aggregators-per-service",
+];
+const OPTIONS: &[&str] = &[
+    "node",
+    "zone",
+    "region",
+    "fleet",
+    "fleet-key",
+    "caller-address",
+    "admin-address",
+    "peer-address",
+    "advertised-peer-address",
+    "platform-address",
+    "operator-token",
+    "log-level",
+    "log-format",
+    "concurrency",
+    "stop-timeout-ms",
+    "probe-period-ms",
+    "platform-reads-per-second",
+    "aggregators-per-service",
+    "peers",
+    "settings",
+    "ready-fd",
+];
+
+/// Runs the command.
+pub fn run(parser: lexopt::Parser) -> CommandResult {
+    let accepted = Accepted { help: HELP, options: OPTIONS, switches: &[], words: false };
+    let Some(arguments) = Arguments::read(parser, &accepted)? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let ready_fd: Option<u32> = arguments.parsed("ready-fd", "a file descriptor")?;
+    let Some(settings) = read_settings(&arguments)? else {
+        return Ok(ExitCode::FAILURE);
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => Ok(runtime.block_on(serve(settings, ready_fd))),
+        Err(error) => Err(UsageError::new(format!("the runtime does not start: {error}"))),
+    }
+}
+
+/// The overrides that flags ask for: each key, and its value in TOML.
+fn overrides(arguments: &Arguments) -> Vec<(String, String)> {
+    let mut overrides = Vec::new();
+    let key = |flag: &str| flag.replace('-', "_");
+    for flag in TEXT_KEYS {
+        if let Some(value) = arguments.value(flag) {
+            overrides.push((key(flag), toml::Value::String(value.to_string()).to_string()));
+        }
+    }
+    for flag in NUMBER_KEYS {
+        if let Some(value) = arguments.value(flag) {
+            overrides.push((key(flag), value.to_string()));
+        }
+    }
+    let peers = arguments.values("peers");
+    if !peers.is_empty() {
+        let list = peers.iter().map(|peer| toml::Value::String(peer.clone())).collect();
+        overrides.push(("peers".to_string(), toml::Value::Array(list).to_string()));
+    }
+    overrides
+}
+
+/// The settings, or nothing after every finding was printed.
+fn read_settings(arguments: &Arguments) -> Result<Option<NodeSettings>, UsageError> {
+    let file = arguments.value("settings").unwrap_or("flags");
+    let text = match arguments.value("settings") {
+        None => String::new(),
+        Some(path) => std::fs::read_to_string(path)
+            .map_err(|error| UsageError::new(format!("cannot read {path}: {error}")))?,
+    };
+    match NodeSettings::parse_with_overrides(file, &text, &overrides(arguments)) {
+        Ok(settings) => Ok(Some(settings)),
+        Err(ConfigurationError::Invalid { findings }) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            Ok(None)
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Ok(None)
+        }
+    }
+}
+
+async fn serve(settings: NodeSettings, ready_fd: Option<u32>) -> ExitCode {
+    let level: LevelFilter = settings.log_level.parse().unwrap_or(LevelFilter::Info);
+    let log_control = match start_logging(level, settings.log_format) {
+        Ok(control) => control,
+        Err(error) => {
+            eprintln!("sablebay: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let node = match Node::start(settings, NodeMechanisms::default(), Some(log_control)).await {
+        Ok(node) => node,
+        Err(error) => {
+            eprintln!("sablebay: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Err(error) = announce(&node.addresses, ready_fd) {
+        eprintln!("sablebay: the bound addresses cannot be written: {error}");
+        return ExitCode::FAILURE;
+    }
+    wait_for_signal().await;
+    let finished = node.stop().await;
+    if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn announce(addresses: &BoundAddresses, ready_fd: Option<u32>) -> std::io::Result<()> {
+    let line = serde_json::to_string(addresses)?;
+    println!("{line}");
+    std::io::stdout().flush()?;
+    if let Some(descriptor) = ready_fd {
+        let path = format!("/dev/fd/{descriptor}");
+        let mut file = OpenOptions::new().write(true).open(path)?;
+        writeln!(file, "{line}")?;
+    }
+    Ok(())
+}
+
+async fn wait_for_signal() {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    match (terminate, interrupt) {
+        (Ok(mut terminate), Ok(mut interrupt)) => {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+        _ => {
+            log::error!("node: signals cannot be watched; the planned stop is not available.");
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay/src/command/status.rs
@@ -0,0 +1,163 @@
+//! `sablebay status`: shows a node, or the whole fleet.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use http::Method;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+use sablebay_node::NodeReport;
+
+use crate::CommandResult;
+use crate::admin_client::{AdminClient, block_on};
+use crate::arguments::{Accepted, Arguments};
+
+const HELP: &str = "\
+Shows the fleet as one node sees it, and what each node says of itself.
+
+Usage: sablebay status [--admin ADDRESS] [--json] [--watch]
+
+  --admin ADDRESS  the admin API of any node (default 127.0.0.1:7300)
+  --json           print the data instead of tables
+  --watch          print again every second
+";
+
+/// The answer of `/v1/status?fleet=true`.
+#[derive(Deserialize)]
+struct FleetStatus {
+    versions: BTreeMap<String, usize>,
+    silent: Vec<String>,
+    nodes: Vec<NodeReport>,
+}
+
+/// Runs the command.
+pub fn run(parser: lexopt::Parser) -> CommandResult {
+    let accepted = Accepted { help: HELP, options: &["admin"], switches: &["json", "watch"], words: false };
+    let Some(arguments) = Arguments::read(parser, &accepted)? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let client = AdminClient::from_arguments(&arguments)?;
+    Ok(block_on(show(client, arguments.has("json"), arguments.has("watch"))))
+}
+
+async fn show(client: AdminClient, json: bool, watch: bool) -> ExitCode {
+    const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+    loop {
+        let shown = match client.send(Method::GET, "/v1/status?fleet=true", Vec::new()).await {
+            None => false,
+            Some(body) if json => {
+                println!("{}", String::from_utf8_lossy(&body));
+                true
+            }
+            Some(body) => match serde_json::from_slice::<FleetStatus>(&body) {
+                Ok(status) => {
+                    print_tables(&status);
+                    true
+                }
+                Err(error) => {
+                    eprintln!("sablebay: the answer is not as expected: {error}");
+                    false
+                }
+            },
+        };
+        if !watch {
+            return if shown { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+        }
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        println!();
+    }
+}
+
+fn print_tables(status: &FleetStatus) {
+    println!(
+        "{:<16} {:<10} {:<9} {:>22} {:>12} {:>9} {:>8}",
+        "NODE", "ZONE", "STATE", "VERSION", "CONFIRMED", "IN FLIGHT", "MEMBERS"
+    );
+    for node in &status.nodes {
+        let state = match (node.draining, node.ready) {
+            (true, _) => "draining",
+            (false, true) => "ready",
+            (false, false) => "starting",
+        };
+        let confirmed = node.confirmed_ms_ago.map_or("never".to_string(), |ms| format!("{ms} ms ago"));
+        let version = short_version(node);
+        println!(
+            "{:<16} {:<10} {:<9} {:>22} {:>12} {:>9} {:>8}",
+            node.node,
+            node.zone,
+            state,
+            version,
+            confirmed,
+            node.in_flight,
+            node.members.len()
+        );
+    }
+    for node in &status.silent {
+        println!("{node:<16} {:<10} silent", "");
+    }
+    for (version, count) in &status.versions {
+        println!("version {version}: {count} nodes");
+    }
+    print_services(status);
+    print_troubles(status);
+}
+
+fn short_version(node: &NodeReport) -> String {
+    let lag = if node.version < node.floor { " (lags)" } else { "" };
+    format!("{}{lag}", node.version)
+}
+
+fn print_services(status: &FleetStatus) {
+    let mut merged: BTreeMap<&str, sablebay_node::ServiceReport> = BTreeMap::new();
+    for node in &status.nodes {
+        for (name, report) in &node.services {
+            merged.entry(name).or_default().merge(report);
+        }
+    }
+    if merged.is_empty() {
+        return;
+    }
+    println!(
+        "\n{:<20} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
+        "SERVICE", "QUERIES", "FULL", "REFUSED", "P50 MS", "P99 MS", "EXTRA %"
+    );
+    for (name, report) in merged {
+        let latency = report.latency_ms(&[0.5, 0.99]);
+        let refused: u64 = report.refusals.values().sum();
+        println!(
+            "{name:<20} {:>9} {:>9} {refused:>9} {:>9.2} {:>9.2} {:>8.2}",
+            report.queries,
+            report.full_coverage,
+            latency[0],
+            latency[1],
+            report.extra_load_percent()
+        );
+    }
+}
+
+fn print_troubles(status: &FleetStatus) {
+    let mut seen = Vec::new();
+    for node in &status.nodes {
+        for rejection in &node.rejections {
+            let line = format!("revision {} was rejected by {}", rejection.version, rejection.by);
+            if !seen.contains(&line) {
+                println!("\n{line}:");
+                for finding in &rejection.findings {
+                    println!("  {finding}");
+                }
+                seen.push(line);
+            }
+        }
+        for conflict in &node.conflicts {
+            let line = format!(
+                "revision {} has two contents: {} is in force, {} is not",
+                conflict.revision, conflict.in_force, conflict.other
+            );
+            if !seen.contains(&line) {
+                println!("\n{line}");
+                seen.push(line);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay/src/main.rs
@@ -0,0 +1,67 @@
+//! `sablebay`: a query tier over many small sharded search services.
+
+mod admin_client;
+mod arguments;
+mod command;
+
+use std::process::ExitCode;
+
+use arguments::UsageError;
+
+const USAGE: &str = "\
+sablebay: a query tier over many small sharded search services
+
+Usage: sablebay COMMAND [OPTION ...]
+
+Commands:
+  serve    run a node
+  check    validate and render configuration files, offline
+  status   show a node, or the whole fleet
+  config   show what is in force, or try a candidate against it
+  drain    make a node refuse new work, or take it again
+  demo     run a platform, leaves and three nodes in this process
+
+Options:
+  -h, --help     print this, or the help of a command
+  -V, --version  print the version
+
+Exit codes: 0 fine, 1 findings or failure, 2 usage.
+";
+
+/// What a command ended with.
+pub type CommandResult = Result<ExitCode, UsageError>;
+
+const USAGE_EXIT_CODE: u8 = 2;
+
+fn run() -> CommandResult {
+    let mut words = std::env::args_os().skip(1);
+    let Some(name) = words.next().and_then(|word| word.into_string().ok()) else {
+        eprint!("{USAGE}");
+        return Ok(ExitCode::from(USAGE_EXIT_CODE));
+    };
+    let rest = lexopt::Parser::from_args(words);
+    match name.as_str() {
+        "serve" => command::serve::run(rest),
+        "check" => command::check::run(rest),
+        "status" => command::status::run(rest),
+        "config" => command::config::run(rest),
+        "drain" => command::drain::run(rest),
+        "demo" => command::demo::run(rest),
+        "-h" | "--help" | "help" => {
+            print!("{USAGE}");
+            Ok(ExitCode::SUCCESS)
+        }
+        "-V" | "--version" => {
+            println!("sablebay {}", env!("CARGO_PKG_VERSION"));
+            Ok(ExitCode::SUCCESS)
+        }
+        _ => Err(UsageError::unknown_command(&name)),
+    }
+}
+
+fn main() -> ExitCode {
+    run().unwrap_or_else(|error| {
+        eprintln!("sablebay: {error}");
+        ExitCode::from(USAGE_EXIT_CODE)
+    })
+}
