--- /dev/null
+++ b/crates/sablebay-bench/src/capacity/slopes.rs
@@ -0,0 +1,258 @@
+//! Measurement of the slopes.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use serde::Serialize;
+
+use sablebay_config::{Configuration, Delta};
+use sablebay_fleet::{ClaimHolder, ClaimRequest, Claimant, Ticket, TicketId};
+use sablebay_model::{
+    FleetName, Incarnation, InstanceKey, NodeId, PartitionSet, Revision, ServiceId, SnapshotVersion,
+    SortOrder, WallMillis,
+};
+use sablebay_protocol::peer::{PartialResult, PartialSearch, PeerMessage, PeerRequest, PeerResponse};
+use sablebay_protocol::{ChannelKey, FrameReader, encode_frame};
+use sablebay_query::{Coverage, Work};
+
+use crate::error::BenchError;
+use crate::experiment::{RunOptions, run_experiment};
+use crate::processes::{NodeCommand, ProcessCluster};
+use crate::usage::{process_cpu_time, resident_bytes};
+
+/// What was measured. Each name says the unit.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slopes {
+    /// Processor time for a leaf call, at 1,400 leaves a query.
+    pub us_per_leaf_call: f64,
+    /// Calls in a batch in that measurement.
+    pub leaf_call_batch: f64,
+    /// Processor time for a query over two leaves, all of it.
+    pub us_per_small_query: f64,
+    /// Processor time to write and read one frame with a part of a search and its result.
+    pub us_per_partial_frame_pair: f64,
+    /// Bytes of that pair.
+    pub bytes_per_partial_frame_pair: f64,
+    /// Bytes of control traffic a node sends, at 2,100 nodes.
+    pub control_bytes_per_second: f64,
+    /// Messages of control traffic a node sends, at 2,100 nodes.
+    pub control_messages_per_second: f64,
+    /// Processor share of a node's control logic, at 2,100 nodes.
+    pub control_logic_share: f64,
+    /// Memory of a node's view of the fleet, at 2,100 nodes.
+    pub control_memory_bytes: f64,
+    /// Time until a change is in force everywhere, the longest seen, at 2,100 nodes.
+    pub in_force_everywhere_ms: f64,
+    /// Processor share of an idle node process in a fleet of three, transport included.
+    pub idle_process_share: f64,
+    /// Memory of an idle node process.
+    pub idle_process_bytes: f64,
+    /// Memory for each leaf of the configuration in force.
+    pub memory_bytes_per_leaf: f64,
+    /// Bytes of each leaf, with its part of the index map, in a document.
+    pub document_bytes_per_leaf: f64,
+    /// Processor time to read a whole document, for each leaf.
+    pub parse_us_per_leaf: f64,
+    /// Processor time to apply a small delta, for each leaf of the configuration.
+    pub delta_us_per_leaf: f64,
+    /// Bytes of a small delta.
+    pub delta_bytes: f64,
+    /// Memory for each claim held.
+    pub memory_bytes_per_claim: f64,
+    /// Processor time for each claim.
+    pub us_per_claim: f64,
+}
+
+/// Leaves of the configuration that is measured.
+const LEAVES: usize = 20_000;
+const LEAVES_PER_SHARD: usize = 2;
+const SHARDS_PER_INDEX: usize = 50;
+const CLAIMS: usize = 100_000;
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Measures everything.
+pub async fn measure() -> Result<Slopes, BenchError> {
+    let options = RunOptions::default();
+    let configuration = measure_configuration()?;
+    let claims = measure_claims();
+    let (frame_us, frame_bytes) = measure_frames()?;
+    let spread = run_experiment("configuration-spread", &options).await?;
+    let leaf_cost = run_experiment("leaf-cost", &options).await?;
+    let overhead = run_experiment("overhead", &options).await?;
+    let (idle_process_share, idle_process_bytes) = measure_idle().await?;
+    Ok(Slopes {
+        us_per_leaf_call: leaf_cost.number("us_per_leaf_call_1400"),
+        leaf_call_batch: leaf_cost.number("batch_1400"),
+        us_per_small_query: 1e6 / overhead.number("queries_per_second_per_core"),
+        us_per_partial_frame_pair: frame_us,
+        bytes_per_partial_frame_pair: frame_bytes,
+        control_bytes_per_second: spread.number("control_bytes_per_second_per_node_2100"),
+        control_messages_per_second: spread.number("control_messages_per_second_per_node_2100"),
+        control_logic_share: spread.number("control_cpu_share_per_node_2100"),
+        control_memory_bytes: spread.number("control_memory_bytes_per_node_2100"),
+        in_force_everywhere_ms: spread.number("in_force_everywhere_p100_ms_2100"),
+        idle_process_share,
+        idle_process_bytes,
+        memory_bytes_per_leaf: configuration.memory_bytes,
+        document_bytes_per_leaf: configuration.document_bytes,
+        parse_us_per_leaf: configuration.parse_us,
+        delta_us_per_leaf: configuration.delta_us,
+        delta_bytes: configuration.delta_bytes,
+        memory_bytes_per_claim: claims.0,
+        us_per_claim: claims.1,
+    })
+}
+
+struct ConfigurationSlopes {
+    memory_bytes: f64,
+    document_bytes: f64,
+    parse_us: f64,
+    delta_us: f64,
+    delta_bytes: f64,
+}
+
+/// A document with many leaves: pairs of them hold shards, fifty shards make an index.
+fn large_document(revision: u64, deadline_ms: u64) -> String {
+    let indexes = LEAVES / LEAVES_PER_SHARD / SHARDS_PER_INDEX;
+    let mut text = format!("revision = {revision}\n[templates.t]\nreplicas = 2\n");
+    for index in 0..indexes {
+        let deadline = if index == 0 { deadline_ms } else { 300 };
+        text.push_str(&format!(
+            "[instances.s{index}]\ntemplate = \"t\"\nindex = \"i{index}\"\ndeadline_ms = {deadline}\n\
+             [indexes.i{index}]\npartitions = {SHARDS_PER_INDEX}\n"
+        ));
+        for shard in 0..SHARDS_PER_INDEX {
+            let first = (index * SHARDS_PER_INDEX + shard) * LEAVES_PER_SHARD;
+            text.push_str(&format!(
+                "[[indexes.i{index}.shards]]\npartitions = \"{shard}\"\nleaves = [\"leaf-{first}\", \"leaf-{}\"]\n",
+                first + 1
+            ));
+        }
+    }
+    for leaf in 0..LEAVES {
+        text.push_str(&format!(
+            "[leaves.leaf-{leaf}]\naddress = \"10.{}.{}.{}:9000\"\nzone = \"zone-{}\"\nslots = 4\n",
+            leaf / 65_536,
+            leaf / 256 % 256,
+            leaf % 256,
+            leaf % 13
+        ));
+    }
+    text
+}
+
+fn measure_configuration() -> Result<ConfigurationSlopes, BenchError> {
+    const DELTAS: u64 = 10;
+    let text = large_document(1, 300);
+    // Once before, so that the allocator's own growth is not counted as the configuration's.
+    drop(Configuration::parse("capacity", &text)?);
+    let memory_before = resident_bytes();
+    let cpu = process_cpu_time();
+    let configuration = Arc::new(Configuration::parse("capacity", &text)?);
+    let parse = process_cpu_time() - cpu;
+    let second = Configuration::parse("capacity", &text)?;
+    let memory = resident_bytes().saturating_sub(memory_before);
+    let next = Configuration::parse("capacity", &large_document(2, 301))?;
+    let delta: Delta = configuration.document.delta_to(&next.document);
+    let cpu = process_cpu_time();
+    for _ in 0..DELTAS {
+        black_box(configuration.apply(&delta)?);
+    }
+    let apply = process_cpu_time() - cpu;
+    let leaves = LEAVES as f64;
+    black_box(&second);
+    Ok(ConfigurationSlopes {
+        memory_bytes: heap_estimate(memory, leaves),
+        document_bytes: configuration.document.content_bytes() as f64 / leaves,
+        parse_us: parse.as_secs_f64() * 1e6 / leaves,
+        delta_us: apply.as_secs_f64() * 1e6 / DELTAS as f64 / leaves,
+        delta_bytes: delta.content_bytes() as f64,
+    })
+}
+
+/// Two configurations were kept, of which the first reused freed memory in part: what the two
+/// took together, by two, is a lower bound of one.
+fn heap_estimate(memory: u64, leaves: f64) -> f64 {
+    memory as f64 / 2.0 / leaves
+}
+
+fn measure_claims() -> (f64, f64) {
+    let own = InstanceKey { node: NodeId::new("node-1"), incarnation: Incarnation(1) };
+    let mut holder = ClaimHolder::new(own.clone());
+    let memory = resident_bytes();
+    let cpu = process_cpu_time();
+    for number in 0..CLAIMS {
+        let ticket = Ticket {
+            id: TicketId(number as u128),
+            minted_at: WallMillis(1_000),
+            lifetime_ms: 60_000,
+            service: ServiceId::new("orders"),
+            holders: vec![own.clone()],
+        };
+        let claimant = Claimant { key: own.clone(), attempt: number as u64 };
+        black_box(holder.claim(&ClaimRequest { ticket, claimant }, WallMillis(1_000)));
+    }
+    let cpu = process_cpu_time() - cpu;
+    let memory = resident_bytes().saturating_sub(memory) as f64 / CLAIMS as f64;
+    (memory, cpu.as_secs_f64() * 1e6 / CLAIMS as f64)
+}
+
+/// One part of a search and its result, written, proved and read.
+fn measure_frames() -> Result<(f64, f64), BenchError> {
+    const ROUNDS: usize = 20_000;
+    const HIT_BYTES: usize = 1_200;
+    let request = PeerMessage::Request {
+        number: 1,
+        request: PeerRequest::PartialSearch(PartialSearch {
+            service: ServiceId::new("orders"),
+            revision: Revision(1),
+            version: SnapshotVersion(1),
+            partitions: PartitionSet::range(0, 174),
+            remaining_us: 300_000,
+            limit: 10,
+            order: SortOrder::Descending,
+            query: "{\"outlet\":4711}".to_string(),
+        }),
+    };
+    let response = PeerMessage::Response {
+        number: 1,
+        response: PeerResponse::PartialSearch(Box::new(PartialResult {
+            version: SnapshotVersion(1),
+            coverage: Coverage { answered: PartitionSet::range(0, 174), missing: Vec::new() },
+            hits: vec![b'x'; HIT_BYTES],
+            work: Work::default(),
+            versions: vec![SnapshotVersion(1)],
+            leaving: false,
+        })),
+    };
+    let fleet = FleetName::new("capacity");
+    let mut writer = ChannelKey::new(&fleet, "key", &[1; 16], &[2; 16]);
+    let mut reader = FrameReader::new(ChannelKey::new(&fleet, "key", &[1; 16], &[2; 16]));
+    let mut buffer = BytesMut::new();
+    let mut bytes = 0;
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        for message in [&request, &response] {
+            let failed = |error: sablebay_protocol::ProtocolError| std::io::Error::other(error.to_string());
+            encode_frame(message, &mut writer, &mut buffer).map_err(failed)?;
+            bytes += buffer.len();
+            black_box(reader.next::<PeerMessage>(&mut buffer).map_err(failed)?);
+        }
+    }
+    let us = started.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64;
+    Ok((us, bytes as f64 / ROUNDS as f64))
+}
+
+/// Processor share and memory of a node process that serves nothing, in a fleet of three.
+async fn measure_idle() -> Result<(f64, f64), BenchError> {
+    let deployment = sablebay_standin::Deployment::tepung_raya();
+    let flags = ["--log-level", "warn"];
+    let command = NodeCommand::with_break(None)?;
+    let cluster = ProcessCluster::start(command, deployment, 3, &flags).await?;
+    let before = cluster.nodes[0].cpu_time();
+    tokio::time::sleep(IDLE).await;
+    let used = cluster.nodes[0].cpu_time() - before;
+    Ok((used.as_secs_f64() / IDLE.as_secs_f64(), cluster.nodes[0].resident_bytes() as f64))
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/cli.rs
@@ -0,0 +1,381 @@
+//! The command line of `sablebay-bench`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use lexopt::prelude::*;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+
+use sablebay_config::{NodeSettings, overrides_of};
+use sablebay_model::{PartitionSet, SnapshotVersion};
+use sablebay_node::{Node, NodeMechanisms};
+use sablebay_standin::{
+    CORPUS, Corpus, Deployment, Leaf, LeafOptions, LoadOptions, Platform, ServiceTime, WeightedService,
+    run_load,
+};
+
+use crate::capacity::measure_capacity;
+use crate::compare::{compare, read_result};
+use crate::error::BenchError;
+use crate::experiment::{EXPERIMENTS, RunOptions, run_experiment};
+use crate::report::write_report;
+
+const USAGE: &str = "\
+sablebay-bench: the emulator of what sablebay serves, and its experiments
+
+Usage: sablebay-bench COMMAND [OPTION ...]
+
+  run NAME [--seed N] [--break MECHANISM] [--scale X] [--out DIR] [--json]
+      run an experiment; the last line on standard output is one JSON object
+  list
+      list the experiments, with the mechanisms that each can turn off
+  capacity [--json]
+      measure the slopes behind docs/CAPACITY.md, and compute its table
+  compare A B
+      set two results side by side (JSON files, or folders written by --out)
+  platform --address A [--configuration FILE]
+      a platform stand-in as a process
+  leaves --configuration FILE
+      every leaf that a configuration names, at its addresses
+  leaf --name NAME --address A --partitions SET [--versions LIST] [--slots N] [--median-us N]
+      one leaf as a process
+  load --nodes A[,A ...] --services NAME[,NAME ...] [--rate X] [--seconds X] [--seed N]
+      an open-loop load with checked answers; prints a JSON summary
+  deployment tepung-raya|protokolia
+      print a user's deployment as a configuration
+
+Exit codes: 0 fine, 1 violations or failure, 2 usage.
+";
+
+const USAGE_EXIT_CODE: u8 = 2;
+
+/// Options and words of a command.
+#[derive(Default)]
+struct Arguments {
+    options: BTreeMap<String, String>,
+    repeated: Vec<(String, String)>,
+    words: Vec<String>,
+}
+
+impl Arguments {
+    fn read(switches: &[&str]) -> Result<(String, Self), lexopt::Error> {
+        let mut parser = lexopt::Parser::from_env();
+        let mut arguments = Self::default();
+        let mut command = String::new();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Short('h') | Long("help") => command = "help".to_string(),
+                Short('V') | Long("version") => command = "version".to_string(),
+                Long(name) if switches.contains(&name) => {
+                    arguments.options.insert(name.to_string(), String::new());
+                }
+                Long(name) => {
+                    let name = name.to_string();
+                    let value = parser.value()?.string()?;
+                    arguments.repeated.push((name.clone(), value.clone()));
+                    arguments.options.insert(name, value);
+                }
+                Value(word) if command.is_empty() => command = word.string()?,
+                Value(word) => arguments.words.push(word.string()?),
+                other => return Err(other.unexpected()),
+            }
+        }
+        Ok((command, arguments))
+    }
+
+    fn text(&self, name: &str) -> Option<&str> {
+        self.options.get(name).map(String::as_str)
+    }
+
+    fn parsed<T: std::str::FromStr>(&self, name: &str) -> Result<Option<T>, UsageError> {
+        let Some(text) = self.text(name) else {
+            return Ok(None);
+        };
+        text.parse().map(Some).map_err(|_| UsageError(format!("--{name} cannot be `{text}`")))
+    }
+
+    fn required<T: std::str::FromStr>(&self, name: &str) -> Result<T, UsageError> {
+        self.parsed(name)?.ok_or_else(|| UsageError(format!("--{name} is needed")))
+    }
+}
+
+struct UsageError(String);
+
+enum Failure {
+    Usage(UsageError),
+    Bench(BenchError),
+}
+
+impl From<UsageError> for Failure {
+    fn from(error: UsageError) -> Self {
+        Failure::Usage(error)
+    }
+}
+
+impl<E: Into<BenchError>> From<E> for Failure {
+    fn from(error: E) -> Self {
+        Failure::Bench(error.into())
+    }
+}
+
+/// Runs the command that the process was started with.
+pub fn run_command_line() -> ExitCode {
+    let (command, arguments) = match Arguments::read(&["json"]) {
+        Ok(read) => read,
+        Err(error) => {
+            eprintln!("sablebay-bench: {error}");
+            return ExitCode::from(USAGE_EXIT_CODE);
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("sablebay-bench: the runtime does not start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(&command, &arguments)) {
+        Ok(code) => code,
+        Err(Failure::Usage(UsageError(message))) => {
+            eprintln!("sablebay-bench: {message}; see --help");
+            ExitCode::from(USAGE_EXIT_CODE)
+        }
+        Err(Failure::Bench(error)) => {
+            eprintln!("sablebay-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: &str, arguments: &Arguments) -> Result<ExitCode, Failure> {
+    match command {
+        "help" => print!("{USAGE}"),
+        "version" => println!("sablebay-bench {}", env!("CARGO_PKG_VERSION")),
+        "list" => list(),
+        "run" => return run_one(arguments).await,
+        "capacity" => capacity(arguments).await?,
+        "compare" => compare_two(arguments)?,
+        "platform" => platform(arguments).await?,
+        "leaves" => leaves(arguments).await?,
+        "leaf" => leaf(arguments).await?,
+        "hollow-leaves" => hollow_leaves(arguments).await?,
+        "node" => node(arguments).await?,
+        "load" => return load(arguments).await,
+        "deployment" => deployment(arguments)?,
+        "" => return Err(UsageError("a command is needed".to_string()).into()),
+        other => return Err(UsageError(format!("there is no command `{other}`")).into()),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn list() {
+    for (name, mechanisms, sentence) in EXPERIMENTS {
+        println!("{name:<22} {sentence}; --break: {}", mechanisms.join(", "));
+    }
+}
+
+async fn run_one(arguments: &Arguments) -> Result<ExitCode, Failure> {
+    let name = arguments.words.first().ok_or_else(|| UsageError("run needs a name".to_string()))?;
+    let options = RunOptions {
+        seed: arguments.parsed("seed")?.unwrap_or(1),
+        broken: arguments.text("break").map(str::to_string),
+        scale: arguments.parsed("scale")?.unwrap_or(1.0),
+    };
+    let progress = ProgressBar::new_spinner();
+    if let Ok(style) = ProgressStyle::with_template("{spinner} {msg} {elapsed}") {
+        progress.set_style(style);
+    }
+    progress.set_message(name.clone());
+    progress.enable_steady_tick(Duration::from_millis(200));
+    let ran = run_experiment(name, &options).await;
+    progress.finish_and_clear();
+    let result = match ran {
+        Err(error @ (BenchError::UnknownExperiment { .. } | BenchError::UnknownMechanism { .. })) => {
+            return Err(UsageError(error.to_string()).into());
+        }
+        other => other?,
+    };
+    if let Some(folder) = arguments.text("out") {
+        write_report(&result, Path::new(folder))?;
+        eprintln!("the report is in {folder}");
+    }
+    if arguments.text("json").is_none() {
+        for (name, value) in &result.figures {
+            println!("{name:<48} {value}");
+        }
+    }
+    println!("{}", result.printed_line()?);
+    // With a mechanism off, violations are what is wanted.
+    let fine = result.break_caught.unwrap_or(result.violations == 0);
+    Ok(if fine { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn capacity(arguments: &Arguments) -> Result<(), Failure> {
+    let table = measure_capacity().await?;
+    if arguments.text("json").is_some() {
+        println!("{}", serde_json::to_string(&table)?);
+    } else {
+        print!("{}", table.as_markdown());
+    }
+    Ok(())
+}
+
+fn compare_two(arguments: &Arguments) -> Result<(), Failure> {
+    let [first, second] = arguments.words.as_slice() else {
+        return Err(UsageError("compare needs two results".to_string()).into());
+    };
+    let (first, second) = (PathBuf::from(first), PathBuf::from(second));
+    print!("{}", compare(&read_result(&first)?, &read_result(&second)?));
+    Ok(())
+}
+
+/// Waits until the process is told to end.
+async fn wait_for_end() -> Result<(), Failure> {
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
+
+async fn platform(arguments: &Arguments) -> Result<(), Failure> {
+    let platform = Platform::start(arguments.required("address")?).await?;
+    if let Some(file) = arguments.text("configuration") {
+        platform.state.publish(&std::fs::read_to_string(file)?)?;
+    }
+    println!("{}", serde_json::json!({ "address": platform.address }));
+    wait_for_end().await
+}
+
+async fn leaves(arguments: &Arguments) -> Result<(), Failure> {
+    let file: String = arguments.required("configuration")?;
+    let text = std::fs::read_to_string(&file)?;
+    let configuration = sablebay_config::Configuration::parse(&file, &text)?;
+    let mut running = Vec::new();
+    for (name, settings) in &configuration.leaves {
+        let shards = configuration.indexes.values().flat_map(|index| &index.shards);
+        let held = shards.filter(|shard| shard.leaves.contains(name));
+        let partitions = held.flat_map(|shard| shard.partitions.iter()).collect();
+        let options = LeafOptions {
+            address: settings.address,
+            slots: settings.slots,
+            service_time: ServiceTime::log_normal(2_000.0, 0.3),
+            corpus: CORPUS,
+            ..LeafOptions::quick(name.as_str(), partitions)
+        };
+        running.push(Leaf::start(options).await?);
+    }
+    println!("{}", serde_json::json!({ "leaves": running.len() }));
+    wait_for_end().await
+}
+
+async fn leaf(arguments: &Arguments) -> Result<(), Failure> {
+    let name: String = arguments.required("name")?;
+    let partitions: PartitionSet = arguments.required("partitions")?;
+    let versions = arguments.text("versions").unwrap_or("1");
+    let versions = versions.split(',').filter_map(|version| version.parse().ok()).map(SnapshotVersion);
+    let median_us = arguments.parsed("median-us")?.unwrap_or(2_000.0);
+    let options = LeafOptions {
+        address: arguments.required("address")?,
+        slots: arguments.parsed("slots")?.unwrap_or(4),
+        versions: versions.collect(),
+        service_time: ServiceTime::log_normal(median_us, 0.3),
+        corpus: CORPUS,
+        ..LeafOptions::quick(&name, partitions)
+    };
+    let leaf = Leaf::start(options).await?;
+    println!("{}", serde_json::json!({ "name": name, "address": leaf.address }));
+    wait_for_end().await
+}
+
+/// Leaves without service time, each with one partition; then the server of the floor.
+async fn hollow_leaves(arguments: &Arguments) -> Result<(), Failure> {
+    const DOCUMENTS: u32 = 1;
+    let count: u32 = arguments.required("count")?;
+    let mut running = Vec::new();
+    for number in 0..count {
+        let options = LeafOptions {
+            corpus: Corpus { documents: DOCUMENTS },
+            ..LeafOptions::quick(&format!("l{number}"), PartitionSet::range(number, number))
+        };
+        running.push(Leaf::start(options).await?);
+    }
+    let floor = TcpListener::bind("127.0.0.1:0").await?;
+    let mut addresses: Vec<SocketAddr> = running.iter().map(|leaf| leaf.address).collect();
+    addresses.push(floor.local_addr()?);
+    tokio::spawn(crate::experiment::serve_floor(floor));
+    println!("{}", serde_json::to_string(&addresses)?);
+    wait_for_end().await
+}
+
+/// A node with one mechanism off, for the experiments that need processes.
+async fn node(arguments: &Arguments) -> Result<(), Failure> {
+    let mut mechanisms = NodeMechanisms::default();
+    match arguments.text("break") {
+        Some("write-once") => mechanisms.claims = false,
+        Some("wait-at-stop") => mechanisms.wait_at_stop = false,
+        other => return Err(UsageError(format!("--break cannot be `{other:?}`")).into()),
+    }
+    let settings = NodeSettings::parse_with_overrides("flags", "", &overrides_of(&arguments.repeated))?;
+    let node = Node::start(settings, mechanisms, None).await?;
+    println!("{}", serde_json::to_string(&node.addresses)?);
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    terminate.recv().await;
+    node.stop().await;
+    Ok(())
+}
+
+async fn load(arguments: &Arguments) -> Result<ExitCode, Failure> {
+    let list = |name: &str| -> Result<Vec<String>, UsageError> {
+        let text: String = arguments.required(name)?;
+        Ok(text.split(',').map(str::to_string).collect())
+    };
+    let mut nodes = Vec::new();
+    for text in list("nodes")? {
+        let address: SocketAddr =
+            text.parse().map_err(|_| UsageError(format!("--nodes: `{text}` is no address")))?;
+        nodes.push(address);
+    }
+    let summary = run_load(LoadOptions {
+        nodes: Arc::new(Mutex::new(nodes)),
+        services: WeightedService::equal(&list("services")?),
+        rate: arguments.parsed("rate")?.unwrap_or(100.0),
+        duration: Duration::from_secs_f64(arguments.parsed("seconds")?.unwrap_or(10.0)),
+        limit: 10,
+        deadline_ms: arguments.parsed("deadline-ms")?,
+        corpus: CORPUS,
+        seed: arguments.parsed("seed")?.unwrap_or(1),
+        warm_up: Duration::ZERO,
+        attempts: 3,
+    })
+    .await;
+    let line = serde_json::json!({
+        "queries": summary.queries,
+        "answered": summary.answered,
+        "full_coverage": summary.full,
+        "not_run": summary.not_run,
+        "unknown": summary.unknown,
+        "cut": summary.cut,
+        "p50_ms": summary.latency_ms(0.5),
+        "p99_ms": summary.latency_ms(0.99),
+        "extra_load": summary.extra_load(),
+        "violations": summary.violations.len(),
+    });
+    println!("{line}");
+    let fine = summary.violations.is_empty() && summary.answered > 0;
+    Ok(if fine { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn deployment(arguments: &Arguments) -> Result<(), Failure> {
+    let name = arguments.words.first().map(String::as_str);
+    let deployment = match name {
+        Some("tepung-raya") => Deployment::tepung_raya(),
+        Some("protokolia") => Deployment::protokolia(),
+        _ => return Err(UsageError("deployment needs tepung-raya or protokolia".to_string()).into()),
+    };
+    print!("{}", deployment.document(1, &deployment.example_addresses()));
+    Ok(())
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/experiment.rs
@@ -0,0 +1,106 @@
+//! The experiments, by name.
+
+mod at_most_once;
+mod brownout;
+mod drain;
+mod leaf_cost;
+mod lying_health;
+mod never_reverts;
+mod noisy_tenant;
+mod overhead;
+mod repartition;
+mod rolling_restart;
+mod spread;
+mod straggler;
+mod version_roll;
+
+use std::time::Duration;
+
+pub use leaf_cost::serve_floor;
+
+use crate::error::BenchError;
+use crate::result::ExperimentResult;
+
+/// How an experiment is run.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// The mechanism that is off.
+    pub broken: Option<String>,
+    /// Scales how long the experiment runs; 1 is what its figures are quoted at.
+    pub scale: f64,
+}
+
+impl Default for RunOptions {
+    fn default() -> Self {
+        Self { seed: 1, broken: None, scale: 1.0 }
+    }
+}
+
+impl RunOptions {
+    /// Whether this mechanism is off.
+    pub fn breaks(&self, mechanism: &str) -> bool {
+        self.broken.as_deref() == Some(mechanism)
+    }
+
+    /// A time scaled to the run.
+    pub fn seconds(&self, seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds * self.scale)
+    }
+
+    /// An empty result of this run.
+    pub fn result(&self, experiment: &str) -> ExperimentResult {
+        ExperimentResult::new(experiment, self.seed, self.broken.as_deref())
+    }
+}
+
+/// Name, mechanisms that can be turned off, and one sentence.
+pub const EXPERIMENTS: [(&str, &[&str], &str); 13] = [
+    ("straggler", &["hedging"], "tail latency with slow calls and slow replicas"),
+    ("brownout", &["budget"], "extra load while every replica is slow"),
+    ("version-roll", &["version-check"], "index versions change under load"),
+    ("repartition", &["partition-check"], "shards split and move under load"),
+    ("noisy-tenant", &["admission"], "one tenant floods leaves that another uses"),
+    ("lying-health", &["observation"], "a replica that takes calls and never answers"),
+    ("overhead", &[], "what a node adds to a direct call"),
+    ("leaf-cost", &[], "processor time for each leaf call in a wide fan-out"),
+    ("configuration-spread", &["push"], "a hollow fleet takes a change"),
+    ("never-reverts", &["floor"], "a stale, flapping, split platform while nodes are replaced"),
+    ("at-most-once", &["write-once"], "operations through pauses, kills and cuts"),
+    ("drain", &["leaving"], "leaves leave under load"),
+    ("rolling-restart", &["wait-at-stop"], "every node is replaced under load"),
+];
+
+/// Runs an experiment by name.
+///
+/// # Errors
+/// When there is none of that name, it has no such mechanism, or something does not start.
+pub async fn run_experiment(name: &str, options: &RunOptions) -> Result<ExperimentResult, BenchError> {
+    let found = EXPERIMENTS.iter().find(|(known, _, _)| *known == name);
+    let (_, mechanisms, _) = found.ok_or_else(|| BenchError::UnknownExperiment { name: name.to_string() })?;
+    if let Some(mechanism) = &options.broken
+        && !mechanisms.contains(&mechanism.as_str())
+    {
+        return Err(BenchError::UnknownMechanism {
+            experiment: name.to_string(),
+            mechanism: mechanism.clone(),
+            known: mechanisms.join(", "),
+        });
+    }
+    match name {
+        "straggler" => straggler::run(options).await,
+        "brownout" => brownout::run(options).await,
+        "version-roll" => version_roll::run(options).await,
+        "repartition" => repartition::run(options).await,
+        "noisy-tenant" => noisy_tenant::run(options).await,
+        "lying-health" => lying_health::run(options).await,
+        "overhead" => overhead::run(options).await,
+        "leaf-cost" => leaf_cost::run(options).await,
+        "configuration-spread" => spread::run(options),
+        "never-reverts" => never_reverts::run(options),
+        "at-most-once" => at_most_once::run(options).await,
+        "drain" => drain::run(options).await,
+        _ => rolling_restart::run(options).await,
+    }
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/experiment/lying_health.rs
@@ -0,0 +1,75 @@
+//! A replica that takes calls, never answers them, and says that it is well; and a sound one that
+//! says that it is sick.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use sablebay_standin::{Deployment, LoadSummary, ServiceTime, run_load};
+
+use super::RunOptions;
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::error::BenchError;
+use crate::result::ExperimentResult;
+
+const RATE: f64 = 300.0;
+const BLACK_HOLE: &str = "desk-leaf-1";
+const SLANDERED: &str = "desk-leaf-2";
+/// The share of calls that a black hole may still get after the first second.
+const SHARE_GOAL: f64 = 0.02;
+
+/// Runs the experiment.
+pub async fn run(options: &RunOptions) -> Result<ExperimentResult, BenchError> {
+    let mut result = options.result("lying-health");
+    let observed = one_run(options, !options.breaks("observation")).await?;
+    let blind = one_run(options, false).await?;
+    result.figure("black_hole_share", observed.black_hole_share);
+    result.figure("slandered_share", observed.slandered_share);
+    result.figure("full_coverage", observed.load.full_coverage());
+    result.figure("p99_ms", observed.load.latency_ms(0.99));
+    result.figure("extra_load", observed.load.extra_load());
+    result.figure("no_observation_black_hole_share", blind.black_hole_share);
+    result.figure("no_observation_full_coverage", blind.load.full_coverage());
+    result.figure("no_observation_p99_ms", blind.load.latency_ms(0.99));
+    result.violations = observed.load.violations.len() as u64;
+    let over = observed.black_hole_share > SHARE_GOAL;
+    result.violation("black_hole_over_share", u64::from(over));
+    if options.broken.is_some() {
+        result.break_caught = Some(over);
+    }
+    Ok(result)
+}
+
+struct Run {
+    load: LoadSummary,
+    black_hole_share: f64,
+    slandered_share: f64,
+}
+
+async fn one_run(options: &RunOptions, observation: bool) -> Result<Run, BenchError> {
+    let mut deployment = Deployment::default();
+    deployment.template("search", "deadline_ms = 300\n");
+    deployment.add_ring("desk", "search", 4, 2, &["zone-a", "zone-b"]);
+    deployment.service_time = Some(ServiceTime::log_normal(4_000.0, 0.4));
+    let mut cluster_options = ClusterOptions { seed: options.seed, ..ClusterOptions::default() };
+    cluster_options.mechanisms.routing.observation = observation;
+    let cluster = Cluster::start(deployment, &cluster_options).await?;
+    for leaf in [BLACK_HOLE, SLANDERED] {
+        let mut faults = cluster.leaves.leaves[leaf].state.faults.lock();
+        faults.black_hole = leaf == BLACK_HOLE;
+        faults.claims_healthy = Some(leaf == BLACK_HOLE);
+    }
+    let calls = |leaf: &str| cluster.leaves.leaves[leaf].state.calls.load(Ordering::Relaxed);
+    let first = cluster.load(RATE, Duration::from_secs(1), options.seed);
+    run_load(first).await;
+    let (hole_before, slandered_before, all_before) =
+        (calls(BLACK_HOLE), calls(SLANDERED), cluster.leaves.calls());
+    let load = run_load(cluster.load(RATE, options.seconds(6.0), options.seed + 1)).await;
+    let all = (cluster.leaves.calls() - all_before).max(1) as f64;
+    let run = Run {
+        load,
+        black_hole_share: (calls(BLACK_HOLE) - hole_before) as f64 / all,
+        slandered_share: (calls(SLANDERED) - slandered_before) as f64 / all,
+    };
+    cluster.stop().await;
+    Ok(run)
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/experiment/straggler.rs
@@ -0,0 +1,151 @@
+//! Tail latency with slow calls and slow replicas, for both users' deployments.
+//!
+//! Leaf service times are log-normal with a median of 20 ms and sigma 0.6. One call in a hundred
+//! takes ten times as long, and at any moment one leaf in twenty (at least one) works at a third
+//! of its speed, for three seconds at a time. The load is open-loop at 60% of the slots of each
+//! service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use sablebay_standin::{Deployment, LeafState, LoadSummary, ServiceTime, WeightedService, run_load};
+
+use super::RunOptions;
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::error::BenchError;
+use crate::result::ExperimentResult;
+
+const MEDIAN_US: f64 = 20_000.0;
+const SIGMA: f64 = 0.6;
+const STRAGGLER_SHARE: f64 = 0.01;
+const STRAGGLER_FACTOR: f64 = 10.0;
+const SLOW_SHARE: f64 = 0.05;
+const SLOW_FACTOR: f64 = 3.0;
+const SLOW_SPELL: Duration = Duration::from_secs(3);
+const UTILISATION: f64 = 0.6;
+/// What the tail may grow by.
+const LATENCY_GOAL: f64 = 1.15;
+/// Extra load that is allowed.
+const LOAD_GOAL: f64 = 0.03;
+
+/// Runs the experiment.
+pub async fn run(options: &RunOptions) -> Result<ExperimentResult, BenchError> {
+    let mut result = options.result("straggler");
+    let mut reached = true;
+    for (prefix, deployment) in
+        [("tepung_raya", Deployment::tepung_raya()), ("protokolia", Deployment::protokolia())]
+    {
+        reached &= measure(prefix, deployment, options, &mut result).await?;
+    }
+    result.figure("goals_reached", reached);
+    if options.broken.is_some() {
+        result.break_caught = Some(!reached);
+    }
+    Ok(result)
+}
+
+/// Measures one deployment three times; returns whether the goals are reached.
+async fn measure(
+    prefix: &str,
+    deployment: Deployment,
+    options: &RunOptions,
+    result: &mut ExperimentResult,
+) -> Result<bool, BenchError> {
+    let hedging = !options.breaks("hedging");
+    let sound = one_run(&deployment, options, false, true).await?;
+    let straggling = one_run(&deployment, options, true, hedging).await?;
+    let unhedged = one_run(&deployment, options, true, false).await?;
+    let mut figure = |name: &str, value: f64| result.figure(&format!("{prefix}_{name}"), value);
+    figure("p50_ms", straggling.latency_ms(0.5));
+    figure("p99_ms", straggling.latency_ms(0.99));
+    figure("p999_ms", straggling.latency_ms(0.999));
+    figure("no_straggler_p99_ms", sound.latency_ms(0.99));
+    figure("no_straggler_extra_load", sound.extra_load());
+    figure("no_hedge_p99_ms", unhedged.latency_ms(0.99));
+    figure("no_hedge_full_coverage", unhedged.full_coverage());
+    figure("extra_load", straggling.extra_load());
+    figure("full_coverage", straggling.full_coverage());
+    let ratio = straggling.latency_ms(0.99) / sound.latency_ms(0.99);
+    figure("p99_ratio", ratio);
+    let violations: usize = [&sound, &straggling, &unhedged].iter().map(|run| run.violations.len()).sum();
+    result.violations += violations as u64;
+    for (name, run) in [("no stragglers", &sound), ("stragglers", &straggling), ("no hedging", &unhedged)] {
+        let quantiles = (1..200).map(|step| f64::from(step) / 200.0);
+        let points = quantiles.map(|quantile| (quantile, run.latency_ms(quantile))).collect();
+        let plot = format!("{prefix}: latency by quantile");
+        result.plot(&plot, name, ("quantile", "ms"), points);
+    }
+    Ok(ratio <= LATENCY_GOAL && straggling.extra_load() <= LOAD_GOAL)
+}
+
+async fn one_run(
+    deployment: &Deployment,
+    options: &RunOptions,
+    stragglers: bool,
+    hedging: bool,
+) -> Result<LoadSummary, BenchError> {
+    let mut deployment = deployment.clone();
+    let service_time = ServiceTime {
+        straggler_share: if stragglers { STRAGGLER_SHARE } else { 0.0 },
+        straggler_factor: STRAGGLER_FACTOR,
+        ..ServiceTime::log_normal(MEDIAN_US, SIGMA)
+    };
+    deployment.service_time = Some(service_time);
+    let mut cluster_options = ClusterOptions { seed: options.seed, ..ClusterOptions::default() };
+    cluster_options.mechanisms.routing.hedging = hedging;
+    let cluster = Cluster::start(deployment, &cluster_options).await?;
+    let warm_up = options.seconds(4.0);
+    let mut load = cluster.load(0.0, options.seconds(16.0) + warm_up, options.seed);
+    let mean_us = ServiceTime { straggler_share: 0.0, ..service_time }.mean_us();
+    load.services = weights(&cluster.deployment, mean_us);
+    load.rate = load.services.iter().map(|service| service.weight).sum();
+    load.warm_up = warm_up;
+    load.deadline_ms = Some(2_000);
+    load.attempts = 1;
+    let spells = stragglers.then(|| {
+        let leaves = cluster.leaves.leaves.values().map(|leaf| leaf.state.clone()).collect();
+        tokio::spawn(run_slow_spells(leaves, options.seed))
+    });
+    let summary = run_load(load).await;
+    if let Some(spells) = spells {
+        spells.abort();
+    }
+    cluster.stop().await;
+    Ok(summary)
+}
+
+/// Queries a second of each service that keep 60% of its slots busy.
+fn weights(deployment: &Deployment, mean_us: f64) -> Vec<WeightedService> {
+    let slots_of = |name: &str| {
+        let leaves = deployment.leaves.iter().filter(|leaf| leaf.name.starts_with(&format!("{name}-leaf-")));
+        leaves.map(|leaf| f64::from(leaf.slots)).sum::<f64>()
+    };
+    let weight = |service: &sablebay_standin::ServicePlan| {
+        let calls_per_second = UTILISATION * slots_of(&service.name) * 1e6 / mean_us;
+        calls_per_second / service.shards.len() as f64
+    };
+    deployment
+        .services
+        .iter()
+        .map(|service| WeightedService { name: service.name.clone(), weight: weight(service) })
+        .collect()
+}
+
+/// Keeps one leaf in twenty slow, others in turn.
+async fn run_slow_spells(leaves: Vec<Arc<LeafState>>, seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let count = ((leaves.len() as f64 * SLOW_SHARE).round() as usize).max(1);
+    loop {
+        let slow: Vec<usize> = (0..count).map(|_| random.random_range(0..leaves.len())).collect();
+        for position in &slow {
+            leaves[*position].faults.lock().slow_factor = SLOW_FACTOR;
+        }
+        tokio::time::sleep(SLOW_SPELL).await;
+        for position in &slow {
+            leaves[*position].faults.lock().slow_factor = 1.0;
+        }
+    }
+}
--- a/crates/sablebay-bench/src/lib.rs
+++ b/crates/sablebay-bench/src/lib.rs
@@ -1,1 +1,25 @@
-//! stub
+//! The emulator of what sablebay serves, and its experiments.
+//!
+//! Every experiment prints one JSON object with its figures, the baseline's figures from the same
+//! run, and `violations`. With `--break MECHANISM` one mechanism is off, and the checker must
+//! notice: a checker that cannot fail proves nothing.
+
+mod capacity;
+mod cli;
+mod cluster;
+mod compare;
+mod error;
+mod experiment;
+mod hollow;
+mod processes;
+mod report;
+mod result;
+mod usage;
+
+pub use cli::run_command_line;
+pub use cluster::{Cluster, ClusterOptions};
+pub use error::BenchError;
+pub use experiment::{RunOptions, run_experiment};
+pub use hollow::{HollowFleet, HollowOptions, HollowReport};
+pub use processes::{NodeCommand, NodeProcess, ProcessCluster};
+pub use result::{ExperimentResult, Series};
--- /dev/null
+++ b/crates/sablebay-bench/src/processes.rs
@@ -0,0 +1,338 @@
+//! Nodes as processes of their own, which can be paused and killed.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Deserialize;
+
+use sablebay_standin::{CallerClient, Deployment, Platform, Proxy, RunningLeaves};
+
+use crate::error::BenchError;
+
+/// One of the project's binaries, beside the one that runs (or a running test).
+fn binary_beside_this_one(name: &str) -> Result<PathBuf, BenchError> {
+    let own = std::env::current_exe()?;
+    let mut candidates = own.ancestors().skip(1).take(2).map(|folder| folder.join(name));
+    let missing =
+        || std::io::Error::other(format!("the {name} binary is not beside this one; build it first"));
+    candidates.find(|path| path.is_file()).ok_or_else(|| missing().into())
+}
+
+#[derive(Deserialize)]
+struct Announced {
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    peer_address: SocketAddr,
+}
+
+/// How nodes are started.
+#[derive(Clone, Debug)]
+pub enum NodeCommand {
+    /// `sablebay serve`, from this binary.
+    Product(PathBuf),
+    /// The same with one mechanism off, from the running binary.
+    Broken {
+        /// The mechanism.
+        mechanism: String,
+    },
+}
+
+impl NodeCommand {
+    /// The product, or with a mechanism off.
+    ///
+    /// # Errors
+    /// When the product's binary is not there.
+    pub fn with_break(broken: Option<&str>) -> Result<Self, BenchError> {
+        match broken {
+            None => Ok(NodeCommand::Product(binary_beside_this_one("sablebay")?)),
+            Some(mechanism) => Ok(NodeCommand::Broken { mechanism: mechanism.to_string() }),
+        }
+    }
+
+    fn command(&self) -> Result<Command, BenchError> {
+        match self {
+            NodeCommand::Product(binary) => {
+                let mut command = Command::new(binary);
+                command.arg("serve");
+                Ok(command)
+            }
+            NodeCommand::Broken { mechanism } => {
+                let mut command = Command::new(binary_beside_this_one("sablebay-bench")?);
+                command.args(["node", "--break", mechanism]);
+                Ok(command)
+            }
+        }
+    }
+}
+
+/// One node as a process. Killed when dropped.
+pub struct NodeProcess {
+    child: Child,
+    /// The node's name.
+    pub name: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    /// Where peers connect.
+    pub peer_address: SocketAddr,
+}
+
+impl NodeProcess {
+    /// Starts a node with these flags, and waits until it listens.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub fn spawn(command: &NodeCommand, name: &str, flags: &[String]) -> Result<Self, BenchError> {
+        let mut child = command
+            .command()?
+            .args(["--node", name])
+            .args(flags)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let stdout = child.stdout.take().ok_or_else(|| std::io::Error::other("no standard output"))?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        let announced: Announced = serde_json::from_str(&line)?;
+        Ok(Self {
+            child,
+            name: name.to_string(),
+            caller_address: announced.caller_address,
+            admin_address: announced.admin_address,
+            peer_address: announced.peer_address,
+        })
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // A process that has ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Ends it without warning.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        // The child is gone either way.
+        let _ = self.child.wait();
+    }
+
+    /// Ends it without warning, and without waiting until it is gone.
+    pub fn kill_at_once(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    /// Asks it for a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// How it ended, once it has.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Processor time that the process has used so far.
+    pub fn cpu_time(&self) -> Duration {
+        const TICKS_PER_SECOND: u64 = 100;
+        const USER_TIME_FIELD: usize = 11;
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        // The second field is the program's name in parentheses, which may hold spaces.
+        let after_name = text.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<u64> =
+            after_name.split_whitespace().map(|field| field.parse().unwrap_or(0)).collect();
+        let ticks: u64 = fields.iter().skip(USER_TIME_FIELD).take(2).sum();
+        Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND)
+    }
+
+    /// Bytes of memory that the process holds at present.
+    pub fn resident_bytes(&self) -> u64 {
+        const PAGE_BYTES: u64 = 4_096;
+        let text = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id())).unwrap_or_default();
+        text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0) * PAGE_BYTES
+    }
+
+    /// A caller's client of it.
+    pub fn client(&self) -> CallerClient {
+        CallerClient::new(self.caller_address)
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.signal(Signal::KILL);
+        let _ = self.child.wait();
+    }
+}
+
+/// Nodes as processes; platform and leaves in this one. A proxy stands before each node's peer
+/// listener, so that nodes can be cut off from each other.
+pub struct ProcessCluster {
+    /// What is deployed.
+    pub deployment: Deployment,
+    /// The platform.
+    pub platform: Platform,
+    /// The leaves.
+    pub leaves: RunningLeaves,
+    /// The nodes.
+    pub nodes: Vec<NodeProcess>,
+    /// The proxy before each node's peer listener, in the same order.
+    pub proxies: Vec<Proxy>,
+    command: NodeCommand,
+    started: usize,
+    extra: Vec<String>,
+    /// The revision last published.
+    pub revision: u64,
+}
+
+/// How long nodes may take to be ready.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+const READY_INTERVAL: Duration = Duration::from_millis(20);
+
+impl ProcessCluster {
+    /// Starts everything, and waits until every node is ready.
+    ///
+    /// # Errors
+    /// When something does not start.
+    pub async fn start(
+        command: NodeCommand,
+        deployment: Deployment,
+        nodes: usize,
+        extra: &[&str],
+    ) -> Result<Self, BenchError> {
+        let leaves = deployment.start_leaves(1).await?;
+        let platform = Platform::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        platform.state.publish(&deployment.document(1, &leaves.addresses()))?;
+        let mut cluster = Self {
+            deployment,
+            platform,
+            leaves,
+            nodes: Vec::new(),
+            proxies: Vec::new(),
+            command,
+            started: 0,
+            extra: extra.iter().map(|word| (*word).to_string()).collect(),
+            revision: 1,
+        };
+        for _ in 0..nodes {
+            cluster.add_node().await?;
+        }
+        cluster.wait_until_ready(nodes).await?;
+        Ok(cluster)
+    }
+
+    /// Starts one more node, which joins through those there are.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub async fn add_node(&mut self) -> Result<usize, BenchError> {
+        const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+        let number = self.started;
+        self.started += 1;
+        // The proxy has to be known before the node, which tells its peers the proxy's address:
+        // the node's own port is reserved first.
+        let reserved = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let peer_address = reserved.local_addr()?;
+        drop(reserved);
+        let proxy = Proxy::start(peer_address, number as u64).await?;
+        let mut flags: Vec<String> = vec![
+            "--zone".into(),
+            ZONES[number % ZONES.len()].into(),
+            "--platform-address".into(),
+            self.platform.address.to_string(),
+            "--peer-address".into(),
+            peer_address.to_string(),
+            "--advertised-peer-address".into(),
+            proxy.address.to_string(),
+            "--probe-period-ms".into(),
+            "200".into(),
+        ];
+        for proxy in &self.proxies {
+            flags.extend(["--peers".into(), proxy.address.to_string()]);
+        }
+        flags.extend(self.extra.iter().cloned());
+        let command = self.command.clone();
+        let name = format!("node-{number}");
+        let spawned = tokio::task::spawn_blocking(move || NodeProcess::spawn(&command, &name, &flags)).await;
+        let node = spawned.map_err(|error| std::io::Error::other(error.to_string()))??;
+        self.nodes.push(node);
+        self.proxies.push(proxy);
+        Ok(self.nodes.len() - 1)
+    }
+
+    /// Takes a node that has ended out of the lists.
+    pub fn remove_node(&mut self, position: usize) -> NodeProcess {
+        self.proxies.remove(position);
+        self.nodes.remove(position)
+    }
+
+    /// Waits until every node is ready and sees `members` nodes, itself among them.
+    ///
+    /// # Errors
+    /// When that does not happen in time.
+    pub async fn wait_until_ready(&self, members: usize) -> Result<(), BenchError> {
+        let started = std::time::Instant::now();
+        for node in &self.nodes {
+            let admin = CallerClient::new(node.admin_address);
+            loop {
+                let ready = admin.send(http_method_get(), "/readyz", "").await;
+                let status = admin.send(http_method_get(), "/v1/status", "").await;
+                let present = status.map_or(0, |(_, body)| present_members(&body));
+                if ready.is_some_and(|(status, _)| status.is_success()) && present + 1 == members {
+                    break;
+                }
+                if started.elapsed() > READY_PATIENCE {
+                    let what = format!("{} ready with {members} members", node.name);
+                    return Err(BenchError::NotInTime { what, seconds: READY_PATIENCE.as_secs() });
+                }
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Where callers connect, on each node.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.caller_address).collect()
+    }
+
+    /// Publishes the deployment as it is now, under the next revision.
+    ///
+    /// # Errors
+    /// When the platform does not take it.
+    pub fn publish(&mut self) -> Result<u64, BenchError> {
+        self.revision += 1;
+        let document = self.deployment.document(self.revision, &self.leaves.addresses());
+        self.platform.state.publish(&document)?;
+        Ok(self.revision)
+    }
+}
+
+fn http_method_get() -> http::Method {
+    http::Method::GET
+}
+
+fn present_members(body: &[u8]) -> usize {
+    let Ok(report) = serde_json::from_slice::<sablebay_node::NodeReport>(body) else {
+        return 0;
+    };
+    use sablebay_fleet::MemberStatus;
+    let present = |status| matches!(status, MemberStatus::Alive | MemberStatus::Suspect);
+    report.members.iter().filter(|member| present(member.status)).count()
+}
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -78,14 +78,20 @@
     service_id: &ServiceId,
     input: OperationInput,
 ) -> Result<(Ticket, Box<RawValue>), Refusal> {
-    let _in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared))?;
+    let given = input.ticket.as_deref().map(|text| read_ticket(text, service_id)).transpose()?;
+    let elsewhere = |refusal| match &given {
+        None => refusal,
+        Some(ticket) => not_claimed(refusal, false, ticket),
+    };
+    let in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared));
+    let _in_flight = in_flight.map_err(elsewhere)?;
     let arrived = shared.clock.now();
-    let (state, settings) = find_service(shared, service_id)?;
+    let (state, settings) = find_service(shared, service_id).map_err(elsewhere)?;
     let limit_ms = input.deadline_ms.unwrap_or(settings.deadline_ms);
     let deadline = arrived.plus(Micros::from_millis(limit_ms));
-    let (ticket, fresh) = match &input.ticket {
+    let (ticket, fresh) = match given {
         None => (mint_ticket(shared, &settings), true),
-        Some(text) => (read_ticket(text, service_id)?, false),
+        Some(ticket) => (ticket, false),
     };
     confirm(shared, &settings, deadline).await.map_err(|refusal| not_claimed(refusal, fresh, &ticket))?;
     let place = state.admit(shared.clock, deadline).await;
--- a/crates/sablebay-query/src/balance.rs
+++ b/crates/sablebay-query/src/balance.rs
@@ -9,8 +9,9 @@
 use crate::replica::{LoadReport, ReplicaIndex, ReplicaState, Target};
 
 /// All replicas of a service, as this node sees them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Balancer {
+    excludes_leaving: bool,
     replicas: Vec<ReplicaState>,
     last_answers: Vec<Micros>,
     positions: HashMap<Target, ReplicaIndex>,
@@ -25,6 +26,11 @@
 }
 
 impl Balancer {
+    /// A balancer without replicas. `excludes_leaving` is off in experiments alone.
+    pub fn new(excludes_leaving: bool) -> Self {
+        Self { excludes_leaving, replicas: Vec::new(), last_answers: Vec::new(), positions: HashMap::new() }
+    }
+
     /// The position of a replica; a new one is added.
     pub fn intern(&mut self, target: &Target, zone: &ZoneName, now: Micros) -> ReplicaIndex {
         if let Some(index) = self.positions.get(target) {
@@ -131,7 +137,7 @@
     fn fit(&self, index: ReplicaIndex, version: SnapshotVersion, now: Micros) -> Option<Fit> {
         let replica = self.replica(index);
         let holds = replica.holds(version);
-        if replica.leaving || holds == Some(false) {
+        if (replica.leaving && self.excludes_leaving) || holds == Some(false) {
             return None;
         }
         if !replica.is_usable(now) {
--- a/crates/sablebay-query/src/replica.rs
+++ b/crates/sablebay-query/src/replica.rs
@@ -138,7 +138,7 @@
     /// Whether calls may go to the replica now. Own failures outrank any healthy report.
     pub fn is_usable(&self, now: Micros) -> bool {
         let trial_running = self.consecutive_failures >= FAILURES_BEFORE_QUARANTINE && self.in_flight > 0;
-        !self.leaving && !trial_running && self.quarantined_until() <= now
+        !trial_running && self.quarantined_until() <= now
     }
 
     /// Whether the replica holds `version`, as far as is known.
--- a/crates/sablebay-query/src/routing.rs
+++ b/crates/sablebay-query/src/routing.rs
@@ -24,11 +24,20 @@
     pub partition_check: bool,
     /// Replica choice by observation. Off: the first untried candidate.
     pub observation: bool,
+    /// Leaving replicas get no new work.
+    pub leaving: bool,
 }
 
 impl Default for Mechanisms {
     fn default() -> Self {
-        Self { hedging: true, budget: true, version_check: true, partition_check: true, observation: true }
+        Self {
+            hedging: true,
+            budget: true,
+            version_check: true,
+            partition_check: true,
+            observation: true,
+            leaving: true,
+        }
     }
 }
 
@@ -81,8 +90,8 @@
     pub fn new(settings: RoutingSettings, now: Micros) -> Self {
         Self {
             budget: ExtraLoadBudget::new(settings.extra_load_percent, now),
+            balancer: Balancer::new(settings.mechanisms.leaving),
             settings,
-            balancer: Balancer::default(),
             plan: Arc::default(),
             recent: LatencyWindow::new(RECENT_WINDOW, now),
             usual: LatencyWindow::new(USUAL_WINDOW, now),
--- a/crates/sablebay-standin/src/load.rs
+++ b/crates/sablebay-standin/src/load.rs
@@ -3,6 +3,7 @@
 mod check;
 mod client;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,8 +22,8 @@
 /// What load to put on.
 #[derive(Clone, Debug)]
 pub struct LoadOptions {
-    /// The nodes, in turn.
-    pub nodes: Vec<SocketAddr>,
+    /// The nodes, in turn. May change while the load runs.
+    pub nodes: Arc<Mutex<Vec<SocketAddr>>>,
     /// The services, drawn by their weights.
     pub services: Vec<WeightedService>,
     /// Queries a second, at exponentially distributed intervals.
@@ -172,8 +173,7 @@
 /// Puts on an open-loop load: a slow answer does not hold the next query back.
 pub async fn run_load(options: LoadOptions) -> LoadSummary {
     let summary = Arc::new(Mutex::new(LoadSummary::default()));
-    let clients: Vec<Arc<CallerClient>> =
-        options.nodes.iter().map(|node| Arc::new(CallerClient::new(*node))).collect();
+    let mut clients: HashMap<SocketAddr, Arc<CallerClient>> = HashMap::new();
     let mut random = SmallRng::seed_from_u64(options.seed);
     let mut running = JoinSet::new();
     let started = Instant::now();
@@ -183,7 +183,12 @@
         tokio::time::sleep_until(due.into()).await;
         let service = draw_service(&options.services, &mut random);
         let outlet = random.random_range(1..100_000);
-        let query = OneQuery { clients: clients.clone(), service, outlet, first_node: number };
+        let nodes = options.nodes.lock().clone();
+        let client_of = |node: &SocketAddr| {
+            clients.entry(*node).or_insert_with(|| Arc::new(CallerClient::new(*node))).clone()
+        };
+        let in_turn = nodes.iter().map(client_of).collect();
+        let query = OneQuery { clients: in_turn, service, outlet, first_node: number };
         running.spawn(query.run(options.clone(), summary.clone(), started, due));
         number += 1;
         let uniform: f64 = random.random_range(f64::EPSILON..1.0);
--- a/crates/sablebay/src/arguments.rs
+++ b/crates/sablebay/src/arguments.rs
@@ -46,13 +46,13 @@
 }
 
 /// What a command accepts.
-pub struct Accepted {
+pub struct Accepted<'a> {
     /// The command's help.
     pub help: &'static str,
     /// Options with a value, without their dashes.
-    pub options: &'static [&'static str],
+    pub options: &'a [&'a str],
     /// Options without a value.
-    pub switches: &'static [&'static str],
+    pub switches: &'a [&'a str],
     /// Whether words without dashes are taken.
     pub words: bool,
 }
@@ -71,7 +71,7 @@
     ///
     /// # Errors
     /// A mistake; a mistyped option is named with the nearest one.
-    pub fn read(mut parser: lexopt::Parser, accepted: &Accepted) -> Result<Option<Self>, UsageError> {
+    pub fn read(mut parser: lexopt::Parser, accepted: &Accepted<'_>) -> Result<Option<Self>, UsageError> {
         let mut arguments = Self::default();
         while let Some(argument) = parser.next()? {
             match argument {
@@ -109,9 +109,10 @@
         self.options.get(name).and_then(|values| values.last()).map(String::as_str)
     }
 
-    /// Every value of an option that may be repeated.
-    pub fn values(&self, name: &str) -> &[String] {
-        self.options.get(name).map_or(&[], Vec::as_slice)
+    /// Every option with its values, repeated ones one by one.
+    pub fn given_options(&self) -> Vec<(String, String)> {
+        let pairs = self.options.iter().flat_map(|(name, values)| values.iter().map(move |v| (name, v)));
+        pairs.map(|(name, value)| (name.clone(), value.clone())).collect()
     }
 
     /// The last value of an option, parsed.
@@ -127,7 +128,7 @@
     }
 }
 
-fn unknown_option(name: &str, accepted: &Accepted) -> UsageError {
+fn unknown_option(name: &str, accepted: &Accepted<'_>) -> UsageError {
     let known: Vec<&str> = accepted.options.iter().chain(accepted.switches).copied().collect();
     let message = format!("there is no option `--{name}`");
     match nearest_name(name, known.iter().copied()) {
--- a/crates/sablebay/src/command/demo.rs
+++ b/crates/sablebay/src/command/demo.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use serde::Serialize;
 
 use sablebay_config::NodeSettings;
@@ -151,7 +153,7 @@
 async fn ask(nodes: &[Node], services: &[String], queries: u64) -> LoadSummary {
     const RATE: f64 = 200.0;
     run_load(LoadOptions {
-        nodes: nodes.iter().map(|node| node.addresses.caller_address).collect(),
+        nodes: Arc::new(Mutex::new(nodes.iter().map(|node| node.addresses.caller_address).collect())),
         services: WeightedService::equal(services),
         rate: RATE,
         duration: Duration::from_secs_f64(queries as f64 / RATE),
--- a/crates/sablebay/src/command/serve.rs
+++ b/crates/sablebay/src/command/serve.rs
@@ -7,7 +7,7 @@
 use log::LevelFilter;
 use tokio::signal::unix::{SignalKind, signal};
 
-use sablebay_config::{ConfigurationError, NodeSettings};
+use sablebay_config::{ConfigurationError, NodeSettings, node_flags, overrides_of};
 use sablebay_node::{BoundAddresses, Node, NodeMechanisms, start_logging};
 
 use crate::CommandResult;
@@ -32,55 +32,11 @@
 planned stop: new work is refused, what is in flight is finished, the exit code is 0.
 ";
 
-const TEXT_KEYS: &[&str] = &[
-    "node",
-    "zone",
-    "region",
-    "fleet",
-    "fleet-key",
-    "caller-address",
-    "admin-address",
-    "peer-address",
-    "advertised-peer-address",
-    "platform-address",
-    "operator-token",
-    "log-level",
-    "log-format",
-];
-const NUMBER_KEYS: &[&str] = &[
-    "concurrency",
-    "stop-timeout-ms",
-    "probe-period-ms",
-    "platform-reads-per-second",
-    "aggregators-per-service",
-];
-const OPTIONS: &[&str] = &[
-    "node",
-    "zone",
-    "region",
-    "fleet",
-    "fleet-key",
-    "caller-address",
-    "admin-address",
-    "peer-address",
-    "advertised-peer-address",
-    "platform-address",
-    "operator-token",
-    "log-level",
-    "log-format",
-    "concurrency",
-    "stop-timeout-ms",
-    "probe-period-ms",
-    "platform-reads-per-second",
-    "aggregators-per-service",
-    "peers",
-    "settings",
-    "ready-fd",
-];
-
 /// Runs the command.
 pub fn run(parser: lexopt::Parser) -> CommandResult {
-    let accepted = Accepted { help: HELP, options: OPTIONS, switches: &[], words: false };
+    let mut options = node_flags();
+    options.extend(["settings", "ready-fd"]);
+    let accepted = Accepted { help: HELP, options: &options, switches: &[], words: false };
     let Some(arguments) = Arguments::read(parser, &accepted)? else {
         return Ok(ExitCode::SUCCESS);
     };
@@ -95,28 +51,6 @@
     }
 }
 
-/// The overrides that flags ask for: each key, and its value in TOML.
-fn overrides(arguments: &Arguments) -> Vec<(String, String)> {
-    let mut overrides = Vec::new();
-    let key = |flag: &str| flag.replace('-', "_");
-    for flag in TEXT_KEYS {
-        if let Some(value) = arguments.value(flag) {
-            overrides.push((key(flag), toml::Value::String(value.to_string()).to_string()));
-        }
-    }
-    for flag in NUMBER_KEYS {
-        if let Some(value) = arguments.value(flag) {
-            overrides.push((key(flag), value.to_string()));
-        }
-    }
-    let peers = arguments.values("peers");
-    if !peers.is_empty() {
-        let list = peers.iter().map(|peer| toml::Value::String(peer.clone())).collect();
-        overrides.push(("peers".to_string(), toml::Value::Array(list).to_string()));
-    }
-    overrides
-}
-
 /// The settings, or nothing after every finding was printed.
 fn read_settings(arguments: &Arguments) -> Result<Option<NodeSettings>, UsageError> {
     let file = arguments.value("settings").unwrap_or("flags");
@@ -125,7 +59,7 @@
         Some(path) => std::fs::read_to_string(path)
             .map_err(|error| UsageError::new(format!("cannot read {path}: {error}")))?,
     };
-    match NodeSettings::parse_with_overrides(file, &text, &overrides(arguments)) {
+    match NodeSettings::parse_with_overrides(file, &text, &overrides_of(&arguments.given_options())) {
         Ok(settings) => Ok(Some(settings)),
         Err(ConfigurationError::Invalid { findings }) => {
             for finding in findings {
