Leaf calls are written from borrowed parts and read line by line in place

Change: calls are serialised from references, partitions are shared by a count, lines are found by memchr and parsed in place, the replicas tried are kept inline.

--- a/crates/sablebay-node/src/leaf_client/batch.rs
+++ b/crates/sablebay-node/src/leaf_client/batch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use http::Method;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -12,7 +12,7 @@
 
 use sablebay_http::{ExchangeFailure, Lease, json_request};
 use sablebay_model::{CallId, Micros};
-use sablebay_protocol::backend::{LeafAnswer, LeafCall, LeafRefusal, SEARCH_PATH, SearchBatch};
+use sablebay_protocol::backend::{LeafAnswer, LeafCallRef, LeafRefusal, SEARCH_PATH, SearchBatch};
 use sablebay_query::{CallFailure, Coverage, ShardAnswer};
 
 use super::{CallEvent, ClientContext, Command, QueuedCall, report_of};
@@ -116,23 +116,27 @@
     });
 }
 
-fn encode(context: &ClientContext, calls: &[QueuedCall]) -> Option<Bytes> {
+fn encode(context: &ClientContext, calls: &[Option<QueuedCall>]) -> Option<Bytes> {
+    const CALL_BYTES: usize = 256;
     let now = context.clock.now();
-    let calls = calls
+    let calls: Vec<LeafCallRef<'_>> = calls
         .iter()
-        .map(|call| LeafCall {
+        .flatten()
+        .map(|call| LeafCallRef {
             call_id: call.call_id,
-            service: call.search.service.clone(),
-            partitions: call.partitions.clone(),
+            service: &call.search.service,
+            partitions: &call.partitions,
             version: call.version,
             remaining_ms: call.deadline.since(now).as_millis().max(1),
             limit: call.search.limit,
             sort: call.search.sort,
-            query: call.search.query.clone(),
+            query: &call.search.query,
         })
         .collect();
-    let batch = SearchBatch { caller: context.caller.clone(), calls };
-    serde_json::to_vec(&batch).ok().map(Bytes::from)
+    let mut body = Vec::with_capacity(calls.len() * CALL_BYTES);
+    let batch = SearchBatch { caller: context.caller.as_str(), calls };
+    serde_json::to_writer(&mut body, &batch).ok()?;
+    Some(Bytes::from(body))
 }
 
 /// Sends calls as one request, and passes on what comes back.
@@ -165,12 +169,7 @@
     open: &mut OpenCalls,
 ) -> Result<(), ExchangeFailure> {
     let mut lease = context.pool.connect(permit).await.ok_or(ExchangeFailure::NotSent)?;
-    let body = {
-        let calls: Vec<QueuedCall> = open.calls.iter_mut().filter_map(Option::take).collect();
-        let body = encode(context, &calls);
-        open.calls = calls.into_iter().map(Some).collect();
-        body.ok_or(ExchangeFailure::NotSent)?
-    };
+    let body = encode(context, &open.calls).ok_or(ExchangeFailure::NotSent)?;
     let response = context.pool.send(&mut lease, json_request(Method::POST, SEARCH_PATH, body)).await?;
     if !response.status().is_success() {
         log::warn!("leaf: {} answered a batch with status {}.", context.leaf, response.status());
@@ -187,19 +186,14 @@
     open: &mut OpenCalls,
     lease: Lease,
 ) -> Result<(), ExchangeFailure> {
-    let mut buffer = BytesMut::new();
+    let mut rest: Vec<u8> = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ExchangeFailure::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        buffer.extend_from_slice(&data);
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line = buffer.split_to(end);
-            buffer.advance(1);
-            take_line(context, &line, open)?;
-        }
-        if buffer.len() > MAXIMUM_LINE_BYTES {
+        take_lines(context, &data, &mut rest, open)?;
+        if rest.len() > MAXIMUM_LINE_BYTES {
             return Err(ExchangeFailure::Broken);
         }
     }
@@ -207,6 +201,28 @@
     Ok(())
 }
 
+/// Takes every line that `data` completes; what is left of the last one is kept in `rest`.
+fn take_lines(
+    context: &ClientContext,
+    data: &[u8],
+    rest: &mut Vec<u8>,
+    open: &mut OpenCalls,
+) -> Result<(), ExchangeFailure> {
+    let mut from = 0;
+    for end in memchr::memchr_iter(b'\n', data) {
+        if rest.is_empty() {
+            take_line(context, &data[from..end], open)?;
+        } else {
+            rest.extend_from_slice(&data[from..end]);
+            take_line(context, rest, open)?;
+            rest.clear();
+        }
+        from = end + 1;
+    }
+    rest.extend_from_slice(&data[from..]);
+    Ok(())
+}
+
 fn take_line(context: &ClientContext, line: &[u8], open: &mut OpenCalls) -> Result<(), ExchangeFailure> {
     if line.is_empty() {
         return Ok(());
--- a/crates/sablebay-node/src/load_poll.rs
+++ b/crates/sablebay-node/src/load_poll.rs
@@ -109,7 +109,7 @@
     let mut asking = JoinSet::new();
     for shard in &plan.shards {
         let (shared, state) = (shared.clone(), state.clone());
-        let (partitions, replicas) = (shard.partitions.clone(), shard.replicas.clone());
+        let (partitions, replicas) = ((*shard.partitions).clone(), shard.replicas.clone());
         asking.spawn(async move {
             for replica in replicas {
                 if ask_peer(&shared, &state, replica, partitions.clone(), deadline).await {
--- a/crates/sablebay-node/src/search_driver.rs
+++ b/crates/sablebay-node/src/search_driver.rs
@@ -153,7 +153,7 @@
         &mut self,
         attempt: AttemptNumber,
         replica: ReplicaIndex,
-        partitions: PartitionSet,
+        partitions: Arc<PartitionSet>,
         version: SnapshotVersion,
         deadline: Micros,
     ) {
@@ -230,7 +230,7 @@
 /// One call to an aggregator.
 struct PartialCall {
     attempt: AttemptNumber,
-    partitions: PartitionSet,
+    partitions: Arc<PartitionSet>,
     version: SnapshotVersion,
     deadline: Micros,
 }
@@ -250,7 +250,7 @@
         service: outgoing.service.clone(),
         revision: shared.configuration().map(|c| c.version.revision).unwrap_or_default(),
         version: call.version,
-        partitions: call.partitions,
+        partitions: (*call.partitions).clone(),
         remaining_us: remaining.since(way_back).0,
         limit: u32::try_from(outgoing.limit).unwrap_or(u32::MAX),
         order: outgoing.sort,
--- a/crates/sablebay-node/src/service_state.rs
+++ b/crates/sablebay-node/src/service_state.rs
@@ -304,7 +304,7 @@
                 routing.balancer.set_leaving(&target, true);
             }
         }
-        shards.push(PlannedShard { partitions, replicas });
+        shards.push(PlannedShard { partitions: Arc::new(partitions), replicas });
     }
     ShardPlan { revision: configuration.version.revision, shards, through_peers: false }
 }
@@ -335,7 +335,7 @@
         .chunks(per_group)
         .enumerate()
         .map(|(group, sets)| {
-            let partitions = sets.iter().flat_map(PartitionSet::iter).collect();
+            let partitions = Arc::new(sets.iter().flat_map(PartitionSet::iter).collect());
             let mut replicas = indexes.clone();
             replicas.rotate_left(group % indexes.len().max(1));
             PlannedShard { partitions, replicas }
--- a/crates/sablebay-protocol/src/backend.rs
+++ b/crates/sablebay-protocol/src/backend.rs
@@ -20,9 +20,9 @@
 
 /// Several searches in one request. Answers are streamed back, one JSON object a line.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct SearchBatch<Call> {
+pub struct SearchBatch<Caller, Call> {
     /// The calling node's life, which makes call ids unique among all nodes.
-    pub caller: String,
+    pub caller: Caller,
     /// The searches.
     pub calls: Vec<Call>,
 }
@@ -48,6 +48,27 @@
     pub query: Arc<RawValue>,
 }
 
+/// A [`LeafCall`] as the calling side writes it, without copying its parts.
+#[derive(Debug, Serialize)]
+pub struct LeafCallRef<'a> {
+    /// Echoed in the answer.
+    pub call_id: CallId,
+    /// The service that asks.
+    pub service: &'a ServiceId,
+    /// The partitions to search.
+    pub partitions: &'a PartitionSet,
+    /// The version to search at.
+    pub version: SnapshotVersion,
+    /// Milliseconds that are left; a leaf gives up then.
+    pub remaining_ms: u64,
+    /// Hits wanted at the most.
+    pub limit: usize,
+    /// Their order.
+    pub sort: SortOrder,
+    /// The caller's query, passed on as it is.
+    pub query: &'a RawValue,
+}
+
 /// What a leaf says of itself with each answer.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeafLoad {
--- a/crates/sablebay-query/src/plan.rs
+++ b/crates/sablebay-query/src/plan.rs
@@ -1,5 +1,7 @@
 //! The fixed part of a query's plan: which shards there are, and who can answer each.
 
+use std::sync::Arc;
+
 use sablebay_model::{PartitionSet, Revision};
 
 use crate::replica::ReplicaIndex;
@@ -7,8 +9,8 @@
 /// One shard of a plan.
 #[derive(Clone, Debug)]
 pub struct PlannedShard {
-    /// The partitions that one call asks for.
-    pub partitions: PartitionSet,
+    /// The partitions that one call asks for; shared, since every call names them.
+    pub partitions: Arc<PartitionSet>,
     /// The replicas that can answer, in order of preference.
     pub replicas: Vec<ReplicaIndex>,
 }
@@ -36,10 +38,10 @@
     /// The part of the plan that searches `wanted`.
     pub fn restricted_to(&self, wanted: &PartitionSet) -> ShardPlan {
         let cut = |shard: &PlannedShard| {
-            let partitions: PartitionSet = if wanted.contains_all(&shard.partitions) {
+            let partitions: Arc<PartitionSet> = if wanted.contains_all(&shard.partitions) {
                 shard.partitions.clone()
             } else {
-                shard.partitions.iter().filter(|partition| wanted.contains(*partition)).collect()
+                Arc::new(shard.partitions.iter().filter(|partition| wanted.contains(*partition)).collect())
             };
             let replicas = shard.replicas.clone();
             (!partitions.is_empty()).then_some(PlannedShard { partitions, replicas })
--- a/crates/sablebay-query/src/search/attempt.rs
+++ b/crates/sablebay-query/src/search/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts at the shards of a query, and how they fail.
 
 use derive_more::Display;
+use smallvec::SmallVec;
 
 use sablebay_model::Micros;
 
@@ -83,7 +84,7 @@
 /// How far one shard has come in the present plan.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ShardProgress {
-    pub tried: Vec<ReplicaIndex>,
+    pub tried: SmallVec<[ReplicaIndex; 4]>,
     pub open_attempts: u32,
     pub hedged: bool,
     pub reasons: Vec<GapReason>,
--- a/crates/sablebay-query/src/search/request.rs
+++ b/crates/sablebay-query/src/search/request.rs
@@ -1,5 +1,7 @@
 //! What goes into a query's state machine and what comes out.
 
+use std::sync::Arc;
+
 use derive_more::{Add, AddAssign};
 use musli::{Decode, Encode};
 use serde::{Deserialize, Serialize};
@@ -34,7 +36,7 @@
         /// Where to.
         replica: ReplicaIndex,
         /// The partitions to search.
-        partitions: PartitionSet,
+        partitions: Arc<PartitionSet>,
         /// The version to search at.
         version: SnapshotVersion,
         /// When the answer is due.
--- a/crates/sablebay-standin/src/leaf/http.rs
+++ b/crates/sablebay-standin/src/leaf/http.rs
@@ -71,7 +71,7 @@
 }
 
 async fn search(State(state): State<Arc<LeafState>>, body: Bytes) -> Response {
-    let batch: SearchBatch<LeafCall> = match serde_json::from_slice(&body) {
+    let batch: SearchBatch<String, LeafCall> = match serde_json::from_slice(&body) {
         Ok(batch) => batch,
         Err(error) => return (axum::http::StatusCode::BAD_REQUEST, error.to_string()).into_response(),
     };
@@ -96,7 +96,7 @@
     Body::from_stream(stream).into_response()
 }
 
-fn answer_at_once(state: &LeafState, batch: &SearchBatch<LeafCall>) -> Response {
+fn answer_at_once(state: &LeafState, batch: &SearchBatch<String, LeafCall>) -> Response {
     let mut lines = Vec::new();
     for call in &batch.calls {
         state.calls.fetch_add(1, Ordering::Relaxed);
