A lost aggregator's part of a query is sent once more, whatever the budget holds

Cause: in rolling restarts a few answers lacked partitions as 'lost', and one of 1,431 queries got 'unknown: no_replica'. Traced by printing why shards were closed: calls to an aggregator that broke after they were sent, with the extra-load budget empty. They broke because the bench dropped the proxy before a stopping node at its SIGTERM, a fault of the harness; but a crash does the same. Ruled out: the stopping node (it ends 370 ms after SIGTERM with nothing in flight), versions unknown to new nodes. Change: a broken connection to an aggregator is free to repeat; the harness keeps the proxy until the node has ended, and no longer reserves ports. The new test fails without the change.

--- a/crates/sablebay-bench/src/experiment/rolling_restart.rs
+++ b/crates/sablebay-bench/src/experiment/rolling_restart.rs
@@ -33,6 +33,7 @@
     result.figure("answered", run.load.answered);
     result.figure("full_coverage", run.load.full_coverage());
     result.figure("p99_ms", run.load.latency_ms(0.99));
+    result.figure("reasons", serde_json::to_value(&run.load.reasons)?);
     result.figure("longest_stop_ms", run.longest_stop.as_millis() as u64);
     if options.broken.is_some() {
         result.break_caught = Some(result.violations > 0);
@@ -89,7 +90,7 @@
         cluster.wait_until_ready(NODES + 1).await?;
         *nodes.lock() = cluster.caller_addresses();
         // The stopping node stays in the callers' list: they must be told, not cut.
-        let mut leaving = cluster.remove_node(0);
+        let (mut leaving, _proxy) = cluster.remove_node(0);
         let started = Instant::now();
         leaving.terminate();
         let status = loop {
--- a/crates/sablebay-bench/src/processes.rs
+++ b/crates/sablebay-bench/src/processes.rs
@@ -245,19 +245,13 @@
         const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
         let number = self.started;
         self.started += 1;
-        // The proxy has to be known before the node, which tells its peers the proxy's address:
-        // the node's own port is reserved first.
-        let reserved = std::net::TcpListener::bind("127.0.0.1:0")?;
-        let peer_address = reserved.local_addr()?;
-        drop(reserved);
-        let proxy = Proxy::start(peer_address, number as u64).await?;
+        // The proxy has to be there before the node, which tells its peers the proxy's address.
+        let proxy = Proxy::start_without_target(number as u64).await?;
         let mut flags: Vec<String> = vec![
             "--zone".into(),
             ZONES[number % ZONES.len()].into(),
             "--platform-address".into(),
             self.platform.address.to_string(),
-            "--peer-address".into(),
-            peer_address.to_string(),
             "--advertised-peer-address".into(),
             proxy.address.to_string(),
             "--probe-period-ms".into(),
@@ -271,15 +265,16 @@
         let name = format!("node-{number}");
         let spawned = tokio::task::spawn_blocking(move || NodeProcess::spawn(&command, &name, &flags)).await;
         let node = spawned.map_err(|error| std::io::Error::other(error.to_string()))??;
+        proxy.set_target(node.peer_address);
         self.nodes.push(node);
         self.proxies.push(proxy);
         Ok(self.nodes.len() - 1)
     }
 
-    /// Takes a node that has ended out of the lists.
-    pub fn remove_node(&mut self, position: usize) -> NodeProcess {
-        self.proxies.remove(position);
-        self.nodes.remove(position)
+    /// Takes a node out of the lists, with the proxy before it: as long as the node runs, its
+    /// peers reach it through that.
+    pub fn remove_node(&mut self, position: usize) -> (NodeProcess, Proxy) {
+        (self.nodes.remove(position), self.proxies.remove(position))
     }
 
     /// Waits until every node is ready and sees `members` nodes, itself among them.
--- a/crates/sablebay-query/src/search.rs
+++ b/crates/sablebay-query/src/search.rs
@@ -278,7 +278,11 @@
         let in_time = turn.now < self.request.deadline;
         let attempts_left = progress.tried.len() < MAXIMUM_ATTEMPTS_PER_SHARD;
         let allowed = in_time && attempts_left && turn.routing.settings.retry;
-        let paid = allowed && (failure.is_free_to_repeat() || turn.routing.spend_extra(turn.now));
+        // An aggregator whose connection broke is gone, and its leaf calls with it: whatever was
+        // in flight there is sent once more, which no budget for slow days could pay.
+        let lost_aggregator = self.plan.through_peers && failure == CallFailure::Broken;
+        let free = failure.is_free_to_repeat() || lost_aggregator;
+        let paid = allowed && (free || turn.routing.spend_extra(turn.now));
         if paid && self.dispatch(shard, AttemptKind::Retry, turn) {
             return;
         }
--- a/crates/sablebay-query/tests/search_properties.rs
+++ b/crates/sablebay-query/tests/search_properties.rs
@@ -308,3 +308,37 @@
     assert!(!is_mixed(&result));
     assert_eq!(result.work.plans_again, 1);
 }
+
+/// An aggregator that is lost with a query in flight is replaced, also when the budget is empty;
+/// a leaf is not, since a leaf that breaks connections may be overloaded.
+#[test]
+fn a_lost_aggregator_is_replaced_without_the_budget() {
+    for (through_peers, expected) in [(true, true), (false, false)] {
+        let now = Micros::from_millis(1_000_000);
+        let mut routing = routing(false, Mechanisms::default(), now);
+        routing.settings.hedge = false;
+        routing.plan = Arc::new(ShardPlan { through_peers, ..(*routing.plan).clone() });
+        while routing.spend_extra(now) {}
+        let mut random = SmallRng::seed_from_u64(1);
+        let request = SearchRequest {
+            deadline: DEADLINE,
+            limit: 100,
+            order: SortOrder::Descending,
+            may_plan_again: true,
+        };
+        let mut search = Search::new(request, routing.plan.clone(), SnapshotVersion(2));
+        let mut actions = Vec::new();
+        search.start(&mut Turn { routing: &mut routing, now, random: &mut random, actions: &mut actions });
+        let mut first = true;
+        while let Some(action) = actions.pop() {
+            let Action::Dispatch { attempt, partitions, version, .. } = action else { continue };
+            let mut turn = Turn { routing: &mut routing, now, random: &mut random, actions: &mut actions };
+            if std::mem::take(&mut first) {
+                search.on_failure(attempt, CallFailure::Broken, None, &mut turn);
+            } else {
+                search.on_answer(attempt, answer(&partitions, version), &mut turn);
+            }
+        }
+        assert_eq!(search.into_result().coverage.is_full(), expected);
+    }
+}
--- a/crates/sablebay-standin/src/load.rs
+++ b/crates/sablebay-standin/src/load.rs
@@ -3,7 +3,7 @@
 mod check;
 mod client;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -98,6 +98,8 @@
     pub retries: u64,
     /// What must never happen.
     pub violations: Vec<Violation>,
+    /// Why queries had no answer, and why partitions were missing, with how often.
+    pub reasons: BTreeMap<String, u64>,
     /// Per second of the run: answers, and full answers among them.
     pub coverage_over_time: Vec<(u64, u64)>,
 }
@@ -116,6 +118,7 @@
             hedges: 0,
             retries: 0,
             violations: Vec::new(),
+            reasons: BTreeMap::new(),
             coverage_over_time: Vec::new(),
         }
     }
@@ -154,6 +157,9 @@
                 self.hedges += checked.work.hedges;
                 self.retries += checked.work.retries;
                 self.violations.extend(&checked.violations);
+                for reason in &checked.missing {
+                    self.note(format!("missing: {reason}"));
+                }
                 if timed {
                     self.latency_us.saturating_record(took.as_micros() as u64);
                 }
@@ -163,11 +169,23 @@
                 self.coverage_over_time[second].0 += 1;
                 self.coverage_over_time[second].1 += u64::from(checked.is_full);
             }
-            QueryOutcome::NotRun { .. } => self.not_run += 1,
-            QueryOutcome::Unknown { .. } => self.unknown += 1,
+            QueryOutcome::NotRun { reason, .. } => {
+                self.not_run += 1;
+                self.note(
+                    reason.map_or("not run: not reached".to_string(), |reason| format!("not run: {reason}")),
+                );
+            }
+            QueryOutcome::Unknown { reason } => {
+                self.unknown += 1;
+                self.note(format!("unknown: {reason}"));
+            }
             QueryOutcome::Cut => self.cut += 1,
         }
     }
+
+    fn note(&mut self, reason: String) {
+        *self.reasons.entry(reason).or_default() += 1;
+    }
 }
 
 /// Puts on an open-loop load: a slow answer does not hold the next query back.
--- a/crates/sablebay-standin/src/load/check.rs
+++ b/crates/sablebay-standin/src/load/check.rs
@@ -7,7 +7,7 @@
 
 use sablebay_model::SortOrder;
 use sablebay_protocol::caller::QueryAnswer;
-use sablebay_query::Work;
+use sablebay_query::{GapReason, Work};
 
 use crate::corpus::{Corpus, StoredHit};
 
@@ -40,6 +40,8 @@
     pub revision: u64,
     /// The work reported.
     pub work: Work,
+    /// Why partitions are missing.
+    pub missing: Vec<GapReason>,
     /// What is wrong.
     pub violations: Vec<Violation>,
 }
@@ -88,6 +90,7 @@
         version: answer.snapshot.0,
         revision: answer.configuration.revision.0,
         work: answer.work,
+        missing: coverage.missing.iter().map(|gap| gap.reason).collect(),
         violations,
     }
 }
--- a/crates/sablebay-standin/src/proxy.rs
+++ b/crates/sablebay-standin/src/proxy.rs
@@ -54,6 +54,7 @@
 pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
     faults: Arc<Mutex<Faults>>,
     generation: watch::Sender<u64>,
     task: JoinHandle<()>,
@@ -69,12 +70,28 @@
     /// # Errors
     /// When it cannot listen.
     pub async fn start(target: SocketAddr, seed: u64) -> Result<Proxy, StandInError> {
+        let proxy = Self::start_without_target(seed).await?;
+        proxy.set_target(target);
+        Ok(proxy)
+    }
+
+    /// Starts a proxy whose target is not known yet; until then connections are closed at once.
+    ///
+    /// # Errors
+    /// When it cannot listen.
+    pub async fn start_without_target(seed: u64) -> Result<Proxy, StandInError> {
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = listener.local_addr()?;
         let faults = Arc::new(Mutex::new(Faults::default()));
         let (generation, generations) = watch::channel(0);
-        let task = tokio::spawn(accept(listener, target, faults.clone(), generations, seed));
-        Ok(Proxy { address, faults, generation, task })
+        let target = Arc::new(Mutex::new(None));
+        let task = tokio::spawn(accept(listener, target.clone(), faults.clone(), generations, seed));
+        Ok(Proxy { address, target, faults, generation, task })
+    }
+
+    /// Tells the proxy where connections go.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.target.lock() = Some(target);
     }
 
     /// Changes the faults, also for connections that are open.
@@ -97,18 +114,19 @@
 
 async fn accept(
     listener: TcpListener,
-    target: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
     faults: Arc<Mutex<Faults>>,
     generations: watch::Receiver<u64>,
     seed: u64,
 ) {
     let mut number = seed;
     while let Ok((client, _)) = listener.accept().await {
-        if faults.lock().refuse {
+        let target = *target.lock();
+        let Some(target) = target.filter(|_| !faults.lock().refuse) else {
             // Closing with unread data pending resets the connection.
             drop(client);
             continue;
-        }
+        };
         number = number.wrapping_add(1);
         let (faults, mut generations) = (faults.clone(), generations.clone());
         generations.mark_unchanged();
--- a/crates/sablebay/tests/at_most_once.rs
+++ b/crates/sablebay/tests/at_most_once.rs
@@ -56,7 +56,7 @@
     let mut cluster = start(small_deployment("latency", 2_000.0)).await;
     let ticket = cluster.nodes[0].client().ticket(DESK).await.unwrap();
     for _ in 0..2 {
-        let mut holder = cluster.remove_node(1);
+        let (mut holder, _) = cluster.remove_node(1);
         holder.kill();
         cluster.add_node().await.unwrap();
     }
--- a/crates/sablebay/tests/configuration.rs
+++ b/crates/sablebay/tests/configuration.rs
@@ -26,7 +26,7 @@
     }
     for mode in [PlatformMode::Oldest, PlatformMode::Flapping, PlatformMode::Down] {
         cluster.platform.state.set_mode(mode);
-        cluster.remove_node(0).kill();
+        cluster.remove_node(0).0.kill();
         cluster.add_node().await.unwrap();
         cluster.wait_until_ready(3).await.unwrap();
         assert_eq!(revisions(&cluster).await, [3, 3, 3], "under {mode:?}");
--- a/crates/sablebay/tests/leaving_back_ends.rs
+++ b/crates/sablebay/tests/leaving_back_ends.rs
@@ -46,7 +46,7 @@
     cluster.leaves.leaves.remove("desk-leaf-3");
     let machine = Machine { name: LEAF.to_string(), role: MachineRole::Leaf, address: None, leaving: true };
     cluster.platform.state.set_machines(MachineList { machines: vec![machine] });
-    cluster.remove_node(2).kill();
+    cluster.remove_node(2).0.kill();
     cluster.add_node().await.unwrap();
     cluster.wait_until_ready(3).await.unwrap();
     wait_until_all_know(&cluster, LEAF).await;
--- a/crates/sablebay/tests/planned_stop.rs
+++ b/crates/sablebay/tests/planned_stop.rs
@@ -23,7 +23,7 @@
 async fn stop_under_load(cluster: &mut ProcessCluster, seed: u64) -> sablebay_standin::LoadSummary {
     let options = load_options(cluster, 100.0, 2.5, seed);
     let nodes = options.nodes.clone();
-    let mut leaving = cluster.remove_node(0);
+    let (mut leaving, _proxy) = cluster.remove_node(0);
     let stopping = async {
         tokio::time::sleep(Duration::from_millis(500)).await;
         leaving.terminate();
@@ -61,10 +61,10 @@
     let mut leaving = [cluster.remove_node(0), cluster.remove_node(0)];
     let stopping = async {
         tokio::time::sleep(Duration::from_millis(500)).await;
-        for node in &leaving {
+        for (node, _) in &leaving {
             node.terminate();
         }
-        for node in &mut leaving {
+        for (node, _) in &mut leaving {
             assert_eq!(wait_for_exit(node).await.code(), Some(0));
         }
         nodes.lock().drain(..2);
