--- a/crates/sablebay-bench/src/hollow.rs
+++ b/crates/sablebay-bench/src/hollow.rs
@@ -328,14 +328,14 @@
 
     fn count(&mut self, message: &FleetMessage) {
         let name = match message {
-            FleetMessage::Probe { .. } => "probe",
+            FleetMessage::Probe(_) => "probe",
             FleetMessage::ProbeAck { .. } => "probe_ack",
             FleetMessage::IndirectProbe { .. } | FleetMessage::IndirectAck { .. } => "indirect",
             FleetMessage::News { .. } => "news",
             FleetMessage::ConfigurationDelta { .. } => "delta",
             FleetMessage::ConfigurationAnnounced { .. } => "announced",
             FleetMessage::ConfigurationWanted { .. } => "wanted",
-            FleetMessage::ConfigurationPart { .. } => "part",
+            FleetMessage::ConfigurationPart(_) => "part",
             FleetMessage::MembersWanted => "members_wanted",
             FleetMessage::Members { .. } => "members",
         };
--- a/crates/sablebay-config/src/service.rs
+++ b/crates/sablebay-config/src/service.rs
@@ -61,7 +61,7 @@
     pub retry_queries: bool,
     /// Whether slow leaf queries are hedged. Default true.
     pub hedge: bool,
-    /// The latency quantile after which a call is hedged. Default 0.96.
+    /// The latency quantile after which a call is hedged. Default 0.975.
     pub hedge_quantile: f64,
     /// Hedges and retries allowed, in percent of first calls. Default 3.
     pub extra_load_percent: f64,
@@ -108,7 +108,7 @@
             .unwrap_or(WhenUnconfirmed::Serve),
         retry_queries: section.boolean("retry_queries").unwrap_or(true),
         hedge: section.boolean("hedge").unwrap_or(true),
-        hedge_quantile: section.number("hedge_quantile", 0.5..=0.9999).unwrap_or(0.96),
+        hedge_quantile: section.number("hedge_quantile", 0.5..=0.9999).unwrap_or(0.975),
         extra_load_percent: section.number("extra_load_percent", 0.0..=100.0).unwrap_or(3.0),
         concurrency: section.integer("concurrency", 1..=MAXIMUM_QUERIES).unwrap_or(64) as u32,
         queue: section.integer("queue", 0..=MAXIMUM_QUERIES).unwrap_or(64) as u32,
--- a/crates/sablebay-fleet/src/fleet_node.rs
+++ b/crates/sablebay-fleet/src/fleet_node.rs
@@ -255,9 +255,7 @@
             return;
         }
         match message {
-            FleetMessage::Probe { sequence, info, refutation, version, rumours } => {
-                self.on_probe(sequence, info, refutation, version, rumours, now, outputs);
-            }
+            FleetMessage::Probe(probe) => self.on_probe(probe, now, outputs),
             FleetMessage::ProbeAck { sequence, version, rumours } => {
                 self.on_probe_ack(from, sequence, version, rumours, now, outputs);
             }
@@ -275,9 +273,7 @@
                 self.hear_version(from_address, version, now, outputs);
             }
             FleetMessage::ConfigurationWanted { have } => self.on_wanted(from_address, have, outputs),
-            FleetMessage::ConfigurationPart { version, part, parts, entries } => {
-                self.on_part(version, part, parts, entries, now, outputs);
-            }
+            FleetMessage::ConfigurationPart(part) => self.on_part(part, now, outputs),
             FleetMessage::MembersWanted => self.on_members_wanted(from_address, outputs),
             FleetMessage::Members { members } => self.on_members(members, now, outputs),
         }
--- a/crates/sablebay-fleet/src/fleet_node/configuration.rs
+++ b/crates/sablebay-fleet/src/fleet_node/configuration.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sablebay_config::{Configuration, Delta, EntryKey, Finding, Version};
+use sablebay_config::{Configuration, Delta, Finding, Version};
 use sablebay_model::{InstanceKey, Micros};
 
 use super::{FleetNode, FleetOutput};
 use crate::floor::{Offer, Rejection};
-use crate::message::FleetMessage;
+use crate::message::{ConfigurationPart, FleetMessage};
 use crate::rumour::Rumour;
 use crate::transfer::{Assembly, parts_of};
 
@@ -169,27 +169,20 @@
         }
     }
 
-    pub(super) fn on_part(
-        &mut self,
-        version: Version,
-        part: u32,
-        parts: u32,
-        entries: Vec<(EntryKey, String)>,
-        now: Micros,
-        outputs: &mut Vec<FleetOutput>,
-    ) {
+    pub(super) fn on_part(&mut self, part: ConfigurationPart, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let version = part.version;
         self.floor.hear(version);
         if version <= self.floor.version() {
             return;
         }
         let newer = self.assembly.as_ref().is_none_or(|assembly| assembly.version() < version);
         if newer {
-            self.assembly = Some(Assembly::new(version, parts, now));
+            self.assembly = Some(Assembly::new(version, part.parts, now));
         }
         let Some(assembly) = self.assembly.as_mut().filter(|assembly| assembly.version() == version) else {
             return;
         };
-        let Some(document) = assembly.add(part, entries, now) else {
+        let Some(document) = assembly.add(part.part, part.entries, now) else {
             return;
         };
         self.assembly = None;
--- a/crates/sablebay-fleet/src/fleet_node/membership.rs
+++ b/crates/sablebay-fleet/src/fleet_node/membership.rs
@@ -1,7 +1,6 @@
 //! Joining, probing, suspicion and rumours.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use rand::RngExt;
 use rand::seq::IteratorRandom;
@@ -11,9 +10,9 @@
 
 use super::{FleetNode, FleetOutput};
 use crate::floor::Rejection;
-use crate::member::{MemberInfo, MemberStatus};
+use crate::member::MemberStatus;
 use crate::members::MemberClaim;
-use crate::message::FleetMessage;
+use crate::message::{FleetMessage, Probe};
 use crate::probing::ProbeStep;
 use crate::rumour::{LeafNotice, Rumour};
 
@@ -87,13 +86,13 @@
     }
 
     fn probe_message(&mut self, sequence: u64) -> FleetMessage {
-        FleetMessage::Probe {
+        FleetMessage::Probe(Probe {
             sequence,
             info: self.info.clone(),
             refutation: self.refutation,
             version: self.floor.floor(),
             rumours: self.rumours.take(self.members.len()),
-        }
+        })
     }
 
     /// Asks `count` random members at once whether they know of a newer configuration.
@@ -169,31 +168,22 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn on_probe(
-        &mut self,
-        sequence: u64,
-        info: Arc<MemberInfo>,
-        refutation: u32,
-        version: Version,
-        rumours: Vec<Rumour>,
-        now: Micros,
-        outputs: &mut Vec<FleetOutput>,
-    ) {
-        let from = info.key.clone();
-        let to = info.peer_address;
-        let claim = MemberClaim { info, status: MemberStatus::Alive, refutation };
+    pub(super) fn on_probe(&mut self, probe: Probe, now: Micros, outputs: &mut Vec<FleetOutput>) {
+        let from = probe.info.key.clone();
+        let to = probe.info.peer_address;
+        let claim =
+            MemberClaim { info: probe.info, status: MemberStatus::Alive, refutation: probe.refutation };
         self.take_member_claim(claim, now, outputs);
         self.tell_if_believed_gone(&from, to, outputs);
-        self.members.heard(&from, version, now);
-        self.take_rumours(rumours, now, outputs);
+        self.members.heard(&from, probe.version, now);
+        self.take_rumours(probe.rumours, now, outputs);
         let ack = FleetMessage::ProbeAck {
-            sequence,
+            sequence: probe.sequence,
             version: self.floor.floor(),
             rumours: self.rumours.take(self.members.len()),
         };
         self.send(to, ack, outputs);
-        self.hear_version(to, version, now, outputs);
+        self.hear_version(to, probe.version, now, outputs);
     }
 
     /// A member that probes while it is believed dead is told so, and can refute it.
--- a/crates/sablebay-fleet/src/lib.rs
+++ b/crates/sablebay-fleet/src/lib.rs
@@ -25,7 +25,7 @@
 pub use lease::FreshnessLease;
 pub use member::{LifeEvent, MemberInfo, MemberStatus};
 pub use members::{Member, MemberClaim, MemberTable};
-pub use message::FleetMessage;
+pub use message::{ConfigurationPart, FleetMessage, Probe};
 pub use rumour::{LeafNotice, Rumour};
 pub use submission::{HolderReply, Submission, SubmissionStep};
 pub use ticket::{CLAIM_HOLDERS, CLAIM_QUORUM, Ticket, TicketId};
--- a/crates/sablebay-fleet/src/message.rs
+++ b/crates/sablebay-fleet/src/message.rs
@@ -12,22 +12,39 @@
 use crate::members::MemberClaim;
 use crate::rumour::Rumour;
 
+/// Are you there? The sender introduces itself, and names the configuration it runs.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Probe {
+    /// Echoed in the answer.
+    pub sequence: u64,
+    /// The sender.
+    pub info: Arc<MemberInfo>,
+    /// The sender's refutation count.
+    pub refutation: u32,
+    /// The highest configuration that the sender has heard of.
+    pub version: Version,
+    /// News.
+    pub rumours: Vec<Rumour>,
+}
+
+/// A part of a whole configuration.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ConfigurationPart {
+    /// The version of the whole.
+    pub version: Version,
+    /// The part's number, from zero.
+    pub part: u32,
+    /// How many parts there are.
+    pub parts: u32,
+    /// The entries in this part.
+    pub entries: Vec<(EntryKey, String)>,
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum FleetMessage {
-    /// Are you there? The sender introduces itself, and names the configuration it runs.
-    Probe {
-        /// Echoed in the answer.
-        sequence: u64,
-        /// The sender.
-        info: Arc<MemberInfo>,
-        /// The sender's refutation count.
-        refutation: u32,
-        /// The highest configuration that the sender has heard of.
-        version: Version,
-        /// News.
-        rumours: Vec<Rumour>,
-    },
+    /// Are you there?
+    Probe(Probe),
     /// The answer to a probe.
     ProbeAck {
         /// Of the probe.
@@ -70,16 +87,7 @@
         have: Version,
     },
     /// A part of a whole configuration.
-    ConfigurationPart {
-        /// The version of the whole.
-        version: Version,
-        /// The part's number, from zero.
-        part: u32,
-        /// How many parts there are.
-        parts: u32,
-        /// The entries in this part.
-        entries: Vec<(EntryKey, String)>,
-    },
+    ConfigurationPart(ConfigurationPart),
     /// Please send the members you know.
     MembersWanted,
     /// The members that the sender knows, itself among them.
--- a/crates/sablebay-fleet/src/transfer.rs
+++ b/crates/sablebay-fleet/src/transfer.rs
@@ -5,7 +5,7 @@
 use sablebay_config::{Document, EntryKey, Version};
 use sablebay_model::Micros;
 
-use crate::message::FleetMessage;
+use crate::message::{ConfigurationPart, FleetMessage};
 
 /// Content bytes of one part, roughly.
 const PART_BYTES: usize = 256 * 1024;
@@ -26,11 +26,10 @@
         last.push((key.clone(), body.to_string()));
     }
     let count = parts.len() as u32;
-    let message = |(part, entries)| FleetMessage::ConfigurationPart {
-        version: document.version(),
-        part: part as u32,
-        parts: count,
-        entries,
+    let message = |(part, entries)| {
+        let part = part as u32;
+        let version = document.version();
+        FleetMessage::ConfigurationPart(ConfigurationPart { version, part, parts: count, entries })
     };
     parts.into_iter().enumerate().map(message).collect()
 }
--- a/crates/sablebay-node/src/leaf_client/batch.rs
+++ b/crates/sablebay-node/src/leaf_client/batch.rs
@@ -13,7 +13,7 @@
 use sablebay_http::{ExchangeFailure, Lease, json_request};
 use sablebay_model::{CallId, Micros};
 use sablebay_protocol::backend::{LeafAnswer, LeafCallRef, LeafRefusal, SEARCH_PATH, SearchBatch};
-use sablebay_query::{CallFailure, Coverage, ShardAnswer};
+use sablebay_query::{CallFailure, Coverage, ShardAnswer, Work};
 
 use super::{CallEvent, ClientContext, Command, QueuedCall, report_of};
 
@@ -258,6 +258,7 @@
         coverage: Coverage { answered: answer.partitions, missing: Vec::new() },
         hits: answer.hits,
         report: Some(report),
+        work: Work::default(),
     })
 }
 
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinHandle;
 
 use sablebay_config::NodeSettings;
@@ -220,6 +220,7 @@
         claims.turn_off_write_once();
     }
     let shared = Arc::new(Shared {
+        slots: Semaphore::new(settings.concurrency as usize),
         settings,
         info,
         clock,
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -85,6 +85,7 @@
     };
     let in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared));
     let _in_flight = in_flight.map_err(elsewhere)?;
+    let _slot = shared.take_slot().map_err(elsewhere)?;
     let arrived = shared.clock.now();
     let (state, settings) = find_service(shared, service_id).map_err(elsewhere)?;
     let limit_ms = input.deadline_ms.unwrap_or(settings.deadline_ms);
--- a/crates/sablebay-node/src/root_search.rs
+++ b/crates/sablebay-node/src/root_search.rs
@@ -49,6 +49,7 @@
 ) -> Result<QueryAnswer, Refusal> {
     let arrived = shared.clock.now();
     let _in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared))?;
+    let _slot = shared.take_slot()?;
     let (state, settings) = find_service(shared, service_id)?;
     let limit_ms = input.deadline_ms.unwrap_or(settings.deadline_ms);
     let deadline = arrived.plus(Micros::from_millis(limit_ms));
--- a/crates/sablebay-node/src/search_driver.rs
+++ b/crates/sablebay-node/src/search_driver.rs
@@ -285,8 +285,8 @@
             if lost_to_version(&result.coverage) {
                 return Err((CallFailure::NotHeld, Some(report)));
             }
-            let (version, coverage) = (result.version, result.coverage);
-            Ok(ShardAnswer { version, coverage, hits, report: Some(report) })
+            let (version, coverage, work) = (result.version, result.coverage, result.work);
+            Ok(ShardAnswer { version, coverage, hits, report: Some(report), work })
         }
         Ok(PeerResponse::Refused(_)) | Err(PeerFailure::Refused(_)) => Err((CallFailure::Draining, None)),
         Ok(_) => Err((CallFailure::Mismatched, None)),
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -6,10 +6,11 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use sablebay_config::{Configuration, NodeSettings};
 use sablebay_fleet::{ClaimHolder, FleetNode, MemberInfo};
-use sablebay_model::{InstanceKey, LeafId, ServiceId};
+use sablebay_model::{InstanceKey, LeafId, Reason, Refusal, ServiceId};
 
 use crate::clock::Clock;
 use crate::freshness::Freshness;
@@ -50,6 +51,8 @@
     pub metrics: Metrics,
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
+    /// Requests that the node runs at once, over all services.
+    pub slots: Semaphore,
     /// Numbers calls to leaves.
     pub next_call: Arc<AtomicU64>,
     /// Numbers claims.
@@ -68,6 +71,17 @@
         &self.info.key
     }
 
+    /// A place among the requests that the node runs at once; there is no queue for these.
+    ///
+    /// # Errors
+    /// A refusal that says when to come back.
+    pub fn take_slot(&self) -> Result<SemaphorePermit<'_>, Refusal> {
+        const RETRY_MS: u64 = 100;
+        self.slots.try_acquire().map_err(|_| {
+            Refusal::not_run(Reason::Overloaded, "the node has no free slot").retry_after(RETRY_MS)
+        })
+    }
+
     /// What is in force.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.world.load().configuration.clone()
--- a/crates/sablebay-query/src/routing.rs
+++ b/crates/sablebay-query/src/routing.rs
@@ -70,11 +70,16 @@
     /// The shards.
     pub plan: Arc<ShardPlan>,
     recent: LatencyWindow,
+    lately: LatencyWindow,
     usual: LatencyWindow,
+    late_share: f64,
 }
 
-/// The window that the hedging quantile is taken over.
+/// The window that a brownout is seen in.
 const RECENT_WINDOW: Micros = Micros::from_secs(4);
+/// The window that the hedging quantile is taken over: a small service needs this long for a
+/// quantile near one to rest on more than a few calls.
+const HEDGE_WINDOW: Micros = Micros::from_secs(20);
 /// The window that tells what is usual for the service.
 const USUAL_WINDOW: Micros = Micros::from_secs(60);
 /// Hedge delay while there are too few observations.
@@ -84,6 +89,10 @@
 /// How many times the usual latency the recent median may be before hedging pauses: when the whole
 /// service is slow, a second call is slow too.
 const BROWNOUT_FACTOR: u64 = 3;
+/// The share of late calls above which hedging pauses.
+const BROWNOUT_LATE_SHARE: f64 = 0.35;
+/// Weight of one more call in that share: a few late calls in a row are enough.
+const LATE_SHARE_WEIGHT: f64 = 0.25;
 /// What counts as usual: a low quantile, which a slow spell takes longer to move than the median.
 const USUAL_QUANTILE: f64 = 0.25;
 
@@ -96,7 +105,9 @@
             settings,
             plan: Arc::default(),
             recent: LatencyWindow::new(RECENT_WINDOW, now),
+            lately: LatencyWindow::new(HEDGE_WINDOW, now),
             usual: LatencyWindow::new(USUAL_WINDOW, now),
+            late_share: 0.0,
         }
     }
 
@@ -109,23 +120,34 @@
     /// Records the latency of an answered first call.
     pub fn record_latency(&mut self, latency: Micros, now: Micros) {
         self.recent.record(latency, now);
+        self.lately.record(latency, now);
         self.usual.record(latency, now);
     }
 
-    /// How long a call may take before it is hedged; nothing while hedging would not help.
-    pub fn hedge_delay(&mut self, now: Micros) -> Option<Micros> {
-        if !self.settings.hedge || !self.settings.mechanisms.hedging {
-            return None;
-        }
-        if self.settings.mechanisms.budget && self.is_brownout(now) {
-            return None;
-        }
-        let quantile = self.recent.quantile(self.settings.hedge_quantile, now);
-        Some(quantile.unwrap_or(INITIAL_HEDGE_DELAY).max(MINIMUM_HEDGE_DELAY))
+    /// The time within which a call is expected to be answered: calls that take longer are late.
+    pub fn expected_delay(&mut self, now: Micros) -> Micros {
+        let quantile = self.lately.quantile(self.settings.hedge_quantile, now);
+        quantile.unwrap_or(INITIAL_HEDGE_DELAY).max(MINIMUM_HEDGE_DELAY)
+    }
+
+    /// Notes whether a first call was answered within its expected time.
+    pub fn note_punctuality(&mut self, late: bool) {
+        let observed = f64::from(u8::from(late));
+        self.late_share += LATE_SHARE_WEIGHT * (observed - self.late_share);
     }
 
-    /// Whether the whole service is slower than usual.
+    /// Whether a late call may be hedged. Not while the whole service is slower than usual.
+    pub fn may_hedge(&mut self, now: Micros) -> bool {
+        let on = self.settings.hedge && self.settings.mechanisms.hedging;
+        on && (!self.settings.mechanisms.budget || !self.is_brownout(now))
+    }
+
+    /// Whether the whole service is slower than usual: many calls in a row were late, or the
+    /// recent median is far above what is usual.
     fn is_brownout(&mut self, now: Micros) -> bool {
+        if self.late_share > BROWNOUT_LATE_SHARE {
+            return true;
+        }
         let recent = self.recent.quantile(0.5, now);
         let usual = self.usual.quantile(USUAL_QUANTILE, now);
         match (recent, usual) {
--- a/crates/sablebay-query/src/search.rs
+++ b/crates/sablebay-query/src/search.rs
@@ -32,7 +32,7 @@
 /// The share of the remaining time after which a silent aggregator is replaced.
 const PEER_PATIENCE: f64 = 0.5;
 /// How soon a hedge that the budget refused is looked at again.
-const HEDGE_RECHECK: Micros = Micros(2_000);
+const HEDGE_RECHECK: Micros = Micros(5_000);
 
 /// What a step of the machine works with.
 pub struct Turn<'a, R> {
@@ -60,6 +60,7 @@
     hits: Vec<Hit>,
     coverage_parts: Vec<Coverage>,
     hedge_at: Micros,
+    expected_by: Micros,
     work: Work,
     version_gone: bool,
     finished: bool,
@@ -80,6 +81,7 @@
             hits: Vec::new(),
             coverage_parts: Vec::new(),
             hedge_at: Micros::MAX,
+            expected_by: Micros::MAX,
             work: Work::default(),
             version_gone: false,
             finished: false,
@@ -107,9 +109,9 @@
             let remaining = self.request.deadline.since(turn.now).0 as f64;
             self.hedge_at = turn.now.plus(Micros((remaining * PEER_PATIENCE) as u64));
         } else {
-            self.hedge_at =
-                turn.routing.hedge_delay(turn.now).map_or(Micros::MAX, |delay| turn.now.plus(delay));
+            self.hedge_at = turn.now.plus(turn.routing.expected_delay(turn.now));
         }
+        self.expected_by = self.hedge_at;
     }
 
     /// Sends one call for a shard; false when no replica is left.
@@ -135,7 +137,7 @@
             AttemptKind::Hedge => self.work.hedges += 1,
             AttemptKind::Retry => self.work.retries += 1,
         }
-        self.work.leaf_calls += 1;
+        self.work.leaf_calls += u64::from(!self.plan.through_peers);
         turn.actions.push(Action::Dispatch {
             attempt: number,
             replica,
@@ -200,9 +202,11 @@
         if attempt.kind == AttemptKind::First {
             turn.routing.record_latency(latency, turn.now);
         }
-        if turn.now < self.hedge_at {
+        if turn.now < self.expected_by {
             turn.routing.budget.earn();
+            turn.routing.note_punctuality(false);
         }
+        self.work += answer.work;
         self.accept(attempt.shard, answer.coverage, answer.hits, turn);
         self.after_change(turn);
         true
@@ -325,10 +329,18 @@
             let Some(replica) = progress.tried.last().copied() else {
                 continue;
             };
+            if !self.shards[shard].noted_late {
+                self.shards[shard].noted_late = true;
+                turn.routing.note_punctuality(true);
+            }
             if !self.has_untried_replica(shard, turn) {
                 self.shards[shard].hedged = true;
                 continue;
             }
+            if !self.plan.through_peers && !turn.routing.may_hedge(turn.now) {
+                refused = true;
+                break;
+            }
             if !turn.routing.spend_extra(turn.now) {
                 refused = true;
                 break;
--- a/crates/sablebay-query/src/search/request.rs
+++ b/crates/sablebay-query/src/search/request.rs
@@ -62,6 +62,8 @@
     pub hits: Vec<Hit>,
     /// What the replica says of itself.
     pub report: Option<LoadReport>,
+    /// The calls to leaves that an aggregator made for it; nothing for a leaf's answer.
+    pub work: Work,
 }
 
 /// The work that a query caused.
@@ -69,7 +71,7 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Serialize, Deserialize, Encode, Decode,
 )]
 pub struct Work {
-    /// Calls to leaves, all kinds.
+    /// Calls to leaves, all kinds, those of aggregators included.
     pub leaf_calls: u64,
     /// Calls sent because another was slow.
     pub hedges: u64,
--- a/crates/sablebay-standin/src/lib.rs
+++ b/crates/sablebay-standin/src/lib.rs
@@ -16,7 +16,7 @@
 pub use leaf::{Leaf, LeafFaults, LeafOptions, LeafState};
 pub use load::{
     CallerClient, CheckedAnswer, LoadOptions, LoadSummary, OperationOutcome, QueryOutcome, Violation,
-    WeightedService, run_load,
+    WeightedService, check_answer, run_load,
 };
 pub use platform::{Platform, PlatformMode, PlatformState};
 pub use proxy::{Direction, Faults, Proxy};
--- a/crates/sablebay/tests/interfaces.rs
+++ b/crates/sablebay/tests/interfaces.rs
@@ -90,6 +90,27 @@
     assert!(!report.draining);
 }
 
+/// The node's own limit is over all services, and says when to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_a_free_slot_refuses_at_once() {
+    let command = NodeCommand::with_break(None).unwrap();
+    let flags = ["--log-level", "warn", "--concurrency", "1"];
+    let deployment = small_deployment("latency", 300_000.0);
+    let cluster = ProcessCluster::start(command, deployment, 1, &flags).await.unwrap();
+    let (first, second) = (cluster.nodes[0].client(), cluster.nodes[0].client());
+    let query = |client: CallerClient| async move {
+        let path = format!("/v1/services/{DESK}/query");
+        client.send(Method::POST, &path, "{\"query\":1}").await.unwrap()
+    };
+    let answers = tokio::join!(query(first), query(second));
+    let refused = [answers.0, answers.1].into_iter().find(|(status, _)| !status.is_success());
+    let (status, body) = refused.expect("one of two is refused");
+    let refusal: Refusal = serde_json::from_slice(&body).unwrap();
+    assert_eq!((status, refusal.reason), (StatusCode::TOO_MANY_REQUESTS, Reason::Overloaded));
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    assert!(refusal.retry_after_ms.is_some());
+}
+
 /// Drain and undrain through the command line, and what the fleet says of it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_is_drained_and_taken_back() {
--- a/crates/sablebay/tests/own_answer.rs
+++ b/crates/sablebay/tests/own_answer.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use common::{load, small_deployment, start};
-use sablebay_standin::{Faults, Proxy, Violation};
+use sablebay_standin::{CORPUS, Faults, Proxy, Violation, check_answer};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn with_answers_that_are_repeated_and_out_of_order() {
@@ -70,3 +70,17 @@
     assert_eq!(load.violations, []);
     assert!(load.answered > 0);
 }
+
+/// The checker is not blind: another caller's answer is noticed, and so is half of one's own.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_checker_notices_another_callers_answer_and_a_cut_one() {
+    let cluster = start(small_deployment("latency", 1_000.0)).await;
+    let path = format!("/v1/services/{}/query", common::DESK);
+    let body = "{\"query\":{\"outlet\":7},\"limit\":5}";
+    let (_, answer) = cluster.nodes[0].client().send(http::Method::POST, &path, body).await.unwrap();
+    let mut answer: sablebay_protocol::caller::QueryAnswer = serde_json::from_slice(&answer).unwrap();
+    assert_eq!(check_answer(&answer, 7, 5, &CORPUS).violations, []);
+    assert!(check_answer(&answer, 8, 5, &CORPUS).violations.contains(&Violation::ForeignAnswer));
+    answer.hits.pop();
+    assert_eq!(check_answer(&answer, 7, 5, &CORPUS).violations, [Violation::FalseCoverage]);
+}
