A starting node knows the fleet's floor before it takes a configuration; a woken one plans anew

Cause: two tests failed once each. (1) never-reverts: eight times a ready node served below what had been in force everywhere. A node that joined learnt the members in one message and the floor in another, which could be lost or come later; in between it took a stale revision from the platform. (2) after_a_cut_and_a_pause: a woken node confirmed its configuration, adopted the newer one, and then planned with what it had looked up before. Ruled out for (2): an old answer confirming after the pause (the lease counts from when the question was sent). Change: the list of members carries the floor, and a starting node waits until it has it, without a limit once it has joined; the service is looked up again after the confirmation; members are kept in order.

--- a/crates/sablebay-bench/src/cluster.rs
+++ b/crates/sablebay-bench/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -57,12 +58,13 @@
         let leaves = deployment.start_leaves(options.seed).await?;
         let platform = Platform::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         platform.state.publish(&deployment.document(1, &leaves.addresses()))?;
+        let fleet = unique_fleet_name();
         let mut nodes: Vec<Node> = Vec::new();
         for number in 0..options.nodes {
             let peers: Vec<String> =
                 nodes.iter().map(|node| format!("{:?}", node.addresses.peer_address.to_string())).collect();
             let text = format!(
-                "node = \"node-{number}\"\nzone = \"{}\"\nplatform_address = \"{}\"\npeers = [{}]\n\
+                "node = \"node-{number}\"\nfleet = \"{fleet}\"\nzone = \"{}\"\nplatform_address = \"{}\"\npeers = [{}]\n\
                  probe_period_ms = 200\n{}",
                 ZONES[number % ZONES.len()],
                 platform.address,
@@ -127,6 +129,13 @@
     }
 }
 
+/// A fleet name of its own for each cluster: clusters of tests that run side by side come to
+/// listen at ports that were another's a moment ago, and must not take its nodes for their own.
+pub fn unique_fleet_name() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    format!("fleet-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Waits until a condition holds.
 ///
 /// # Errors
--- a/crates/sablebay-bench/src/hollow.rs
+++ b/crates/sablebay-bench/src/hollow.rs
@@ -148,7 +148,7 @@
         for position in 0..self.nodes.len() {
             let mut ignored = Vec::new();
             let (key, address) = (self.nodes[position].key.clone(), self.nodes[position].address);
-            let message = FleetMessage::Members { members: members.clone() };
+            let message = FleetMessage::Members { members: members.clone(), version: Version::default() };
             let node = &mut self.nodes[position].machine;
             node.on_message(&key, address, message, self.now, &mut ignored);
         }
--- a/crates/sablebay-bench/src/processes.rs
+++ b/crates/sablebay-bench/src/processes.rs
@@ -6,11 +6,13 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
+use bytes::Bytes;
 use rustix::process::{Pid, Signal, kill_process};
 use serde::Deserialize;
 
 use sablebay_standin::{CallerClient, Deployment, Platform, Proxy, RunningLeaves};
 
+use crate::cluster::unique_fleet_name;
 use crate::error::BenchError;
 
 /// One of the project's binaries, beside the one that runs (or a running test).
@@ -196,6 +198,7 @@
     pub proxies: Vec<Proxy>,
     command: NodeCommand,
     started: usize,
+    fleet: String,
     extra: Vec<String>,
     /// The revision last published.
     pub revision: u64,
@@ -227,6 +230,7 @@
             proxies: Vec::new(),
             command,
             started: 0,
+            fleet: unique_fleet_name(),
             extra: extra.iter().map(|word| (*word).to_string()).collect(),
             revision: 1,
         };
@@ -254,6 +258,8 @@
             self.platform.address.to_string(),
             "--advertised-peer-address".into(),
             proxy.address.to_string(),
+            "--fleet".into(),
+            self.fleet.clone(),
             "--probe-period-ms".into(),
             "200".into(),
         ];
@@ -288,12 +294,14 @@
             loop {
                 let ready = admin.send(http_method_get(), "/readyz", "").await;
                 let status = admin.send(http_method_get(), "/v1/status", "").await;
-                let present = status.map_or(0, |(_, body)| present_members(&body));
-                if ready.is_some_and(|(status, _)| status.is_success()) && present + 1 == members {
+                let body = status.map_or_else(Bytes::new, |(_, body)| body);
+                let ready = ready.is_some_and(|(status, _)| status.is_success());
+                if ready && present_members(&body) + 1 == members {
                     break;
                 }
                 if started.elapsed() > READY_PATIENCE {
-                    let what = format!("{} ready with {members} members", node.name);
+                    let said = String::from_utf8_lossy(&body);
+                    let what = format!("{} ready with {members} members: it says {said}", node.name);
                     return Err(BenchError::NotInTime { what, seconds: READY_PATIENCE.as_secs() });
                 }
                 tokio::time::sleep(READY_INTERVAL).await;
--- a/crates/sablebay-fleet/src/fleet_node.rs
+++ b/crates/sablebay-fleet/src/fleet_node.rs
@@ -64,7 +64,7 @@
     /// Peers that are told of urgent news at once.
     const PUSH_FAN_OUT: usize = 4;
     /// Probe periods that a starting node waits for its first peer.
-    const JOIN_PERIODS: u64 = 10;
+    const JOIN_PERIODS: u64 = 60;
 
     /// Settings for a probe period, with the defaults for the rest.
     pub fn with_probe_period(probe_period: Micros) -> Self {
@@ -114,6 +114,7 @@
     seeds: Vec<SocketAddr>,
     started_at: Micros,
     joined: bool,
+    caught_up: bool,
     next_join_at: Micros,
     next_sync_at: Micros,
     wanted_since: Option<Micros>,
@@ -150,6 +151,7 @@
             seeds,
             started_at: now,
             joined: false,
+            caught_up: false,
             next_join_at: now,
             next_sync_at: now,
             wanted_since: None,
@@ -202,14 +204,14 @@
     /// were asked or could not be reached.
     pub fn is_ready(&self, now: Micros) -> bool {
         let asked = self.joined || self.seeds.is_empty() || self.gave_up_joining(now);
-        let asked = asked || !self.settings.mechanisms.ask_peers_first;
-        self.floor.in_force().is_some() && asked && !self.catching_up_at_start(now)
+        let safe = (asked && self.caught_up) || !self.settings.mechanisms.ask_peers_first;
+        self.floor.in_force().is_some() && safe
     }
 
-    /// A starting node that knows of a newer version waits for it; one that runs serves on.
-    fn catching_up_at_start(&self, now: Micros) -> bool {
-        let starting = now.since(self.started_at) < self.settings.join_patience;
-        starting && self.floor.lags() && self.settings.mechanisms.ask_peers_first
+    /// A starting node that knows of a newer version than it has waits for it, however long; one
+    /// that has served goes on with what is in force.
+    fn note_catching_up(&mut self) {
+        self.caught_up |= self.floor.in_force().is_some() && !self.floor.lags();
     }
 
     fn gave_up_joining(&self, now: Micros) -> bool {
@@ -238,6 +240,7 @@
         self.tick_suspicions(now, outputs);
         self.tick_sync(now, outputs);
         self.tick_configuration(now, outputs);
+        self.note_catching_up();
     }
 
     /// A message came in.
@@ -275,7 +278,9 @@
             FleetMessage::ConfigurationWanted { have } => self.on_wanted(from_address, have, outputs),
             FleetMessage::ConfigurationPart(part) => self.on_part(part, now, outputs),
             FleetMessage::MembersWanted => self.on_members_wanted(from_address, outputs),
-            FleetMessage::Members { members } => self.on_members(members, now, outputs),
+            FleetMessage::Members { members, version } => {
+                self.on_members(from_address, members, version, now, outputs);
+            }
         }
     }
 
--- a/crates/sablebay-fleet/src/fleet_node/configuration.rs
+++ b/crates/sablebay-fleet/src/fleet_node/configuration.rs
@@ -74,6 +74,7 @@
         let Offer::Adopted { .. } = offer else {
             return;
         };
+        self.note_catching_up();
         if let Some(configuration) = self.floor.in_force() {
             outputs.push(FleetOutput::Adopted(configuration.clone()));
         }
--- a/crates/sablebay-fleet/src/fleet_node/membership.rs
+++ b/crates/sablebay-fleet/src/fleet_node/membership.rs
@@ -245,24 +245,26 @@
         };
         let known = self.members.iter().map(|member| member.claim());
         let members = std::iter::once(own).chain(known).collect();
-        self.send(to, FleetMessage::Members { members }, outputs);
+        let version = self.floor.floor();
+        self.send(to, FleetMessage::Members { members, version }, outputs);
         let notices: Vec<Rumour> = self.leaves.notices().map(Rumour::Leaf).collect();
         if !notices.is_empty() {
             self.send(to, FleetMessage::News { rumours: notices }, outputs);
         }
-        let version = self.floor.floor();
-        self.send(to, FleetMessage::ConfigurationAnnounced { version }, outputs);
     }
 
     pub(super) fn on_members(
         &mut self,
+        from: SocketAddr,
         members: Vec<MemberClaim>,
+        version: Version,
         now: Micros,
         outputs: &mut Vec<FleetOutput>,
     ) {
         for claim in members {
             self.take_member_claim(claim, now, outputs);
         }
+        self.hear_version(from, version, now, outputs);
         if !self.joined {
             self.joined = true;
             self.next_sync_at = now.plus(self.jitter(MINIMUM_SYNC_INTERVAL));
@@ -310,9 +312,21 @@
         let wrong = claim.status != MemberStatus::Alive && !self.leaving;
         if about_this_life && wrong && claim.refutation >= self.refutation {
             self.refutation = claim.refutation + 1;
-            let claim = self.own_claim(MemberStatus::Alive);
-            self.spread(Rumour::Member(claim), outputs);
+            self.announce_life(outputs);
+        }
+    }
+
+    /// Tells a few members at once that this node lives, and the rest with its probes.
+    ///
+    /// There is little time until a suspected member is believed dead. Those who are told pass it
+    /// on with their probes alone: after a cut half of the fleet refutes at once.
+    fn announce_life(&mut self, outputs: &mut Vec<FleetOutput>) {
+        let claim = self.own_claim(MemberStatus::Alive);
+        for to in self.random_peers(self.settings.push_fan_out) {
+            let rumours = vec![Rumour::Member(claim.clone())];
+            self.send(to, FleetMessage::News { rumours }, outputs);
         }
+        self.rumours.add(Rumour::Member(claim));
     }
 
     fn own_claim(&self, status: MemberStatus) -> MemberClaim {
@@ -351,8 +365,7 @@
     pub fn return_to_work(&mut self, outputs: &mut Vec<FleetOutput>) {
         self.leaving = false;
         self.refutation += 1;
-        let claim = self.own_claim(MemberStatus::Alive);
-        self.spread(Rumour::Member(claim), outputs);
+        self.announce_life(outputs);
     }
 
     /// Whether the node has said that it stops.
--- a/crates/sablebay-fleet/src/members.rs
+++ b/crates/sablebay-fleet/src/members.rs
@@ -1,6 +1,6 @@
 //! The table of members.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use musli::{Decode, Encode};
@@ -79,12 +79,13 @@
     }
 }
 
-/// Every member known, without this node itself.
+/// Every member known, without this node itself. Ordered, so that draws from it depend on the seed
+/// alone.
 #[derive(Clone, Default)]
 pub struct MemberTable {
-    members: HashMap<NodeId, Member>,
+    members: BTreeMap<NodeId, Member>,
     present: usize,
-    suspects: HashSet<NodeId>,
+    suspects: BTreeSet<NodeId>,
 }
 
 impl MemberTable {
--- a/crates/sablebay-fleet/src/message.rs
+++ b/crates/sablebay-fleet/src/message.rs
@@ -94,5 +94,8 @@
     Members {
         /// One claim a member.
         members: Vec<MemberClaim>,
+        /// The highest configuration that the sender has heard of: a node that joins must know it
+        /// before it takes one from the platform.
+        version: Version,
     },
 }
--- a/crates/sablebay-fleet/src/rumour.rs
+++ b/crates/sablebay-fleet/src/rumour.rs
@@ -41,12 +41,7 @@
     /// Whether the rumour is sent on at once rather than with the next probe.
     pub fn is_urgent(&self) -> bool {
         match self {
-            // A member that refutes a suspicion has little time until it is believed dead.
-            Rumour::Member(claim) => match claim.status {
-                MemberStatus::Leaving => true,
-                MemberStatus::Alive => claim.refutation > 0,
-                MemberStatus::Suspect | MemberStatus::Dead => false,
-            },
+            Rumour::Member(claim) => claim.status == MemberStatus::Leaving,
             Rumour::Leaf(_) | Rumour::Rejected { .. } => true,
         }
     }
--- a/crates/sablebay-node/src/logging.rs
+++ b/crates/sablebay-node/src/logging.rs
@@ -12,7 +12,8 @@
 use crate::error::NodeError;
 
 /// One line of text: time, level, message, and the fields that records carry most.
-const TEXT_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {m} {K(service)()} {K(request)()}{n}";
+const TEXT_PATTERN: &str =
+    "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {m} {K(service)} {K(request)} {K(reason)}{n}";
 const APPENDER: &str = "standard_error";
 
 /// Changes the level while the process runs.
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -84,17 +84,19 @@
         Some(ticket) => not_claimed(refusal, false, ticket),
     };
     let in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared));
-    let _in_flight = in_flight.map_err(elsewhere)?;
-    let _slot = shared.take_slot().map_err(elsewhere)?;
+    let _in_flight = in_flight.map_err(&elsewhere)?;
+    let _slot = shared.take_slot().map_err(&elsewhere)?;
     let arrived = shared.clock.now();
-    let (state, settings) = find_service(shared, service_id).map_err(elsewhere)?;
+    let (_, settings) = find_service(shared, service_id).map_err(&elsewhere)?;
     let limit_ms = input.deadline_ms.unwrap_or(settings.deadline_ms);
     let deadline = arrived.plus(Micros::from_millis(limit_ms));
+    confirm(shared, &settings, deadline).await.map_err(&elsewhere)?;
+    // Looked up again: a node that woke from a pause may have adopted a configuration just now.
+    let (state, settings) = find_service(shared, service_id).map_err(&elsewhere)?;
     let (ticket, fresh) = match given {
         None => (mint_ticket(shared, &settings), true),
         Some(ticket) => (ticket, false),
     };
-    confirm(shared, &settings, deadline).await.map_err(|refusal| not_claimed(refusal, fresh, &ticket))?;
     let place = state.admit(shared.clock, deadline).await;
     let _place = place.map_err(|retry_after_ms| {
         let refusal = Refusal::not_run(Reason::Overloaded, "the service has no free slot");
--- a/crates/sablebay-node/src/root_search.rs
+++ b/crates/sablebay-node/src/root_search.rs
@@ -50,10 +50,12 @@
     let arrived = shared.clock.now();
     let _in_flight = shared.lifecycle.enter().ok_or_else(|| stopping(shared))?;
     let _slot = shared.take_slot()?;
-    let (state, settings) = find_service(shared, service_id)?;
+    let (_, settings) = find_service(shared, service_id)?;
     let limit_ms = input.deadline_ms.unwrap_or(settings.deadline_ms);
     let deadline = arrived.plus(Micros::from_millis(limit_ms));
     confirm(shared, &settings, deadline).await?;
+    // Looked up again: a node that woke from a pause may have adopted a configuration just now.
+    let (state, settings) = find_service(shared, service_id)?;
     let result = admitted_search(shared, &state, &settings, &input, deadline).await;
     let ended = shared.clock.now();
     shared.metrics.count_query(service_id, &result, ended.since(arrived));
--- a/crates/sablebay/src/arguments.rs
+++ b/crates/sablebay/src/arguments.rs
@@ -7,6 +7,8 @@
 
 use sablebay_config::nearest_name;
 
+use crate::output::print;
+
 /// A mistake on the command line.
 #[derive(Debug, PartialEq, Eq)]
 pub struct UsageError {
@@ -76,7 +78,7 @@
         while let Some(argument) = parser.next()? {
             match argument {
                 Short('h') | Long("help") => {
-                    print!("{}", accepted.help);
+                    print(accepted.help);
                     return Ok(None);
                 }
                 Short('V') | Long("version") => {
--- a/crates/sablebay/src/command/check.rs
+++ b/crates/sablebay/src/command/check.rs
@@ -8,6 +8,7 @@
 
 use crate::CommandResult;
 use crate::arguments::{Accepted, Arguments, UsageError};
+use crate::output::print_line;
 
 const HELP: &str = "\
 Validates configuration files, offline, and prints every finding with its place.
@@ -71,21 +72,21 @@
 fn print_result(result: &FileResult, arguments: &Arguments) {
     if arguments.has("json") {
         if let Ok(line) = serde_json::to_string(result) {
-            println!("{line}");
+            print_line(&line);
         }
         return;
     }
     for finding in &result.findings {
-        println!("{finding}");
+        print_line(&finding.to_string());
     }
     if result.valid {
-        println!("{}: fine", result.file);
+        print_line(&format!("{}: fine", result.file));
     } else {
-        println!("{}: {} findings", result.file, result.findings.len());
+        print_line(&format!("{}: {} findings", result.file, result.findings.len()));
     }
     for service in result.services.iter().flatten() {
         if let Ok(text) = toml::to_string(service) {
-            println!("\n{text}");
+            print_line(&format!("\n{text}"));
         }
     }
 }
--- a/crates/sablebay/src/command/config.rs
+++ b/crates/sablebay/src/command/config.rs
@@ -7,6 +7,7 @@
 use crate::CommandResult;
 use crate::admin_client::{AdminClient, block_on};
 use crate::arguments::{Accepted, Arguments, UsageError};
+use crate::output::print_line;
 
 const HELP: &str = "\
 Shows what is in force, as JSON.
@@ -56,7 +57,7 @@
         eprintln!("sablebay: the answer is not JSON");
         return ExitCode::FAILURE;
     };
-    println!("{answer:#}");
+    print_line(&format!("{answer:#}"));
     let rejected = answer.get("valid") == Some(&serde_json::Value::Bool(false));
     if rejected { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
--- a/crates/sablebay/src/command/drain.rs
+++ b/crates/sablebay/src/command/drain.rs
@@ -10,6 +10,7 @@
 use crate::CommandResult;
 use crate::admin_client::{AdminClient, block_on};
 use crate::arguments::{Accepted, Arguments};
+use crate::output::print_line;
 
 const HELP: &str = "\
 Makes a node refuse new work; what is in flight is finished. The fleet is told.
@@ -45,7 +46,7 @@
             return ExitCode::FAILURE;
         };
         let state = if report.draining { "draining" } else { "taking work" };
-        println!("{}: {state}, {} in flight", report.node, report.in_flight);
+        print_line(&format!("{}: {state}, {} in flight", report.node, report.in_flight));
         if !wait || report.in_flight == 0 {
             return ExitCode::SUCCESS;
         }
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -12,6 +12,7 @@
 use crate::CommandResult;
 use crate::admin_client::{AdminClient, block_on};
 use crate::arguments::{Accepted, Arguments};
+use crate::output::print_line;
 
 const HELP: &str = "\
 Shows the fleet as one node sees it, and what each node says of itself.
@@ -47,7 +48,7 @@
         let shown = match client.send(Method::GET, "/v1/status?fleet=true", Vec::new()).await {
             None => false,
             Some(body) if json => {
-                println!("{}", String::from_utf8_lossy(&body));
+                print_line(&format!("{}", String::from_utf8_lossy(&body)));
                 true
             }
             Some(body) => match serde_json::from_slice::<FleetStatus>(&body) {
@@ -65,15 +66,15 @@
             return if shown { ExitCode::SUCCESS } else { ExitCode::FAILURE };
         }
         tokio::time::sleep(WATCH_INTERVAL).await;
-        println!();
+        print_line("");
     }
 }
 
 fn print_tables(status: &FleetStatus) {
-    println!(
+    print_line(&format!(
         "{:<16} {:<10} {:<9} {:>22} {:>12} {:>9} {:>8}",
         "NODE", "ZONE", "STATE", "VERSION", "CONFIRMED", "IN FLIGHT", "MEMBERS"
-    );
+    ));
     for node in &status.nodes {
         let state = match (node.draining, node.ready) {
             (true, _) => "draining",
@@ -82,16 +83,16 @@
         };
         let confirmed = node.confirmed_ms_ago.map_or("never".to_string(), |ms| format!("{ms} ms ago"));
         let version = short_version(node);
-        println!(
+        print_line(&format!(
             "{:<16} {:<10} {:<9} {:>22} {:>12} {:>9} {:>8}",
             node.node, node.zone, state, version, confirmed, node.in_flight, node.members_known
-        );
+        ));
     }
     for node in &status.silent {
-        println!("{node:<16} {:<10} silent", "");
+        print_line(&format!("{node:<16} {:<10} silent", ""));
     }
     for (version, count) in &status.versions {
-        println!("version {version}: {count} nodes");
+        print_line(&format!("version {version}: {count} nodes"));
     }
     print_services(status);
     print_troubles(status);
@@ -112,21 +113,21 @@
     if merged.is_empty() {
         return;
     }
-    println!(
+    print_line(&format!(
         "\n{:<20} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
         "SERVICE", "QUERIES", "FULL", "REFUSED", "P50 MS", "P99 MS", "EXTRA %"
-    );
+    ));
     for (name, report) in merged {
         let latency = report.latency_ms(&[0.5, 0.99]);
         let refused: u64 = report.refusals.values().sum();
-        println!(
+        print_line(&format!(
             "{name:<20} {:>9} {:>9} {refused:>9} {:>9.2} {:>9.2} {:>8.2}",
             report.queries,
             report.full_coverage,
             latency[0],
             latency[1],
             report.extra_load_percent()
-        );
+        ));
     }
 }
 
@@ -136,9 +137,9 @@
         for rejection in &node.rejections {
             let line = format!("revision {} was rejected by {}", rejection.version, rejection.by);
             if !seen.contains(&line) {
-                println!("\n{line}:");
+                print_line(&format!("\n{line}:"));
                 for finding in &rejection.findings {
-                    println!("  {finding}");
+                    print_line(&format!("  {finding}"));
                 }
                 seen.push(line);
             }
@@ -149,7 +150,7 @@
                 conflict.revision, conflict.in_force, conflict.other
             );
             if !seen.contains(&line) {
-                println!("\n{line}");
+                print_line(&format!("\n{line}"));
                 seen.push(line);
             }
         }
--- a/crates/sablebay/src/main.rs
+++ b/crates/sablebay/src/main.rs
@@ -3,6 +3,7 @@
 mod admin_client;
 mod arguments;
 mod command;
+mod output;
 
 use std::process::ExitCode;
 
@@ -53,7 +54,7 @@
         "drain" => command::drain::run(rest),
         "demo" => command::demo::run(rest),
         "-h" | "--help" | "help" => {
-            print!("{USAGE}");
+            output::print(USAGE);
             Ok(ExitCode::SUCCESS)
         }
         "-V" | "--version" => {
--- a/crates/sablebay/tests/command_line.rs
+++ b/crates/sablebay/tests/command_line.rs
@@ -112,3 +112,41 @@
     assert!(text(&compared.stdout).contains("nodes_replaced"));
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// `sablebay ... | head`: nobody reads on, and nothing panics.
+#[test]
+fn output_that_nobody_reads_ends_quietly() {
+    let file = example("tepung-raya/configuration.toml");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sablebay"))
+        .args(["check", "--render", &file])
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let ended = child.wait_with_output().unwrap();
+    assert_eq!(ended.status.code(), Some(0), "{}", text(&ended.stderr));
+    assert_eq!(text(&ended.stderr), "");
+}
+
+/// Log lines as an operator sees them: a time, a level, a prefix, and nothing that the encoder
+/// could not make sense of.
+#[test]
+fn log_lines_are_whole() {
+    for format in ["text", "json"] {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sablebay"))
+            .args(["serve", "--node", "n", "--zone", "z", "--log-format", format])
+            .stdout(std::process::Stdio::piped())
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let mut log = std::io::BufReader::new(child.stderr.take().unwrap());
+        std::io::BufRead::read_line(&mut log, &mut line).unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+        assert!(line.contains("node: n listens for callers on"), "{line}");
+        assert!(!line.contains("ERROR"), "{line}");
+        assert_eq!(format == "json", line.starts_with('{'), "{line}");
+    }
+}
