Names of the field in place of metaphors, after reading as a newcomer

Cause: names that need explaining: wait_for_company, shake_hands, knock_on_a_gone_member, Weather, Trouble, Place, World. Change: wait_to_coalesce, handshake, probe_a_dead_member, LeafCondition, InjectedFault, AdmissionPermit, ClusterView and others; nothing else. Ruled out: moving code along with the names.

--- a/crates/sablebay-bench/src/cluster.rs
+++ b/crates/sablebay-bench/src/cluster.rs
@@ -82,9 +82,9 @@
     async fn wait_until_ready(&self) -> Result<(), BenchError> {
         let others = self.nodes.len() - 1;
         wait_for("a ready cluster", READY_SECONDS, || {
-            self.nodes.iter().all(|node| {
-                node.shared.freshness.is_ready() && node.shared.world.load().peers.len() == others
-            })
+            self.nodes
+                .iter()
+                .all(|node| node.shared.freshness.is_ready() && node.shared.view.load().peers.len() == others)
         })
         .await
     }
--- a/crates/sablebay-bench/src/experiment/at_most_once.rs
+++ b/crates/sablebay-bench/src/experiment/at_most_once.rs
@@ -56,7 +56,7 @@
 
 /// What befalls the fleet in a round.
 #[derive(Clone, Copy, Debug)]
-enum Trouble {
+enum InjectedFault {
     None,
     Pause,
     Cut,
@@ -64,15 +64,20 @@
     PauseAndCut,
 }
 
-const TROUBLES: [Trouble; 5] =
-    [Trouble::None, Trouble::Pause, Trouble::Cut, Trouble::Kill, Trouble::PauseAndCut];
+const INJECTED_FAULTS: [InjectedFault; 5] = [
+    InjectedFault::None,
+    InjectedFault::Pause,
+    InjectedFault::Cut,
+    InjectedFault::Kill,
+    InjectedFault::PauseAndCut,
+];
 
 async fn one_round(
     cluster: &mut ProcessCluster,
     round: usize,
     random: &mut SmallRng,
 ) -> Result<Vec<Submission>, BenchError> {
-    let trouble = TROUBLES[round % TROUBLES.len()];
+    let fault = INJECTED_FAULTS[round % INJECTED_FAULTS.len()];
     let victim = random.random_range(0..cluster.nodes.len());
     let clients: Vec<CallerClient> = cluster.nodes.iter().map(|node| node.client()).collect();
     let mut tickets = Vec::new();
@@ -81,9 +86,9 @@
     }
     let delay = Duration::from_micros(random.random_range(0..4_000));
     let submitting = submit_everywhere(&clients, &tickets);
-    let troubling = make_trouble(cluster, victim, trouble, delay);
-    let (mut submissions, ()) = tokio::join!(submitting, troubling);
-    recover(cluster, victim, trouble).await?;
+    let injecting = inject_fault(cluster, victim, fault, delay);
+    let (mut submissions, ()) = tokio::join!(submitting, injecting);
+    recover(cluster, victim, fault).await?;
     // Again, and now through one node alone: a caller that lost its answer.
     let again = cluster.nodes[random.random_range(0..cluster.nodes.len())].client();
     for ticket in &tickets {
@@ -108,25 +113,25 @@
     submissions
 }
 
-async fn make_trouble(cluster: &ProcessCluster, victim: usize, trouble: Trouble, delay: Duration) {
+async fn inject_fault(cluster: &ProcessCluster, victim: usize, fault: InjectedFault, delay: Duration) {
     const PAUSE: Duration = Duration::from_millis(1_200);
     const CUT: Duration = Duration::from_millis(900);
     tokio::time::sleep(delay).await;
     let node = &cluster.nodes[victim];
-    match trouble {
-        Trouble::None => {}
-        Trouble::Pause => {
+    match fault {
+        InjectedFault::None => {}
+        InjectedFault::Pause => {
             node.pause();
             tokio::time::sleep(PAUSE).await;
             node.resume();
         }
-        Trouble::Cut => {
+        InjectedFault::Cut => {
             cluster.proxies[victim].set(Faults::cut());
             tokio::time::sleep(CUT).await;
             cluster.proxies[victim].set(Faults::default());
         }
-        Trouble::Kill => node.kill_at_once(),
-        Trouble::PauseAndCut => {
+        InjectedFault::Kill => node.kill_at_once(),
+        InjectedFault::PauseAndCut => {
             cluster.proxies[victim].set(Faults::cut());
             node.pause();
             tokio::time::sleep(CUT).await;
@@ -137,8 +142,12 @@
     }
 }
 
-async fn recover(cluster: &mut ProcessCluster, victim: usize, trouble: Trouble) -> Result<(), BenchError> {
-    if matches!(trouble, Trouble::Kill) {
+async fn recover(
+    cluster: &mut ProcessCluster,
+    victim: usize,
+    fault: InjectedFault,
+) -> Result<(), BenchError> {
+    if matches!(fault, InjectedFault::Kill) {
         cluster.remove_node(victim);
         cluster.add_node().await?;
     }
--- a/crates/sablebay-bench/src/experiment/lying_health.rs
+++ b/crates/sablebay-bench/src/experiment/lying_health.rs
@@ -13,7 +13,7 @@
 
 const RATE: f64 = 300.0;
 const BLACK_HOLE: &str = "desk-leaf-1";
-const SLANDERED: &str = "desk-leaf-2";
+const REPORTED_SICK: &str = "desk-leaf-2";
 /// The share of calls that a black hole may still get after the first second.
 const SHARE_GOAL: f64 = 0.02;
 
@@ -23,7 +23,7 @@
     let observed = one_run(options, !options.breaks("observation")).await?;
     let blind = one_run(options, false).await?;
     result.figure("black_hole_share", observed.black_hole_share);
-    result.figure("slandered_share", observed.slandered_share);
+    result.figure("reported_sick_share", observed.reported_sick_share);
     result.figure("full_coverage", observed.load.full_coverage());
     result.figure("p99_ms", observed.load.latency_ms(0.99));
     result.figure("extra_load", observed.load.extra_load());
@@ -42,7 +42,7 @@
 struct Run {
     load: LoadSummary,
     black_hole_share: f64,
-    slandered_share: f64,
+    reported_sick_share: f64,
 }
 
 async fn one_run(options: &RunOptions, observation: bool) -> Result<Run, BenchError> {
@@ -53,7 +53,7 @@
     let mut cluster_options = ClusterOptions { seed: options.seed, ..ClusterOptions::default() };
     cluster_options.mechanisms.routing.observation = observation;
     let cluster = Cluster::start(deployment, &cluster_options).await?;
-    for leaf in [BLACK_HOLE, SLANDERED] {
+    for leaf in [BLACK_HOLE, REPORTED_SICK] {
         let mut faults = cluster.leaves.leaves[leaf].state.faults.lock();
         faults.black_hole = leaf == BLACK_HOLE;
         faults.claims_healthy = Some(leaf == BLACK_HOLE);
@@ -61,14 +61,14 @@
     let calls = |leaf: &str| cluster.leaves.leaves[leaf].state.calls.load(Ordering::Relaxed);
     let first = cluster.load(RATE, Duration::from_secs(1), options.seed);
     run_load(first).await;
-    let (hole_before, slandered_before, all_before) =
-        (calls(BLACK_HOLE), calls(SLANDERED), cluster.leaves.calls());
+    let (hole_before, reported_sick_before, all_before) =
+        (calls(BLACK_HOLE), calls(REPORTED_SICK), cluster.leaves.calls());
     let load = run_load(cluster.load(RATE, options.seconds(6.0), options.seed + 1)).await;
     let all = (cluster.leaves.calls() - all_before).max(1) as f64;
     let run = Run {
         load,
         black_hole_share: (calls(BLACK_HOLE) - hole_before) as f64 / all,
-        slandered_share: (calls(SLANDERED) - slandered_before) as f64 / all,
+        reported_sick_share: (calls(REPORTED_SICK) - reported_sick_before) as f64 / all,
     };
     cluster.stop().await;
     Ok(run)
--- a/crates/sablebay-bench/src/experiment/straggler.rs
+++ b/crates/sablebay-bench/src/experiment/straggler.rs
@@ -63,9 +63,10 @@
     result: &mut ExperimentResult,
 ) -> Result<bool, BenchError> {
     let hedging = !options.breaks("hedging");
-    let sound = one_run(deployment, utilisation, options, Weather::Sound).await?;
-    let straggling = one_run(deployment, utilisation, options, Weather::Stragglers { hedging }).await?;
-    let unhedged = one_run(deployment, utilisation, options, Weather::Stragglers { hedging: false }).await?;
+    let sound = one_run(deployment, utilisation, options, LeafCondition::Sound).await?;
+    let straggling = one_run(deployment, utilisation, options, LeafCondition::Stragglers { hedging }).await?;
+    let unhedged =
+        one_run(deployment, utilisation, options, LeafCondition::Stragglers { hedging: false }).await?;
     let mut figure = |name: &str, value: f64| result.figure(&format!("{prefix}{name}"), value);
     figure("p50_ms", straggling.latency_ms(0.5));
     figure("p99_ms", straggling.latency_ms(0.99));
@@ -91,7 +92,7 @@
 
 /// What the leaves are like in a run.
 #[derive(Clone, Copy)]
-enum Weather {
+enum LeafCondition {
     /// No stragglers; hedging is on.
     Sound,
     /// Slow calls and slow replicas.
@@ -105,11 +106,11 @@
     deployment: &Deployment,
     utilisation: f64,
     options: &RunOptions,
-    weather: Weather,
+    condition: LeafCondition,
 ) -> Result<LoadSummary, BenchError> {
-    let (stragglers, hedging) = match weather {
-        Weather::Sound => (false, true),
-        Weather::Stragglers { hedging } => (true, hedging),
+    let (stragglers, hedging) = match condition {
+        LeafCondition::Sound => (false, true),
+        LeafCondition::Stragglers { hedging } => (true, hedging),
     };
     let mut deployment = deployment.clone();
     let service_time = ServiceTime {
--- a/crates/sablebay-fleet/src/fleet_node/membership.rs
+++ b/crates/sablebay-fleet/src/fleet_node/membership.rs
@@ -156,11 +156,11 @@
         for to in self.random_peers(1) {
             self.send(to, FleetMessage::MembersWanted, outputs);
         }
-        self.knock_on_a_gone_member(now, outputs);
+        self.probe_a_dead_member(now, outputs);
     }
 
     /// A member that is believed dead is probed now and then: it may have been cut off.
-    fn knock_on_a_gone_member(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
+    fn probe_a_dead_member(&mut self, now: Micros, outputs: &mut Vec<FleetOutput>) {
         let gone = self.members.iter().filter(|member| member.status() == MemberStatus::Dead);
         let nodes = gone.map(|member| member.info.key.node.clone());
         if let Some(node) = nodes.choose(&mut self.random) {
@@ -312,7 +312,7 @@
         let wrong = claim.status != MemberStatus::Alive && !self.leaving;
         if about_this_life && wrong && claim.refutation >= self.refutation {
             self.refutation = claim.refutation + 1;
-            self.announce_life(outputs);
+            self.announce_alive(outputs);
         }
     }
 
@@ -320,7 +320,7 @@
     ///
     /// There is little time until a suspected member is believed dead. Those who are told pass it
     /// on with their probes alone: after a cut half of the fleet refutes at once.
-    fn announce_life(&mut self, outputs: &mut Vec<FleetOutput>) {
+    fn announce_alive(&mut self, outputs: &mut Vec<FleetOutput>) {
         let claim = self.own_claim(MemberStatus::Alive);
         for to in self.random_peers(self.settings.push_fan_out) {
             let rumours = vec![Rumour::Member(claim.clone())];
@@ -365,7 +365,7 @@
     pub fn return_to_work(&mut self, outputs: &mut Vec<FleetOutput>) {
         self.leaving = false;
         self.refutation += 1;
-        self.announce_life(outputs);
+        self.announce_alive(outputs);
     }
 
     /// Whether the node has said that it stops.
--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -90,7 +90,7 @@
 }
 
 async fn fleet_status(shared: &Arc<Shared>) -> FleetStatus {
-    let peers = shared.world.load().peers.clone();
+    let peers = shared.view.load().peers.clone();
     let mut asking = tokio::task::JoinSet::new();
     let mut answers = Vec::new();
     for peer in peers.iter().cloned() {
@@ -327,7 +327,7 @@
     let metrics = &shared.metrics;
     let counters = shared.peers.counters();
     let read = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed) as i64;
-    metrics.members.set(shared.world.load().peers.len() as i64 + 1);
+    metrics.members.set(shared.view.load().peers.len() as i64 + 1);
     metrics.in_flight.set(shared.lifecycle.in_flight());
     metrics.frames_wrong_proof.set(read(&counters.wrong_proof));
     metrics.frames_malformed.set(read(&counters.malformed));
--- a/crates/sablebay-node/src/world.rs
+++ b/crates/sablebay-node/src/cluster_view.rs
@@ -20,7 +20,7 @@
 
 /// An immutable view; replaced whole when anything changes.
 #[derive(Clone, Debug, Default)]
-pub struct World {
+pub struct ClusterView {
     /// Rises with every change.
     pub epoch: u64,
     /// What is in force.
@@ -32,14 +32,14 @@
 /// The share of a leaf's connections that the fleet uses; the rest is for changes of plan.
 const CONNECTION_SHARE: f64 = 0.9;
 
-impl World {
+impl ClusterView {
     /// The view with another configuration.
-    pub fn with_configuration(&self, configuration: Arc<Configuration>) -> World {
-        World { epoch: self.epoch + 1, configuration: Some(configuration), peers: self.peers.clone() }
+    pub fn with_configuration(&self, configuration: Arc<Configuration>) -> ClusterView {
+        ClusterView { epoch: self.epoch + 1, configuration: Some(configuration), peers: self.peers.clone() }
     }
 
     /// The view with other members.
-    pub fn with_members(&self, members: &MemberTable) -> World {
+    pub fn with_members(&self, members: &MemberTable) -> ClusterView {
         let mut peers: Vec<Peer> = members
             .present()
             .map(|member| Peer {
@@ -49,7 +49,11 @@
             })
             .collect();
         peers.sort_by(|a, b| a.node.cmp(&b.node));
-        World { epoch: self.epoch + 1, configuration: self.configuration.clone(), peers: Arc::new(peers) }
+        ClusterView {
+            epoch: self.epoch + 1,
+            configuration: self.configuration.clone(),
+            peers: Arc::new(peers),
+        }
     }
 
     /// The nodes that hold the connections to a service's leaves, this node perhaps among them.
--- a/crates/sablebay-node/src/fleet_task.rs
+++ b/crates/sablebay-node/src/fleet_task.rs
@@ -49,11 +49,11 @@
         shared.freshness.publish(&fleet, now);
         let members_changed = outputs.iter().any(|output| matches!(output, FleetOutput::MemberChanged(..)));
         if members_changed {
-            shared.update_world(|world| world.with_members(fleet.members()));
+            shared.update_view(|view| view.with_members(fleet.members()));
         }
         for output in &outputs {
             if let FleetOutput::Adopted(configuration) = output {
-                shared.update_world(|world| world.with_configuration(configuration.clone()));
+                shared.update_view(|view| view.with_configuration(configuration.clone()));
             }
         }
         result
--- a/crates/sablebay-node/src/leaf_client/batch.rs
+++ b/crates/sablebay-node/src/leaf_client/batch.rs
@@ -36,7 +36,7 @@
             take_command(&context, command, &mut waiting);
             continue;
         }
-        wait_for_company(&context, &mut commands, &mut waiting).await;
+        wait_to_coalesce(&context, &mut commands, &mut waiting).await;
         let permit = wait_for_permit(&context, &mut commands, &mut waiting).await;
         let size = waiting.first().map_or(0, |call| call.search.batch).min(waiting.len());
         if size > 0 {
@@ -61,7 +61,7 @@
 }
 
 /// Lets the first call wait a little for others, when its service allows that.
-async fn wait_for_company(
+async fn wait_to_coalesce(
     context: &Arc<ClientContext>,
     commands: &mut mpsc::UnboundedReceiver<Command>,
     waiting: &mut Vec<QueuedCall>,
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin_api;
 mod caller_api;
 mod clock;
+mod cluster_view;
 mod common_routes;
 mod error;
 mod fleet_task;
@@ -24,7 +25,6 @@
 mod search_driver;
 mod service_state;
 mod shared;
-mod world;
 
 pub use clock::Clock;
 pub use error::NodeError;
--- a/crates/sablebay-node/src/load_poll.rs
+++ b/crates/sablebay-node/src/load_poll.rs
@@ -138,7 +138,7 @@
     let versions = if node == shared.settings.node {
         Some(local_versions(shared, &service, &partitions, deadline).await)
     } else {
-        let address = shared.world.load().peer(&node).map(|peer| peer.address);
+        let address = shared.view.load().peer(&node).map(|peer| peer.address);
         let Some(address) = address else {
             return false;
         };
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -23,6 +23,7 @@
 use crate::admin_api::{admin_routes, start_draining};
 use crate::caller_api::caller_routes;
 use crate::clock::Clock;
+use crate::cluster_view::ClusterView;
 use crate::error::NodeError;
 use crate::fleet_task::run_fleet;
 use crate::freshness::Freshness;
@@ -35,7 +36,6 @@
 use crate::platform::run_platform_reader;
 use crate::report::short_report;
 use crate::shared::Shared;
-use crate::world::World;
 
 /// Mechanisms that an experiment can turn off, to show that its checker notices.
 #[derive(Clone, Copy, Debug)]
@@ -226,7 +226,7 @@
         clock,
         fleet: Mutex::new(fleet),
         freshness: Freshness::default(),
-        world: ArcSwap::from_pointee(World::default()),
+        view: ArcSwap::from_pointee(ClusterView::default()),
         peers: Arc::new(PeerTransport::new(peer_context.clone())),
         services: Mutex::default(),
         leaves: Mutex::default(),
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -97,8 +97,8 @@
         None => (mint_ticket(shared, &settings), true),
         Some(ticket) => (ticket, false),
     };
-    let place = state.admit(shared.clock, deadline).await;
-    let _place = place.map_err(|retry_after_ms| {
+    let permit = state.admit(shared.clock, deadline).await;
+    let _permit = permit.map_err(|retry_after_ms| {
         let refusal = Refusal::not_run(Reason::Overloaded, "the service has no free slot");
         not_claimed(refusal.retry_after(retry_after_ms), fresh, &ticket)
     })?;
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -13,7 +13,7 @@
 use sablebay_fleet::{FleetMessage, MemberInfo};
 use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
 
-use super::handshake::{MessageReader, MessageWriter, shake_hands};
+use super::handshake::{MessageReader, MessageWriter, handshake};
 use super::{Incoming, Lane, PeerContext};
 
 /// Messages that wait to be written at the most; more are dropped.
@@ -103,7 +103,7 @@
     lane: Lane,
 ) -> Option<Arc<Connection>> {
     let stream = TcpStream::connect(address).await.ok()?;
-    let (info, reader, writer) = shake_hands(context, stream).await?;
+    let (info, reader, writer) = handshake(context, stream).await?;
     let (queue, receiver) = mpsc::channel(QUEUE_LENGTH);
     let connection = Arc::new(Connection {
         queue,
--- a/crates/sablebay-node/src/peers/handshake.rs
+++ b/crates/sablebay-node/src/peers/handshake.rs
@@ -78,15 +78,15 @@
 
 /// Exchanges nonces and greetings. Nothing when the other side is a stranger, another fleet's
 /// node, or too slow.
-pub async fn shake_hands(
+pub async fn handshake(
     context: &PeerContext,
     stream: TcpStream,
 ) -> Option<(MemberInfo, MessageReader, MessageWriter)> {
-    let shaking = shake_hands_patiently(context, stream);
+    let shaking = handshake_within_limit(context, stream);
     tokio::time::timeout(HANDSHAKE_TIMEOUT, shaking).await.ok()?
 }
 
-async fn shake_hands_patiently(
+async fn handshake_within_limit(
     context: &PeerContext,
     mut stream: TcpStream,
 ) -> Option<(MemberInfo, MessageReader, MessageWriter)> {
--- a/crates/sablebay-node/src/peers/listener.rs
+++ b/crates/sablebay-node/src/peers/listener.rs
@@ -11,7 +11,7 @@
 use sablebay_protocol::peer::{PeerMessage, PeerRequest};
 
 use super::connection::{deliver, run_writer};
-use super::handshake::shake_hands;
+use super::handshake::handshake;
 use super::{Lane, PeerContext, RequestHandler};
 
 /// Connections accepted at the most.
@@ -48,7 +48,7 @@
 }
 
 async fn serve_peer<H: RequestHandler>(context: Arc<PeerContext>, stream: TcpStream, handler: Arc<H>) {
-    let Some((peer, mut reader, writer)) = shake_hands(&context, stream).await else {
+    let Some((peer, mut reader, writer)) = handshake(&context, stream).await else {
         return;
     };
     let (answers, receiver) = mpsc::channel(QUEUE_LENGTH);
--- a/crates/sablebay-node/src/platform.rs
+++ b/crates/sablebay-node/src/platform.rs
@@ -64,7 +64,7 @@
         if self.shared.configuration().is_none() {
             return Duration::from_millis(FIRST_INTERVAL_MS);
         }
-        let nodes = self.shared.world.load().peers.len() + 1;
+        let nodes = self.shared.view.load().peers.len() + 1;
         let mean_ms = nodes as f64 * 1_000.0 / self.shared.settings.platform_reads_per_second;
         let jittered = mean_ms * rand::rng().random_range(0.5..1.5);
         Duration::from_millis((jittered as u64).max(MINIMUM_INTERVAL_MS))
--- a/crates/sablebay-node/src/root_search.rs
+++ b/crates/sablebay-node/src/root_search.rs
@@ -76,7 +76,7 @@
 
 pub(crate) fn stopping(shared: &Shared) -> Refusal {
     let refusal = Refusal::not_run(Reason::Stopping, "the node is stopping; ask another one");
-    let retry_ms = if shared.world.load().peers.is_empty() { NOT_READY_RETRY_MS } else { 0 };
+    let retry_ms = if shared.view.load().peers.is_empty() { NOT_READY_RETRY_MS } else { 0 };
     refusal.retry_after(retry_ms)
 }
 
@@ -133,8 +133,8 @@
     input: &QueryInput,
     deadline: Micros,
 ) -> Result<SearchResult, Refusal> {
-    let place = state.admit(shared.clock, deadline).await;
-    let _place = place.map_err(|retry_after_ms| {
+    let permit = state.admit(shared.clock, deadline).await;
+    let _permit = permit.map_err(|retry_after_ms| {
         let refusal = Refusal::not_run(Reason::Overloaded, "the service has no free slot");
         refusal.retry_after(retry_after_ms)
     })?;
--- a/crates/sablebay-node/src/search_driver.rs
+++ b/crates/sablebay-node/src/search_driver.rs
@@ -259,7 +259,7 @@
     let response = if node == shared.settings.node {
         Ok(partial_search(&shared, partial).await)
     } else {
-        let address = shared.world.load().peer(&node).map(|peer| peer.address);
+        let address = shared.view.load().peer(&node).map(|peer| peer.address);
         match address {
             None => Err(PeerFailure::NotSent),
             Some(address) => {
--- a/crates/sablebay-node/src/service_state.rs
+++ b/crates/sablebay-node/src/service_state.rs
@@ -14,11 +14,11 @@
     WaiterId,
 };
 
+use crate::cluster_view::ClusterView;
 use crate::leaf_client::LeafClient;
 use crate::node::NodeMechanisms;
 use crate::report::ServiceCounts;
 use crate::shared::Shared;
-use crate::world::World;
 
 /// Shards above which an index is searched through aggregators.
 const WIDE_INDEX_SHARDS: usize = 64;
@@ -71,13 +71,13 @@
 }
 
 /// A place in the service; given up when dropped.
-pub struct Place {
+pub struct AdmissionPermit {
     state: Arc<ServiceState>,
     clock: crate::clock::Clock,
     started: Micros,
 }
 
-impl Drop for Place {
+impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         let now = self.clock.now();
         let mut queue = self.state.admission.lock();
@@ -158,12 +158,12 @@
     }
 
     /// Makes the plans anew when the configuration or the members changed since the last time.
-    pub fn refresh(&self, shared: &Shared, world: &World, settings: &Arc<ServiceSettings>) {
+    pub fn refresh(&self, shared: &Shared, view: &ClusterView, settings: &Arc<ServiceSettings>) {
         let mut built = self.built.lock();
-        if built.epoch == world.epoch && built.settings.is_some() {
+        if built.epoch == view.epoch && built.settings.is_some() {
             return;
         }
-        let Some(configuration) = &world.configuration else {
+        let Some(configuration) = &view.configuration else {
             return;
         };
         let Some(index) = configuration.indexes.get(&settings.index) else {
@@ -175,20 +175,20 @@
         {
             let mut direct = self.direct.lock();
             direct.reconfigure(routing.clone());
-            let plan = direct_plan(&mut direct, shared, world, index, settings, now);
+            let plan = direct_plan(&mut direct, shared, view, index, settings, now);
             self.direct_targets.store(Arc::new(call_targets(&direct, shared)));
             direct.plan = Arc::new(plan);
         }
-        let aggregators = world.aggregators(&settings.service, &shared.settings);
+        let aggregators = view.aggregators(&settings.service, &shared.settings);
         built.uses_peers = uses_peers(settings, index, &aggregators, shared);
         if built.uses_peers {
             let mut peers = self.through_peers.lock();
             peers.reconfigure(routing);
-            let plan = peer_plan(&mut peers, shared, world, index, settings, &aggregators, now);
+            let plan = peer_plan(&mut peers, shared, view, index, settings, &aggregators, now);
             self.peer_targets.store(Arc::new(call_targets(&peers, shared)));
             peers.plan = Arc::new(plan);
         }
-        built.epoch = world.epoch;
+        built.epoch = view.epoch;
         built.settings = Some(settings.clone());
     }
 
@@ -196,12 +196,16 @@
     ///
     /// # Errors
     /// Milliseconds after which to come back.
-    pub async fn admit(self: &Arc<Self>, clock: crate::clock::Clock, deadline: Micros) -> Result<Place, u64> {
+    pub async fn admit(
+        self: &Arc<Self>,
+        clock: crate::clock::Clock,
+        deadline: Micros,
+    ) -> Result<AdmissionPermit, u64> {
         let now = clock.now();
         let (id, mut receiver) = {
             let mut queue = self.admission.lock();
             match queue.machine.arrive(now, deadline) {
-                Arrival::Run => return Ok(Place { state: self.clone(), clock, started: now }),
+                Arrival::Run => return Ok(AdmissionPermit { state: self.clone(), clock, started: now }),
                 Arrival::Refuse { retry_after_ms } => return Err(retry_after_ms),
                 Arrival::Wait(id) => {
                     let (sender, receiver) = oneshot::channel();
@@ -215,7 +219,7 @@
         let won = matches!(started, Ok(Ok(()))) || receiver.try_recv().is_ok();
         if won {
             ticket.started = true;
-            return Ok(Place { state: self.clone(), clock, started: clock.now() });
+            return Ok(AdmissionPermit { state: self.clone(), clock, started: clock.now() });
         }
         const LATE_RETRY_MS: u64 = 50;
         Err(LATE_RETRY_MS)
@@ -286,12 +290,12 @@
 fn direct_plan(
     routing: &mut ServiceRouting,
     shared: &Shared,
-    world: &World,
+    view: &ClusterView,
     index: &IndexMap,
     settings: &ServiceSettings,
     now: Micros,
 ) -> ShardPlan {
-    let configuration = world.configuration.as_ref().expect("checked by the caller");
+    let configuration = view.configuration.as_ref().expect("checked by the caller");
     let fleet = shared.fleet.lock();
     let mut shards = Vec::with_capacity(index.shards.len());
     for (partitions, shard) in wanted_shards(index, settings) {
@@ -313,20 +317,20 @@
 fn peer_plan(
     routing: &mut ServiceRouting,
     shared: &Shared,
-    world: &World,
+    view: &ClusterView,
     index: &IndexMap,
     settings: &ServiceSettings,
     aggregators: &[NodeId],
     now: Micros,
 ) -> ShardPlan {
-    let configuration = world.configuration.as_ref().expect("checked by the caller");
+    let configuration = view.configuration.as_ref().expect("checked by the caller");
     let all: Vec<PartitionSet> = wanted_shards(index, settings).map(|(set, _)| set).collect();
     let wide = all.len() > WIDE_INDEX_SHARDS || settings.fan_out == FanOut::Tree;
     let groups = if wide { aggregators.len() } else { 1 }.clamp(1, all.len().max(1));
     let indexes: Vec<_> = aggregators
         .iter()
         .map(|node| {
-            let zone = world.peer(node).map_or(&shared.settings.zone, |peer| &peer.zone);
+            let zone = view.peer(node).map_or(&shared.settings.zone, |peer| &peer.zone);
             routing.balancer.intern(&Target::Peer(node.clone()), zone, now)
         })
         .collect();
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -13,6 +13,7 @@
 use sablebay_model::{InstanceKey, LeafId, Reason, Refusal, ServiceId};
 
 use crate::clock::Clock;
+use crate::cluster_view::ClusterView;
 use crate::freshness::Freshness;
 use crate::leaf_client::{ClientCounters, LeafClient};
 use crate::lifecycle::Lifecycle;
@@ -21,7 +22,6 @@
 use crate::node::NodeMechanisms;
 use crate::peers::PeerTransport;
 use crate::service_state::ServiceState;
-use crate::world::World;
 
 /// What all parts of a node share.
 pub struct Shared {
@@ -36,7 +36,7 @@
     /// Whether the configuration is confirmed; kept beside the lock for the query path.
     pub freshness: Freshness,
     /// The configuration and members that plans are made from.
-    pub world: ArcSwap<World>,
+    pub view: ArcSwap<ClusterView>,
     /// Connections to peers.
     pub peers: Arc<PeerTransport>,
     /// State of each service that was asked for.
@@ -84,14 +84,14 @@
 
     /// What is in force.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.world.load().configuration.clone()
+        self.view.load().configuration.clone()
     }
 
     /// The client of a leaf; made at its first use, and made anew when its address changed.
     pub fn leaf_client(&self, leaf: &LeafId) -> Option<Arc<LeafClient>> {
-        let world = self.world.load();
-        let settings = world.configuration.as_ref()?.leaves.get(leaf)?.clone();
-        let connections = world.connections_for(&settings, &self.settings);
+        let view = self.view.load();
+        let settings = view.configuration.as_ref()?.leaves.get(leaf)?.clone();
+        let connections = view.connections_for(&settings, &self.settings);
         let mut leaves = self.leaves.lock();
         if let Some(client) = leaves.get(leaf).filter(|client| client.address() == settings.address) {
             return Some(client.clone());
@@ -111,14 +111,14 @@
 
     /// The state of a service in force; made at its first use.
     pub fn service(&self, service: &ServiceId) -> Option<Arc<ServiceState>> {
-        let world = self.world.load_full();
-        let settings = world.configuration.as_ref()?.services.get(service)?.clone();
+        let view = self.view.load_full();
+        let settings = view.configuration.as_ref()?.services.get(service)?.clone();
         let state = {
             let mut services = self.services.lock();
             let fresh = || Arc::new(ServiceState::new(&settings, &self.mechanisms, self.clock.now()));
             services.entry(service.clone()).or_insert_with(fresh).clone()
         };
-        state.refresh(self, &world, &settings);
+        state.refresh(self, &view, &settings);
         Some(state)
     }
 
@@ -128,16 +128,16 @@
     }
 
     /// Takes a new configuration or member list into use.
-    pub fn update_world(&self, update: impl Fn(&World) -> World) {
-        self.world.rcu(|world| Arc::new(update(world)));
-        let world = self.world.load();
-        let Some(configuration) = world.configuration.as_ref() else {
+    pub fn update_view(&self, update: impl Fn(&ClusterView) -> ClusterView) {
+        self.view.rcu(|view| Arc::new(update(view)));
+        let view = self.view.load();
+        let Some(configuration) = view.configuration.as_ref() else {
             return;
         };
         self.services.lock().retain(|service, _| configuration.services.contains_key(service));
         self.leaves.lock().retain(|leaf, client| match configuration.leaves.get(leaf) {
             Some(settings) => {
-                client.set_connections(world.connections_for(settings, &self.settings));
+                client.set_connections(view.connections_for(settings, &self.settings));
                 true
             }
             None => false,
--- a/crates/sablebay-query/src/search.rs
+++ b/crates/sablebay-query/src/search.rs
@@ -208,7 +208,7 @@
         }
         if turn.now < self.expected_by {
             turn.routing.budget.earn();
-            turn.routing.note_punctuality(false);
+            turn.routing.record_timeliness(false);
         }
         self.work += answer.work;
         self.accept(attempt.shard, answer.coverage, answer.hits, turn);
@@ -335,7 +335,7 @@
             };
             if !self.shards[shard].noted_late {
                 self.shards[shard].noted_late = true;
-                turn.routing.note_punctuality(true);
+                turn.routing.record_timeliness(true);
             }
             if !self.has_untried_replica(shard, turn) {
                 self.shards[shard].hedged = true;
