A listener that closes serves the connections that wait, and tells the open ones

Change: sablebay-node's own listener with two phases in place of axum::serve: Closed (what waits in the kernel's queue is taken and served, open connections get one more answer), half a second later Ended (silent ones are closed). crates/sablebay-node/tests/http_listener.rs brings each case about without timing; its three tests fail over the old shutdown and pass over this one.

--- /dev/null
+++ b/crates/sablebay-node/src/http_listener.rs
@@ -0,0 +1,104 @@
+//! An HTTP listener that can be closed without cutting a request.
+//!
+//! A server that closes its socket and its idle connections at one moment cuts two kinds of
+//! requests: those on connections that the kernel has accepted and the process has not, and those
+//! that cross the close of an idle connection. Here the two steps are apart. When the listener
+//! closes, the connections that wait in the kernel's queue are still served; open connections go
+//! on, and each is told with its next answer that it is the last. Only connections that stay
+//! silent until the last phase are closed without an answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::ConnectInfo;
+use hyper::service::{Service, service_fn};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// How long to wait after a connection could not be accepted, for instance for want of descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+
+/// How far the stop of a listener has come. It only ever advances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ListenerPhase {
+    /// New connections are accepted.
+    #[default]
+    Open,
+    /// No new connections; open ones are served until they end or are told to.
+    Closed,
+    /// Connections without a request in progress are closed.
+    Ended,
+}
+
+/// Serves `routes` until the phase is over [`ListenerPhase::Open`] and every connection has ended.
+pub async fn serve_http(listener: TcpListener, routes: Router, mut phase: watch::Receiver<ListenerPhase>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, from)) => {
+                    connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone()));
+                }
+                Err(error) => {
+                    log::warn!("node: a connection was not accepted: {error}.");
+                    tokio::time::sleep(ACCEPT_RETRY).await;
+                }
+            },
+            () = reached(&mut phase, ListenerPhase::Closed) => break,
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    for (stream, from) in close(listener) {
+        connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone()));
+    }
+    connections.join_all().await;
+}
+
+/// Waits for a phase. A sender that is gone means the same as the last phase.
+async fn reached(phase: &mut watch::Receiver<ListenerPhase>, wanted: ListenerPhase) {
+    let _ = phase.wait_for(|phase| *phase >= wanted).await;
+}
+
+/// Closes the listener, and takes the connections that were waiting to be accepted.
+fn close(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut waiting = Vec::new();
+    let Ok(listener) = listener.into_std() else {
+        return waiting;
+    };
+    // The socket does not block: an error means that none is left.
+    while let Ok((stream, from)) = listener.accept() {
+        let nonblocking = stream.set_nonblocking(true);
+        if let Ok(stream) = nonblocking.and_then(|()| TcpStream::from_std(stream)) {
+            waiting.push((stream, from));
+        }
+    }
+    waiting
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    from: SocketAddr,
+    routes: Router,
+    mut phase: watch::Receiver<ListenerPhase>,
+) {
+    // A failure to set the option costs some latency, and nothing else.
+    let _ = stream.set_nodelay(true);
+    let routes = TowerToHyperService::new(routes);
+    let service = service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
+        request.extensions_mut().insert(ConnectInfo(from));
+        routes.call(request)
+    });
+    let builder = hyper::server::conn::http1::Builder::new();
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // How a connection ends is the other side's matter.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = reached(&mut phase, ListenerPhase::Ended) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod fleet_task;
 mod freshness;
+mod http_listener;
 mod leaf_client;
 mod lifecycle;
 mod load_poll;
@@ -28,6 +29,7 @@
 
 pub use clock::Clock;
 pub use error::NodeError;
+pub use http_listener::{ListenerPhase, serve_http};
 pub use leaf_client::{CallEvent, LeafClient, OutgoingSearch};
 pub use logging::{LogControl, start_logging};
 pub use node::{BoundAddresses, Node, NodeMechanisms};
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -27,6 +27,7 @@
 use crate::error::NodeError;
 use crate::fleet_task::run_fleet;
 use crate::freshness::Freshness;
+use crate::http_listener::{ListenerPhase, serve_http};
 use crate::lifecycle::Lifecycle;
 use crate::load_poll::{local_versions, run_load_polls};
 use crate::logging::LogControl;
@@ -79,6 +80,9 @@
 /// How long the listeners stay open after the last request, for callers that have not yet heard
 /// that the node is stopping.
 const LINGER: Duration = Duration::from_millis(300);
+/// How long connections that stay silent are kept after that: a caller that has not heard yet is
+/// answered on them, and told to take its next request elsewhere.
+const SILENT_PATIENCE: Duration = Duration::from_millis(500);
 /// How long open connections may take to end after that.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -90,7 +94,7 @@
     pub shared: Arc<Shared>,
     tasks: Vec<JoinHandle<()>>,
     servers: Vec<JoinHandle<()>>,
-    closing: watch::Sender<bool>,
+    listeners: watch::Sender<ListenerPhase>,
 }
 
 impl Drop for Node {
@@ -135,7 +139,7 @@
         };
         let (incoming, fleet_messages) = mpsc::channel(FLEET_QUEUE);
         let (shared, peer_context) = build(settings, mechanisms, log_control, &addresses, incoming);
-        let (closing, closed) = watch::channel(false);
+        let (listeners, phase) = watch::channel(ListenerPhase::Open);
         let tasks = vec![
             tokio::spawn(run_fleet(shared.clone(), fleet_messages)),
             tokio::spawn(run_listener(peer_context, peers, Arc::new(Handler(shared.clone())))),
@@ -143,8 +147,8 @@
             tokio::spawn(run_load_polls(shared.clone())),
         ];
         let servers = vec![
-            serve(callers, caller_routes(shared.clone()), closed.clone()),
-            serve(admin, admin_routes(shared.clone()), closed),
+            tokio::spawn(serve_http(callers, caller_routes(shared.clone()), phase.clone())),
+            tokio::spawn(serve_http(admin, admin_routes(shared.clone()), phase)),
         ];
         log::info!(
             "node: {} listens for callers on {}, operators on {}, peers on {}.",
@@ -153,7 +157,7 @@
             addresses.admin_address,
             addresses.peer_address
         );
-        Ok(Node { addresses, shared, tasks, servers, closing })
+        Ok(Node { addresses, shared, tasks, servers, listeners })
     }
 
     /// The planned stop: refuses new work, tells the fleet and the callers, finishes what is in
@@ -173,18 +177,32 @@
             false
         };
         let cut = self.shared.lifecycle.in_flight();
-        // The servers hold receivers as long as they run.
-        let _ = self.closing.send(true);
         let servers = std::mem::take(&mut self.servers);
         if self.shared.mechanisms.wait_at_stop {
-            for server in servers {
-                // A connection that stays open without a request is closed when the process ends.
-                let _ = tokio::time::timeout(CLOSE_PATIENCE, server).await;
-            }
+            self.close_listeners(servers).await;
         }
         log::info!("stop: the node stops; {cut} requests were in flight.");
         finished
     }
+
+    /// Closes the listeners, then their connections; see [`ListenerPhase`].
+    async fn close_listeners(&self, servers: Vec<JoinHandle<()>>) {
+        let closing = async {
+            for server in servers {
+                // A server that failed has nothing left to close.
+                let _ = server.await;
+            }
+        };
+        let mut closing = std::pin::pin!(closing);
+        for (phase, patience) in
+            [(ListenerPhase::Closed, SILENT_PATIENCE), (ListenerPhase::Ended, CLOSE_PATIENCE)]
+        {
+            self.listeners.send_replace(phase);
+            if tokio::time::timeout(patience, closing.as_mut()).await.is_ok() {
+                return;
+            }
+        }
+    }
 }
 
 fn build(
@@ -243,20 +261,6 @@
     (shared, peer_context)
 }
 
-fn serve(listener: TcpListener, routes: axum::Router, mut closed: watch::Receiver<bool>) -> JoinHandle<()> {
-    let service = routes.into_make_service_with_connect_info::<SocketAddr>();
-    tokio::spawn(async move {
-        let until_closed = async move {
-            // A sender that is gone means the same as the word to close.
-            let _ = closed.wait_for(|closed| *closed).await;
-        };
-        let serving = axum::serve(listener, service).with_graceful_shutdown(until_closed);
-        if let Err(error) = serving.await {
-            log::error!("node: a listener failed: {error}.");
-        }
-    })
-}
-
 /// Answers requests of peers.
 struct Handler(Arc<Shared>);
 
--- /dev/null
+++ b/crates/sablebay-node/tests/http_listener.rs
@@ -0,0 +1,82 @@
+//! A listener that closes cuts no request: neither one that waits in the kernel's queue, nor one
+//! that crosses the close on an open connection.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use axum::Router;
+use axum::http::header;
+use axum::routing::get;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use sablebay_node::{ListenerPhase, serve_http};
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: node\r\n\r\n";
+
+async fn start() -> (SocketAddr, watch::Sender<ListenerPhase>, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let routes = Router::new().route("/", get(|| async { ([(header::CONNECTION, "close")], "served") }));
+    let (listeners, phase) = watch::channel(ListenerPhase::Open);
+    (address, listeners, tokio::spawn(serve_http(listener, routes, phase)))
+}
+
+/// Reads what comes until the connection ends.
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let reading = tokio::task::spawn_blocking(move || {
+        let mut text = String::new();
+        stream.read_to_string(&mut text).map(|_| text)
+    });
+    reading.await.unwrap().expect("the connection ends in order")
+}
+
+/// Waits until the listener takes no new connections.
+async fn wait_until_refused(address: SocketAddr) {
+    loop {
+        match TcpStream::connect(address) {
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return,
+            _ => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_connection_that_waits_to_be_accepted_is_served() {
+    let (address, listeners, server) = start().await;
+    tokio::task::yield_now().await;
+    // This thread runs everything: the server cannot accept before the listener is closed.
+    let mut streams: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(address).unwrap()).collect();
+    for stream in &mut streams {
+        stream.write_all(REQUEST).unwrap();
+    }
+    listeners.send_replace(ListenerPhase::Closed);
+    for stream in streams {
+        assert!(read_to_end(stream).await.ends_with("served"));
+    }
+    server.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_request_on_an_open_connection_is_served_after_the_listener_closed() {
+    let (address, listeners, server) = start().await;
+    let mut silent = TcpStream::connect(address).unwrap();
+    listeners.send_replace(ListenerPhase::Closed);
+    wait_until_refused(address).await;
+    silent.write_all(REQUEST).unwrap();
+    assert!(read_to_end(silent).await.ends_with("served"));
+    server.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_silent_connection_does_not_hold_the_end_up() {
+    let (address, listeners, server) = start().await;
+    let silent = TcpStream::connect(address).unwrap();
+    listeners.send_replace(ListenerPhase::Closed);
+    wait_until_refused(address).await;
+    listeners.send_replace(ListenerPhase::Ended);
+    server.await.unwrap();
+    assert_eq!(read_to_end(silent).await, "");
+}
