--- a/crates/sablebay-bench/src/capacity/slopes.rs
+++ b/crates/sablebay-bench/src/capacity/slopes.rs
@@ -6,7 +6,6 @@
 use bytes::BytesMut;
 use serde::Serialize;
 
-use sablebay_config::{Configuration, Delta};
 use sablebay_fleet::{ClaimHolder, ClaimRequest, Claimant, Ticket, TicketId};
 use sablebay_model::{
     FleetName, Incarnation, InstanceKey, NodeId, PartitionSet, Revision, ServiceId, SnapshotVersion,
@@ -51,26 +50,28 @@
     pub idle_process_bytes: f64,
     /// Bytes of each node's part of a fleet's status.
     pub fleet_status_bytes_per_node: f64,
-    /// Memory for each leaf of the configuration in force.
-    pub memory_bytes_per_leaf: f64,
-    /// Bytes of each leaf, with its part of the index map, in a document.
-    pub document_bytes_per_leaf: f64,
-    /// Processor time to read a whole document, for each leaf.
-    pub parse_us_per_leaf: f64,
-    /// Processor time to apply a small delta, for each leaf of the configuration.
-    pub delta_us_per_leaf: f64,
+    /// Memory of the configuration in force at the two-year size.
+    pub configuration_memory_bytes: f64,
+    /// Memory needed at once while a whole document of that size is read.
+    pub configuration_read_peak_bytes: f64,
+    /// Bytes of such a document.
+    pub document_bytes: f64,
+    /// Processor time to read such a document.
+    pub read_us: f64,
+    /// Processor time to apply a small delta to it.
+    pub delta_us: f64,
     /// Bytes of a small delta.
     pub delta_bytes: f64,
+    /// Memory that a thousand more leaves add.
+    pub memory_bytes_per_1000_leaves: f64,
+    /// Memory that a thousand more services add.
+    pub memory_bytes_per_1000_services: f64,
     /// Memory for each claim held.
     pub memory_bytes_per_claim: f64,
     /// Processor time for each claim.
     pub us_per_claim: f64,
 }
 
-/// Leaves of the configuration that is measured.
-const LEAVES: usize = 20_000;
-const LEAVES_PER_SHARD: usize = 2;
-const SHARDS_PER_INDEX: usize = 50;
 const CLAIMS: usize = 100_000;
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -79,7 +80,6 @@
     let options = RunOptions::default();
     // Before anything that frees memory, which claims would then be kept in.
     let claims = measure_claims();
-    let configuration = measure_configuration()?;
     let (frame_us, frame_bytes) = measure_frames()?;
     let spread = run_experiment("configuration-spread", &options).await?;
     let leaf_cost = run_experiment("leaf-cost", &options).await?;
@@ -99,88 +99,19 @@
         idle_process_share: idle.share,
         idle_process_bytes: idle.bytes,
         fleet_status_bytes_per_node: idle.status_bytes_per_node,
-        memory_bytes_per_leaf: configuration.memory_bytes,
-        document_bytes_per_leaf: configuration.document_bytes,
-        parse_us_per_leaf: configuration.parse_us,
-        delta_us_per_leaf: configuration.delta_us,
-        delta_bytes: configuration.delta_bytes,
+        configuration_memory_bytes: spread.number("configuration_memory_bytes"),
+        configuration_read_peak_bytes: spread.number("configuration_read_peak_bytes"),
+        document_bytes: spread.number("configuration_document_bytes"),
+        read_us: spread.number("configuration_read_us"),
+        delta_us: spread.number("configuration_delta_us"),
+        delta_bytes: spread.number("configuration_delta_bytes"),
+        memory_bytes_per_1000_leaves: spread.number("memory_bytes_per_1000_leaves"),
+        memory_bytes_per_1000_services: spread.number("memory_bytes_per_1000_services"),
         memory_bytes_per_claim: claims.0,
         us_per_claim: claims.1,
     })
 }
 
-struct ConfigurationSlopes {
-    memory_bytes: f64,
-    document_bytes: f64,
-    parse_us: f64,
-    delta_us: f64,
-    delta_bytes: f64,
-}
-
-/// A document with many leaves: pairs of them hold shards, fifty shards make an index.
-fn large_document(revision: u64, deadline_ms: u64) -> String {
-    let indexes = LEAVES / LEAVES_PER_SHARD / SHARDS_PER_INDEX;
-    let mut text = format!("revision = {revision}\n[templates.t]\nreplicas = 2\n");
-    for index in 0..indexes {
-        let deadline = if index == 0 { deadline_ms } else { 300 };
-        text.push_str(&format!(
-            "[instances.s{index}]\ntemplate = \"t\"\nindex = \"i{index}\"\ndeadline_ms = {deadline}\n\
-             [indexes.i{index}]\npartitions = {SHARDS_PER_INDEX}\n"
-        ));
-        for shard in 0..SHARDS_PER_INDEX {
-            let first = (index * SHARDS_PER_INDEX + shard) * LEAVES_PER_SHARD;
-            text.push_str(&format!(
-                "[[indexes.i{index}.shards]]\npartitions = \"{shard}\"\nleaves = [\"leaf-{first}\", \"leaf-{}\"]\n",
-                first + 1
-            ));
-        }
-    }
-    for leaf in 0..LEAVES {
-        text.push_str(&format!(
-            "[leaves.leaf-{leaf}]\naddress = \"10.{}.{}.{}:9000\"\nzone = \"zone-{}\"\nslots = 4\n",
-            leaf / 65_536,
-            leaf / 256 % 256,
-            leaf % 256,
-            leaf % 13
-        ));
-    }
-    text
-}
-
-fn measure_configuration() -> Result<ConfigurationSlopes, BenchError> {
-    const DELTAS: u64 = 10;
-    const KEPT: usize = 4;
-    let text = large_document(1, 300);
-    // The first one makes the allocator grow by what parsing needs for a moment; what each further
-    // one adds is what a configuration keeps.
-    let configuration = Configuration::parse("capacity", &text)?;
-    let memory = resident_bytes();
-    let cpu = process_cpu_time();
-    let mut kept = Vec::with_capacity(KEPT);
-    for _ in 0..KEPT {
-        kept.push(Configuration::parse("capacity", &text)?);
-    }
-    let parse = process_cpu_time() - cpu;
-    let memory = resident_bytes().saturating_sub(memory);
-    black_box(&kept);
-    let next = Configuration::parse("capacity", &large_document(2, 301))?;
-    let delta: Delta = configuration.document.delta_to(&next.document);
-    let cpu = process_cpu_time();
-    for _ in 0..DELTAS {
-        black_box(configuration.apply(&delta)?);
-    }
-    let apply = process_cpu_time() - cpu;
-    let leaves = LEAVES as f64;
-    let per_kept = leaves * KEPT as f64;
-    Ok(ConfigurationSlopes {
-        memory_bytes: memory as f64 / per_kept,
-        document_bytes: configuration.document.content_bytes() as f64 / leaves,
-        parse_us: parse.as_secs_f64() * 1e6 / per_kept,
-        delta_us: apply.as_secs_f64() * 1e6 / DELTAS as f64 / leaves,
-        delta_bytes: delta.content_bytes() as f64,
-    })
-}
-
 fn measure_claims() -> (f64, f64) {
     let own = InstanceKey { node: NodeId::new("node-1"), incarnation: Incarnation(1) };
     let mut holder = ClaimHolder::new(own.clone());
--- a/crates/sablebay-bench/src/capacity/table.rs
+++ b/crates/sablebay-bench/src/capacity/table.rs
@@ -142,7 +142,7 @@
 fn add_control(rows: &mut Rows, slopes: &Slopes) {
     let changes = CHANGES_PER_DAY / SECONDS_PER_DAY;
     let restarts = RESTARTS_PER_DAY / SECONDS_PER_DAY;
-    let document = slopes.document_bytes_per_leaf * LEAVES;
+    let document = slopes.document_bytes;
     let platform_reads = PLATFORM_READS_PER_SECOND / NODES;
     let joins = restarts / NODES;
     let traffic = slopes.control_bytes_per_second + (platform_reads + joins) * document;
@@ -160,7 +160,7 @@
         "MB",
         None,
         "entries as inline TOML",
-        "capacity: configuration",
+        "run configuration-spread",
     );
     rows.add(
         "peer and configuration reader: all control traffic, whole documents included",
@@ -168,17 +168,17 @@
         "B/s",
         Some(CONTROL_BYTES_LIMIT),
         "conditional reads spread over the fleet; a joining node is sent the whole once",
-        "configuration-spread, capacity: configuration",
+        "run configuration-spread",
     );
-    let delta = changes * slopes.delta_us_per_leaf * LEAVES / 1e6;
-    let parse = (platform_reads + joins) * slopes.parse_us_per_leaf * LEAVES / 1e6;
+    let delta = changes * slopes.delta_us / 1e6;
+    let parse = (platform_reads + joins) * slopes.read_us / 1e6;
     rows.add(
         "configuration reader: processor time for deltas",
         delta,
         "cores",
         Some(CONTROL_SHARE_LIMIT),
-        "just what a delta touches is read again; the maps are copied",
-        "capacity: configuration",
+        "just what a delta touches is read again; the rest is shared",
+        "run configuration-spread",
     );
     rows.add(
         "configuration reader: processor time for whole documents",
@@ -186,7 +186,7 @@
         "cores",
         Some(CONTROL_SHARE_LIMIT),
         "validation is whole and pure",
-        "capacity: configuration",
+        "run configuration-spread",
     );
     rows.add(
         "peer: processor time of an idle node, transport included",
@@ -212,14 +212,14 @@
         "the sum of the four rows above",
         "sum",
     );
-    let configuration = slopes.memory_bytes_per_leaf * LEAVES;
+    let configuration = slopes.configuration_memory_bytes;
     rows.add(
         "configuration reader: memory of the configuration in force",
         configuration / 1e6,
         "MB",
         Some(CONTROL_MEMORY_LIMIT / 1e6),
-        "the document and what was read from it, both kept",
-        "capacity: configuration",
+        "the document as text, one allocation an entry; services as read",
+        "run configuration-spread",
     );
     rows.add(
         "peer: memory of the view of the fleet",
@@ -237,6 +237,14 @@
         "the sum of the two rows above",
         "sum",
     );
+    rows.add(
+        "configuration reader: memory needed at once while a whole document is read",
+        slopes.configuration_read_peak_bytes / 1e6,
+        "MB",
+        Some(CONTROL_MEMORY_LIMIT / 1e6),
+        "a start, and a read of the platform that finds a change",
+        "run configuration-spread",
+    );
     rows.add(
         "configuration reader: change in force everywhere, longest",
         slopes.in_force_everywhere_ms,
--- a/crates/sablebay-bench/src/cli.rs
+++ b/crates/sablebay-bench/src/cli.rs
@@ -12,8 +12,8 @@
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 
-use sablebay_config::{NodeSettings, overrides_of};
-use sablebay_model::{PartitionSet, SnapshotVersion};
+use sablebay_config::{LeafSettings, NodeSettings, overrides_of};
+use sablebay_model::{LeafId, PartitionSet, SnapshotVersion};
 use sablebay_node::{Node, NodeMechanisms};
 use sablebay_standin::{
     CORPUS, Corpus, Deployment, Leaf, LeafOptions, LoadOptions, Platform, ServiceTime, WeightedService,
@@ -255,10 +255,17 @@
     let text = std::fs::read_to_string(&file)?;
     let configuration = sablebay_config::Configuration::parse(&file, &text)?;
     let mut running = Vec::new();
-    for (name, settings) in &configuration.leaves {
-        let shards = configuration.indexes.values().flat_map(|index| &index.shards);
-        let held = shards.filter(|shard| shard.leaves.contains(name));
-        let partitions = held.flat_map(|shard| shard.partitions.iter()).collect();
+    let mut leaves: BTreeMap<LeafId, (Arc<LeafSettings>, PartitionSet)> = BTreeMap::new();
+    for layout in configuration.index_layouts()? {
+        for shard in &layout.map.shards {
+            for leaf in &shard.leaves {
+                let entry = || (layout.leaves[leaf].clone(), PartitionSet::empty());
+                let (_, held) = leaves.entry(leaf.clone()).or_insert_with(entry);
+                *held = held.union(&shard.partitions);
+            }
+        }
+    }
+    for (name, (settings, partitions)) in leaves {
         let options = LeafOptions {
             address: settings.address,
             slots: settings.slots,
--- a/crates/sablebay-bench/src/experiment/spread.rs
+++ b/crates/sablebay-bench/src/experiment/spread.rs
@@ -10,6 +10,7 @@
 use sablebay_model::Micros;
 
 use super::RunOptions;
+use crate::configuration_cost::{ConfigurationSize, measure_slopes};
 use crate::error::BenchError;
 use crate::hollow::{HollowFleet, HollowOptions, HollowReport};
 use crate::result::ExperimentResult;
@@ -17,6 +18,9 @@
 
 /// Fleet sizes; the last is the two-year size.
 const SIZES: [usize; 4] = [50, 200, 800, 2_100];
+/// The two-year size. The letter gives no number of services: a hundred leaves each are assumed.
+const LARGEST_CONFIGURATION: ConfigurationSize = ConfigurationSize { leaves: 110_000, services: 1_100 };
+const SMALL_CONFIGURATION: ConfigurationSize = ConfigurationSize { leaves: 2_000, services: 200 };
 const REGIONS: usize = 4;
 const ZONES: usize = 13;
 const LOSS: f64 = 0.01;
@@ -35,6 +39,7 @@
 pub fn run(options: &RunOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = options.result("configuration-spread");
     let sizes: &[usize] = if options.scale < 1.0 { &SIZES[..2] } else { &SIZES };
+    add_configuration(&mut result, options)?;
     let mut slopes = Vec::new();
     for nodes in sizes {
         let measured = measure(*nodes, options)?;
@@ -61,6 +66,30 @@
     Ok(result)
 }
 
+/// What the configuration costs a node, and what leaves and services add to that.
+fn add_configuration(result: &mut ExperimentResult, options: &RunOptions) -> Result<(), BenchError> {
+    let size = if options.scale < 1.0 { SMALL_CONFIGURATION } else { LARGEST_CONFIGURATION };
+    let slopes = measure_slopes(size)?;
+    result.figure("configuration_leaves", size.leaves as f64);
+    result.figure("configuration_services", size.services as f64);
+    result.figure("configuration_memory_bytes", slopes.largest.memory_bytes);
+    result.figure("configuration_read_peak_bytes", slopes.largest.read_peak_bytes);
+    result.figure("configuration_document_bytes", slopes.largest.document_bytes);
+    result.figure("configuration_read_us", slopes.largest.read_us);
+    result.figure("configuration_delta_us", slopes.largest.delta_us);
+    result.figure("configuration_delta_bytes", slopes.largest.delta_bytes);
+    for (name, slope) in [("leaves", slopes.per_leaf), ("services", slopes.per_service)] {
+        let mut figure =
+            |what: &str, each: f64| result.figure(&format!("{what}_per_1000_{name}"), each * 1e3);
+        figure("memory_bytes", slope.memory_bytes);
+        figure("read_peak_bytes", slope.read_peak_bytes);
+        figure("document_bytes", slope.document_bytes);
+        figure("read_us", slope.read_us);
+        figure("delta_us", slope.delta_us);
+    }
+    Ok(())
+}
+
 /// What a thousand more nodes add for each node.
 fn add_slopes(result: &mut ExperimentResult, measured: &[(f64, Measured)]) {
     let (Some((small, first)), Some((large, last))) = (measured.first(), measured.last()) else {
--- a/crates/sablebay-bench/src/lib.rs
+++ b/crates/sablebay-bench/src/lib.rs
@@ -4,10 +4,12 @@
 //! run, and `violations`. With `--break MECHANISM` one mechanism is off, and the checker must
 //! notice: a checker that cannot fail proves nothing.
 
+mod allocation;
 mod capacity;
 mod cli;
 mod cluster;
 mod compare;
+mod configuration_cost;
 mod error;
 mod experiment;
 mod hollow;
@@ -16,6 +18,7 @@
 mod result;
 mod usage;
 
+pub use allocation::{Allocated, CountingAllocator, count_allocations};
 pub use cli::run_command_line;
 pub use cluster::{Cluster, ClusterOptions};
 pub use error::BenchError;
--- a/crates/sablebay-config/src/configuration.rs
+++ b/crates/sablebay-config/src/configuration.rs
@@ -9,10 +9,11 @@
 
 use sablebay_model::{IndexId, LeafId, Revision, ServiceId, ZoneName};
 
-use crate::document::{Delta, Document, EntryKey, EntryKind, Version};
+use crate::document::{Delta, Document, Version};
+use crate::entry::{EntryKey, EntryKind};
 use crate::error::ConfigurationError;
 use crate::finding::{Finding, Findings};
-use crate::index::{IndexMap, LeafSettings, read_index, read_leaf};
+use crate::index::{IndexLayout, IndexMap, LeafSettings, read_index, read_leaf};
 use crate::nearest::nearest_name;
 use crate::section::{Layer, Section, layer};
 use crate::service::ServiceSettings;
@@ -25,11 +26,8 @@
     pub version: Version,
     /// The services.
     pub services: BTreeMap<ServiceId, Arc<ServiceSettings>>,
-    /// The index maps.
-    pub indexes: BTreeMap<IndexId, Arc<IndexMap>>,
-    /// The leaves.
-    pub leaves: BTreeMap<LeafId, Arc<LeafSettings>>,
-    /// The document, from which peers are sent deltas.
+    /// The document, from which peers are sent deltas. Index maps and leaves are kept as its entries
+    /// alone: a node connects to few of the fleet's leaves, and reads just those.
     #[serde(skip)]
     pub document: Arc<Document>,
 }
@@ -54,8 +52,6 @@
         Ok(Self {
             version: document.version(),
             services: parts.services.into_iter().map(|s| (s.service.clone(), Arc::new(s))).collect(),
-            indexes: parts.indexes.into_iter().map(|i| (i.index.clone(), Arc::new(i))).collect(),
-            leaves: parts.leaves.into_iter().map(|l| (l.leaf.clone(), Arc::new(l))).collect(),
             document,
         })
     }
@@ -78,8 +74,8 @@
         let closure = document.closure(&affected);
         let (_, parts) = parse_parts("peer", &closure.to_text())?;
         let mut next = self.clone();
-        for key in &delta.removed {
-            next.remove(key);
+        for key in delta.removed.iter().filter(|key| key.kind == EntryKind::Instance) {
+            next.services.remove(&ServiceId::new(&key.name));
         }
         next.version = document.version();
         next.document = Arc::new(document);
@@ -87,31 +83,34 @@
         Ok(next)
     }
 
-    fn remove(&mut self, key: &EntryKey) {
-        match key.kind {
-            EntryKind::Template => {}
-            EntryKind::Instance => {
-                self.services.remove(&ServiceId::new(&key.name));
-            }
-            EntryKind::Index => {
-                self.indexes.remove(&IndexId::new(&key.name));
-            }
-            EntryKind::Leaf => {
-                self.leaves.remove(&LeafId::new(&key.name));
-            }
-        }
-    }
-
     fn insert(&mut self, parts: Parts) {
         for service in parts.services {
             self.services.insert(service.service.clone(), Arc::new(service));
         }
-        for index in parts.indexes {
-            self.indexes.insert(index.index.clone(), Arc::new(index));
-        }
-        for leaf in parts.leaves {
-            self.leaves.insert(leaf.leaf.clone(), Arc::new(leaf));
-        }
+    }
+
+    /// An index with its leaves, read from the document.
+    ///
+    /// # Errors
+    /// [`ConfigurationError::UnknownIndex`] when there is no such index.
+    pub fn index_layout(&self, index: &IndexId) -> Result<IndexLayout, ConfigurationError> {
+        let key = EntryKey::new(EntryKind::Index, index.as_str());
+        let closure = self.document.closure(&[key]);
+        let (_, parts) = parse_parts("document", &closure.to_text())?;
+        let Some(map) = parts.indexes.into_iter().next() else {
+            return Err(ConfigurationError::UnknownIndex { index: index.clone() });
+        };
+        let leaves = parts.leaves.into_iter().map(|leaf| (leaf.leaf.clone(), Arc::new(leaf))).collect();
+        Ok(IndexLayout { map, leaves, source: closure.entries().cloned().collect() })
+    }
+
+    /// Every index with its leaves.
+    ///
+    /// # Errors
+    /// As [`Configuration::index_layout`]; none for a configuration that was accepted.
+    pub fn index_layouts(&self) -> Result<Vec<IndexLayout>, ConfigurationError> {
+        let indexes = self.document.entries().filter(|entry| entry.kind() == EntryKind::Index);
+        indexes.map(|entry| self.index_layout(&IndexId::new(entry.name()))).collect()
     }
 
     /// The entries whose rendering a delta can change: those in it, the instances of changed
@@ -132,20 +131,9 @@
                 }
             }
         }
-        let removed_leaves: Vec<LeafId> = delta
-            .removed
-            .iter()
-            .filter(|key| key.kind == EntryKind::Leaf)
-            .map(|key| LeafId::new(&key.name))
-            .collect();
-        if !removed_leaves.is_empty() {
-            for index in self.indexes.values() {
-                let uses = index.shards.iter().any(|s| s.leaves.iter().any(|l| removed_leaves.contains(l)));
-                if uses {
-                    affected.push(EntryKey::new(EntryKind::Index, index.index.as_str()));
-                }
-            }
-        }
+        let removed_leaves: Vec<EntryKey> =
+            delta.removed.iter().filter(|key| key.kind == EntryKind::Leaf).cloned().collect();
+        affected.extend(self.document.referring_to(EntryKind::Index, &removed_leaves));
         affected
     }
 }
--- a/crates/sablebay-config/src/document.rs
+++ b/crates/sablebay-config/src/document.rs
@@ -3,16 +3,15 @@
 //! One entry is one template, instance, index or leaf. A delta names the entries that changed.
 //! The digest is a sum over the entries, so that it follows a delta without reading the rest.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::collections::BTreeSet;
 
 use derive_more::Display;
 use musli::{Decode, Encode};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 use sablebay_model::Revision;
 
+use crate::entry::{Entry, EntryKey, EntryKind, EntryStore};
 use crate::error::ConfigurationError;
 
 /// A digest over all entries of a document.
@@ -63,63 +62,12 @@
     pub digest: Digest,
 }
 
-/// What an entry describes.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum EntryKind {
-    /// A template.
-    Template,
-    /// An instance of a template: a service.
-    Instance,
-    /// An index map.
-    Index,
-    /// A leaf.
-    Leaf,
-}
-
-impl EntryKind {
-    /// Every kind.
-    pub const ALL: [EntryKind; 4] =
-        [EntryKind::Template, EntryKind::Instance, EntryKind::Index, EntryKind::Leaf];
-
-    /// The name of the kind's table in a document.
-    pub const fn section(self) -> &'static str {
-        match self {
-            EntryKind::Template => "templates",
-            EntryKind::Instance => "instances",
-            EntryKind::Index => "indexes",
-            EntryKind::Leaf => "leaves",
-        }
-    }
-}
-
-/// Names one entry of a document.
-#[derive(
-    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
-)]
-#[display("{}.{name}", kind.section())]
-pub struct EntryKey {
-    /// What the entry describes.
-    pub kind: EntryKind,
-    /// Its name.
-    pub name: String,
-}
-
-impl EntryKey {
-    /// The key of the entry `name` of `kind`.
-    pub fn new(kind: EntryKind, name: &str) -> Self {
-        Self { kind, name: name.to_string() }
-    }
-}
-
 /// All entries of one revision. Bodies are inline TOML tables.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Document {
     revision: Revision,
     digest: Digest,
-    entries: BTreeMap<EntryKey, Arc<str>>,
+    entries: EntryStore,
 }
 
 /// What changed between two versions.
@@ -143,21 +91,12 @@
     }
 }
 
-fn entry_digest(key: &EntryKey, body: &str) -> u64 {
-    let mut bytes = Vec::with_capacity(key.name.len() + body.len() + 2);
-    bytes.push(key.kind as u8);
-    bytes.extend_from_slice(key.name.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(body.as_bytes());
-    xxh3_64(&bytes)
-}
-
 impl Document {
     /// A document from entries.
     pub fn new(revision: Revision, entries: impl IntoIterator<Item = (EntryKey, String)>) -> Self {
         let mut document = Self { revision, ..Self::default() };
         for (key, body) in entries {
-            document.set(key, &body);
+            document.set(Entry::new(key.kind, &key.name, &body));
         }
         document
     }
@@ -170,7 +109,7 @@
                 continue;
             };
             for (name, value) in section {
-                document.set(EntryKey::new(kind, name), &value.to_string());
+                document.set(Entry::new(kind, name, &value.to_string()));
             }
         }
         document
@@ -181,50 +120,50 @@
         Version { revision: self.revision, digest: self.digest }
     }
 
-    /// How many entries there are.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Whether there are no entries.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+    /// How many entries of one kind there are.
+    pub fn count(&self, kind: EntryKind) -> usize {
+        self.entries.iter().filter(|entry| entry.kind() == kind).count()
     }
 
     /// Bytes of all names and bodies.
     pub fn content_bytes(&self) -> usize {
-        self.entries.iter().map(|(key, body)| key.name.len() + body.len()).sum()
+        self.entries.iter().map(Entry::content_bytes).sum()
+    }
+
+    /// All entries, in no particular order.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
     }
 
-    /// All entries with their bodies.
-    pub fn entries(&self) -> impl Iterator<Item = (&EntryKey, &str)> {
-        self.entries.iter().map(|(key, body)| (key, body.as_ref()))
+    /// One entry.
+    pub fn entry(&self, kind: EntryKind, name: &str) -> Option<&Entry> {
+        self.entries.get(kind, name)
     }
 
-    fn set(&mut self, key: EntryKey, body: &str) {
-        let added = entry_digest(&key, body);
-        if let Some(previous) = self.entries.insert(key.clone(), Arc::from(body)) {
-            self.digest.0 = self.digest.0.wrapping_sub(entry_digest(&key, &previous));
+    fn set(&mut self, entry: Entry) {
+        let added = entry.digest();
+        if let Some(previous) = self.entries.insert(entry) {
+            self.digest.0 = self.digest.0.wrapping_sub(previous.digest());
         }
         self.digest.0 = self.digest.0.wrapping_add(added);
     }
 
     fn unset(&mut self, key: &EntryKey) {
         if let Some(previous) = self.entries.remove(key) {
-            self.digest.0 = self.digest.0.wrapping_sub(entry_digest(key, &previous));
+            self.digest.0 = self.digest.0.wrapping_sub(previous.digest());
         }
     }
 
     /// What changed from `self` to `newer`.
     pub fn delta_to(&self, newer: &Document) -> Delta {
-        let changed = newer
-            .entries
-            .iter()
-            .filter(|(key, body)| self.entries.get(*key) != Some(*body))
-            .map(|(key, body)| (key.clone(), body.to_string()))
-            .collect();
-        let removed = self.entries.keys().filter(|key| !newer.entries.contains_key(*key));
-        Delta { from: self.version(), to: newer.version(), changed, removed: removed.cloned().collect() }
+        let changed = newer.entries.missing_from(&self.entries);
+        let mut changed: Vec<_> = changed.map(|entry| (entry.key(), entry.body().to_string())).collect();
+        changed.sort_unstable();
+        let gone = |entry: &&Entry| newer.entry(entry.kind(), entry.name()).is_none();
+        let removed = self.entries.missing_from(&newer.entries).filter(gone);
+        let mut removed: Vec<EntryKey> = removed.map(Entry::key).collect();
+        removed.sort_unstable();
+        Delta { from: self.version(), to: newer.version(), changed, removed }
     }
 
     /// The document after `delta`.
@@ -241,7 +180,7 @@
             next.unset(key);
         }
         for (key, body) in &delta.changed {
-            next.set(key.clone(), body);
+            next.set(Entry::new(key.kind, &key.name, body));
         }
         if next.digest != delta.to.digest {
             return Err(ConfigurationError::DigestMismatch {
@@ -255,11 +194,12 @@
     /// The document as TOML text.
     pub fn to_text(&self) -> String {
         let mut text = format!("revision = {}\n", self.revision);
+        let entries = self.entries.sorted();
         for kind in EntryKind::ALL {
             text.push_str(&format!("[{}]\n", kind.section()));
-            for (key, body) in self.entries.iter().filter(|(key, _)| key.kind == kind) {
-                let name = toml::Value::String(key.name.clone());
-                text.push_str(&format!("{name} = {body}\n"));
+            for entry in entries.iter().filter(|entry| entry.kind() == kind) {
+                let name = toml::Value::String(entry.name().to_string());
+                text.push_str(&format!("{name} = {}\n", entry.body()));
             }
         }
         text
@@ -267,27 +207,39 @@
 
     /// The entries `roots` and all that they refer to, as a document that can be validated alone.
     pub fn closure(&self, roots: &[EntryKey]) -> Document {
-        let mut wanted: BTreeSet<EntryKey> = BTreeSet::new();
+        let mut closure = Self { revision: self.revision, ..Self::default() };
+        let mut seen: BTreeSet<EntryKey> = BTreeSet::new();
         let mut pending: Vec<EntryKey> = roots.to_vec();
         while let Some(key) = pending.pop() {
-            let Some(body) = self.entries.get(&key) else {
+            let Some(entry) = self.entry(key.kind, &key.name) else {
                 continue;
             };
-            if wanted.insert(key.clone()) {
-                pending.extend(references(key.kind, body));
+            if seen.insert(key) {
+                pending.extend(references(entry));
+                closure.set(entry.clone());
             }
         }
-        let entries = wanted.into_iter().map(|key| {
-            let body = self.entries[&key].to_string();
-            (key, body)
-        });
-        Document::new(self.revision, entries)
+        closure
+    }
+
+    /// The entries that refer to one of `keys`.
+    pub fn referring_to<'a>(
+        &'a self,
+        kind: EntryKind,
+        keys: &'a [EntryKey],
+    ) -> impl Iterator<Item = EntryKey> + 'a {
+        let candidates = self.entries.iter().filter(move |entry| entry.kind() == kind);
+        // Most bodies are passed over without being read: they do not even hold the name.
+        let may_refer = |entry: &&Entry| keys.iter().any(|key| entry.body().contains(key.name.as_str()));
+        let refers = |entry: &&Entry| references(entry).iter().any(|key| keys.contains(key));
+        candidates.filter(may_refer).filter(refers).map(Entry::key)
     }
 }
 
 /// The entries that an entry refers to.
-fn references(kind: EntryKind, body: &str) -> Vec<EntryKey> {
-    let Ok(wrapped) = format!("entry = {body}").parse::<toml::Table>() else {
+fn references(entry: &Entry) -> Vec<EntryKey> {
+    let kind = entry.kind();
+    let Ok(wrapped) = format!("entry = {}", entry.body()).parse::<toml::Table>() else {
         return Vec::new();
     };
     let entry = &wrapped["entry"];
--- a/crates/sablebay-config/src/error.rs
+++ b/crates/sablebay-config/src/error.rs
@@ -2,6 +2,8 @@
 
 use derive_more::{Display, Error};
 
+use sablebay_model::IndexId;
+
 use crate::document::{Digest, Version};
 use crate::finding::Finding;
 
@@ -22,6 +24,12 @@
         /// The version at hand.
         current: Version,
     },
+    /// There is no such index.
+    #[display("there is no index `{index}`")]
+    UnknownIndex {
+        /// The index asked for.
+        index: IndexId,
+    },
     /// The content that results from a delta has another digest than the delta promised.
     #[display("the content has digest {actual}, not {promised}")]
     DigestMismatch {
--- a/crates/sablebay-config/src/index.rs
+++ b/crates/sablebay-config/src/index.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use sablebay_model::{IndexId, LeafId, PartitionSet, ZoneName};
 
+use crate::document::Document;
+use crate::entry::Entry;
 use crate::finding::Findings;
 use crate::nearest::nearest_name;
 use crate::section::{Layer, Section};
@@ -32,6 +35,24 @@
     pub shards: Vec<Shard>,
 }
 
+/// An index with its leaves, as read from a document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct IndexLayout {
+    /// Which leaves hold what.
+    pub map: IndexMap,
+    /// The leaves that the map names.
+    pub leaves: BTreeMap<LeafId, Arc<LeafSettings>>,
+    /// The entries that this was read from.
+    pub(crate) source: Vec<Entry>,
+}
+
+impl IndexLayout {
+    /// Whether reading `document` would give the same.
+    pub fn is_current(&self, document: &Document) -> bool {
+        self.source.iter().all(|entry| document.entry(entry.kind(), entry.name()) == Some(entry))
+    }
+}
+
 /// One leaf, as configured.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeafSettings {
--- a/crates/sablebay-config/src/lib.rs
+++ b/crates/sablebay-config/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod configuration;
 mod document;
+mod entry;
 mod error;
 mod finding;
 mod index;
@@ -16,10 +17,11 @@
 mod template;
 
 pub use configuration::Configuration;
-pub use document::{Delta, Digest, Document, EntryKey, EntryKind, Version};
+pub use document::{Delta, Digest, Document, Version};
+pub use entry::{Entry, EntryKey, EntryKind};
 pub use error::ConfigurationError;
 pub use finding::{Finding, Findings};
-pub use index::{IndexMap, LeafSettings, Shard};
+pub use index::{IndexLayout, IndexMap, LeafSettings, Shard};
 pub use nearest::nearest_name;
 pub use node_flags::{node_flags, overrides_of};
 pub use node_settings::{LogFormat, NodeSettings};
--- a/crates/sablebay-config/tests/documents.rs
+++ b/crates/sablebay-config/tests/documents.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use sablebay_config::{Configuration, Document, EntryKey, EntryKind};
-use sablebay_model::Revision;
+use sablebay_config::{Configuration, Document, Entry, EntryKey, EntryKind};
+use sablebay_model::{IndexId, Revision};
 
 fn settings(cases: u32) -> ProptestConfig {
     ProptestConfig {
@@ -86,8 +86,7 @@
         current = current.apply(&delta).unwrap();
         assert_eq!(current.version, whole.version);
         assert_eq!(current.services, whole.services);
-        assert_eq!(current.indexes, whole.indexes);
-        assert_eq!(current.leaves, whole.leaves);
+        assert_eq!(current.index_layouts().unwrap(), whole.index_layouts().unwrap());
     }
 }
 
@@ -95,10 +94,26 @@
 #[test]
 fn a_delta_that_breaks_the_configuration_is_rejected() {
     let current = Configuration::parse("whole", &sound(100, 1, true)).unwrap();
-    let keep = |key: &EntryKey| !(key.kind == EntryKind::Leaf && key.name == "b");
-    let entries = current.document.entries().filter(|(key, _)| keep(key));
-    let entries = entries.map(|(key, body)| (key.clone(), body.to_string()));
+    let keep = |entry: &&Entry| !(entry.kind() == EntryKind::Leaf && entry.name() == "b");
+    let entries = current.document.entries().filter(keep);
+    let entries = entries.map(|entry| (entry.key(), entry.body().to_string()));
     let broken = Document::new(Revision(2), entries);
     let delta = current.document.delta_to(&broken);
     assert!(current.apply(&delta).is_err());
 }
+
+/// What was read of an index stays in use until its map or one of its leaves changes.
+#[test]
+fn a_layout_is_current_until_its_index_or_leaves_change() {
+    let before = Configuration::parse("whole", &sound(100, 1, false)).unwrap();
+    let layout = before.index_layout(&IndexId::new("i")).unwrap();
+    assert_eq!(layout.leaves.len(), 1);
+    let other_service = Configuration::parse("whole", &sound(200, 2, false)).unwrap();
+    assert!(layout.is_current(&other_service.document));
+    let moved_leaf = sound(200, 3, false).replace("127.0.0.1:1", "127.0.0.1:9");
+    let moved_leaf = Configuration::parse("whole", &moved_leaf).unwrap();
+    assert!(!layout.is_current(&moved_leaf.document));
+    let other_map = Configuration::parse("whole", &sound(200, 4, true)).unwrap();
+    assert!(!layout.is_current(&other_map.document));
+    assert!(before.index_layout(&IndexId::new("none")).is_err());
+}
--- a/crates/sablebay-fleet/src/transfer.rs
+++ b/crates/sablebay-fleet/src/transfer.rs
@@ -16,14 +16,14 @@
 pub fn parts_of(document: &Document) -> Vec<FleetMessage> {
     let mut parts: Vec<Vec<(EntryKey, String)>> = vec![Vec::new()];
     let mut bytes = 0;
-    for (key, body) in document.entries() {
+    for entry in document.entries() {
         if bytes >= PART_BYTES {
             parts.push(Vec::new());
             bytes = 0;
         }
-        bytes += key.name.len() + body.len();
+        bytes += entry.content_bytes();
         let last = parts.last_mut().expect("there is a first part");
-        last.push((key.clone(), body.to_string()));
+        last.push((entry.key(), entry.body().to_string()));
     }
     let count = parts.len() as u32;
     let message = |(part, entries)| {
--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use subtle::ConstantTimeEq;
 
-use sablebay_config::{Configuration, ConfigurationError, Finding, ServiceSettings, Version};
+use sablebay_config::{Configuration, ConfigurationError, EntryKind, Finding, ServiceSettings, Version};
 use sablebay_model::{Reason, Refusal, ServiceId};
 use sablebay_protocol::caller::TOKEN_HEADER;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
@@ -149,8 +149,8 @@
         floor: floor.floor(),
         in_force_for_ms: shared.clock.now().since(floor.adopted_at()).as_millis(),
         services: configuration.services.values().map(|service| (**service).clone()).collect(),
-        indexes: configuration.indexes.len(),
-        leaves: configuration.leaves.len(),
+        indexes: configuration.document.count(EntryKind::Index),
+        leaves: configuration.document.count(EntryKind::Leaf),
         rejections: floor.rejections().cloned().collect(),
         conflicts: floor.conflicts().copied().collect(),
     };
--- a/crates/sablebay-node/src/leaf_client.rs
+++ b/crates/sablebay-node/src/leaf_client.rs
@@ -6,13 +6,13 @@
 mod batch;
 mod operation;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
 
+use sablebay_config::LeafSettings;
 use sablebay_model::{
     CallId, InstanceKey, LeafId, Micros, PartitionSet, ServiceId, SnapshotVersion, SortOrder,
 };
@@ -97,6 +97,7 @@
 /// The calls of this node to one leaf.
 pub struct LeafClient {
     context: Arc<ClientContext>,
+    settings: Arc<LeafSettings>,
     commands: mpsc::UnboundedSender<Command>,
     next_call: Arc<AtomicU64>,
 }
@@ -104,8 +105,7 @@
 impl LeafClient {
     /// A client that uses `connections` connections at the most.
     pub fn new(
-        leaf: LeafId,
-        address: SocketAddr,
+        settings: Arc<LeafSettings>,
         connections: usize,
         own: &InstanceKey,
         clock: Clock,
@@ -113,20 +113,20 @@
         counters: Arc<ClientCounters>,
     ) -> Self {
         let context = Arc::new(ClientContext {
-            leaf,
+            leaf: settings.leaf.clone(),
             caller: own.to_string(),
             clock,
-            pool: ConnectionPool::new(address, connections),
+            pool: ConnectionPool::new(settings.address, connections),
             counters,
         });
         let (commands, receiver) = mpsc::unbounded_channel();
         tokio::spawn(batch::run_dispatcher(context.clone(), receiver));
-        Self { context, commands, next_call }
+        Self { context, settings, commands, next_call }
     }
 
-    /// Where the leaf listens.
-    pub fn address(&self) -> SocketAddr {
-        self.context.pool.address()
+    /// The leaf, as configured.
+    pub fn settings(&self) -> &LeafSettings {
+        &self.settings
     }
 
     /// Changes how many connections are used.
--- a/crates/sablebay-node/src/load_poll.rs
+++ b/crates/sablebay-node/src/load_poll.rs
@@ -66,7 +66,7 @@
 }
 
 async fn poll_leaf(shared: &Arc<Shared>, state: &Arc<ServiceState>, leaf: LeafId) {
-    let Some(client) = shared.leaf_client(&leaf) else {
+    let Some(client) = shared.known_leaf_client(&leaf) else {
         return;
     };
     let Some(load) = client.load().await else {
@@ -164,7 +164,7 @@
     partitions: &PartitionSet,
     deadline: Micros,
 ) -> Vec<sablebay_model::SnapshotVersion> {
-    let Some(state) = shared.service(service) else {
+    let Some(state) = shared.service_with_leaves(service) else {
         return Vec::new();
     };
     ensure_versions(shared, &state, deadline).await;
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -93,6 +93,8 @@
     confirm(shared, &settings, deadline).await.map_err(&elsewhere)?;
     // Looked up again: a node that woke from a pause may have adopted a configuration just now.
     let (state, settings) = find_service(shared, service_id).map_err(&elsewhere)?;
+    // An operation goes to a leaf from here, also where queries go through aggregators.
+    let state = shared.service_with_leaves(service_id).unwrap_or(state);
     let (ticket, fresh) = match given {
         None => (mint_ticket(shared, &settings), true),
         Some(ticket) => (ticket, false),
@@ -252,7 +254,7 @@
         if now >= deadline {
             return Err(Refusal::not_run(Reason::DeadlineExceeded, "the deadline passed before dispatch"));
         }
-        let Some(client) = shared.leaf_client(&leaf) else {
+        let Some(client) = shared.known_leaf_client(&leaf) else {
             continue;
         };
         let id = ticket.id.to_string();
--- a/crates/sablebay-node/src/partial_search.rs
+++ b/crates/sablebay-node/src/partial_search.rs
@@ -20,7 +20,7 @@
     let Some(_in_flight) = shared.lifecycle.enter() else {
         return refuse(Reason::Stopping, "the node is stopping");
     };
-    let Some(service) = shared.service(&partial.service) else {
+    let Some(service) = shared.service_with_leaves(&partial.service) else {
         return refuse(Reason::UnknownService, "the service is not in force here");
     };
     let Ok(query) = RawValue::from_string(partial.query) else {
--- a/crates/sablebay-node/src/service_state.rs
+++ b/crates/sablebay-node/src/service_state.rs
@@ -1,5 +1,7 @@
 //! The state of one service on one node.
 
+mod plan;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -7,12 +9,9 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use sablebay_config::{FanOut, IndexMap, Priority, ServiceSettings};
-use sablebay_model::{LeafId, Micros, NodeId, PartitionSet, ServiceId};
-use sablebay_query::{
-    Admission, Arrival, PlannedShard, ReplicaState, RoutingSettings, ServiceRouting, ShardPlan, Target,
-    WaiterId,
-};
+use sablebay_config::{Entry, IndexLayout, Priority, ServiceSettings};
+use sablebay_model::{LeafId, Micros, NodeId, ServiceId};
+use sablebay_query::{Admission, Arrival, RoutingSettings, ServiceRouting, Target, WaiterId};
 
 use crate::cluster_view::ClusterView;
 use crate::leaf_client::LeafClient;
@@ -20,8 +19,7 @@
 use crate::report::ServiceCounts;
 use crate::shared::Shared;
 
-/// Shards above which an index is searched through aggregators.
-const WIDE_INDEX_SHARDS: usize = 64;
+use plan::{PlanInputs, call_targets, direct_plan, peer_plan, uses_peers};
 
 /// The state of one service.
 pub struct ServiceState {
@@ -58,13 +56,59 @@
     pub targets: &'a ArcSwap<Vec<CallTarget>>,
 }
 
+/// Which plans a caller of [`ServiceState::refresh`] is going to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanNeed {
+    /// The one that callers' queries take, through aggregators or not.
+    Callers,
+    /// The one over the leaves, also where callers' queries go through aggregators.
+    Leaves,
+}
+
+/// What the plans were made from, and when.
 #[derive(Default)]
 struct Built {
-    epoch: u64,
-    settings: Option<Arc<ServiceSettings>>,
+    epoch: Option<u64>,
+    direct_epoch: Option<u64>,
+    callers: Option<PlannedFor>,
+    layout: Option<Arc<IndexLayout>>,
     uses_peers: bool,
 }
 
+/// What the plan for callers was made from: while it is the same, the plan is too.
+struct PlannedFor {
+    settings: Arc<ServiceSettings>,
+    index: Option<Entry>,
+    aggregators: Vec<NodeId>,
+}
+
+impl PlannedFor {
+    fn new(inputs: &PlanInputs<'_>, aggregators: Vec<NodeId>) -> Self {
+        Self { settings: inputs.settings.clone(), index: inputs.index_entry().cloned(), aggregators }
+    }
+
+    fn is_current(&self, inputs: &PlanInputs<'_>, aggregators: &[NodeId]) -> bool {
+        Arc::ptr_eq(&self.settings, inputs.settings)
+            && self.index.as_ref() == inputs.index_entry()
+            && self.aggregators == aggregators
+    }
+}
+
+/// The index's layout under the configuration in force: the one at hand, or read anew.
+fn current_layout(built: &Built, inputs: &PlanInputs<'_>) -> Option<Arc<IndexLayout>> {
+    let document = &inputs.configuration.document;
+    if let Some(layout) = built.layout.as_ref().filter(|layout| layout.is_current(document)) {
+        return Some(layout.clone());
+    }
+    match inputs.configuration.index_layout(&inputs.settings.index) {
+        Ok(layout) => Some(Arc::new(layout)),
+        Err(error) => {
+            log::error!("configuration: an index in force cannot be read: {error}.");
+            None
+        }
+    }
+}
+
 struct AdmissionQueue {
     machine: Admission,
     waiting: HashMap<WaiterId, oneshot::Sender<()>>,
@@ -157,39 +201,68 @@
         self.built.lock().uses_peers
     }
 
-    /// Makes the plans anew when the configuration or the members changed since the last time.
-    pub fn refresh(&self, shared: &Shared, view: &ClusterView, settings: &Arc<ServiceSettings>) {
-        let mut built = self.built.lock();
-        if built.epoch == view.epoch && built.settings.is_some() {
-            return;
-        }
+    /// Makes the plans that are needed anew, when the configuration or the members changed since.
+    pub fn refresh(
+        &self,
+        shared: &Shared,
+        view: &ClusterView,
+        settings: &Arc<ServiceSettings>,
+        need: PlanNeed,
+    ) {
         let Some(configuration) = &view.configuration else {
             return;
         };
-        let Some(index) = configuration.indexes.get(&settings.index) else {
-            return;
-        };
-        let now = shared.clock.now();
-        let routing = routing_settings(settings, &shared.mechanisms);
+        let mut built = self.built.lock();
+        let inputs = PlanInputs { shared, view, configuration, settings };
+        if built.epoch != Some(view.epoch) {
+            self.refresh_for_callers(&mut built, &inputs);
+            built.epoch = Some(view.epoch);
+        }
+        let leaves_needed = need == PlanNeed::Leaves || !built.uses_peers;
+        if leaves_needed && built.direct_epoch != Some(view.epoch) {
+            self.refresh_direct(&mut built, &inputs);
+            built.direct_epoch = Some(view.epoch);
+        }
+    }
+
+    /// What every node needs to know of a service, and the plan over aggregators if it uses them.
+    fn refresh_for_callers(&self, built: &mut Built, inputs: &PlanInputs<'_>) {
+        let settings = inputs.settings;
         self.admission.lock().machine.set_limits(settings.concurrency, settings.queue);
-        {
-            let mut direct = self.direct.lock();
-            direct.reconfigure(routing.clone());
-            let plan = direct_plan(&mut direct, shared, view, index, settings, now);
-            self.direct_targets.store(Arc::new(call_targets(&direct, shared)));
-            direct.plan = Arc::new(plan);
+        let aggregators = inputs.view.aggregators(&settings.service, &inputs.shared.settings);
+        let unchanged =
+            built.callers.as_ref().is_some_and(|callers| callers.is_current(inputs, &aggregators));
+        if unchanged {
+            let mut peers = self.through_peers.lock();
+            peers.plan = Arc::new(peers.plan.at_revision(inputs.configuration.version.revision));
+            return;
         }
-        let aggregators = view.aggregators(&settings.service, &shared.settings);
-        built.uses_peers = uses_peers(settings, index, &aggregators, shared);
+        let Some(layout) = current_layout(built, inputs) else {
+            return;
+        };
+        built.uses_peers = uses_peers(settings, &layout.map, &aggregators, inputs.shared);
         if built.uses_peers {
             let mut peers = self.through_peers.lock();
-            peers.reconfigure(routing);
-            let plan = peer_plan(&mut peers, shared, view, index, settings, &aggregators, now);
-            self.peer_targets.store(Arc::new(call_targets(&peers, shared)));
+            peers.reconfigure(routing_settings(settings, &inputs.shared.mechanisms));
+            let plan = peer_plan(&mut peers, inputs, &layout.map, &aggregators);
+            self.peer_targets.store(Arc::new(call_targets(&peers, inputs, &layout)));
             peers.plan = Arc::new(plan);
         }
-        built.epoch = view.epoch;
-        built.settings = Some(settings.clone());
+        built.callers = Some(PlannedFor::new(inputs, aggregators));
+    }
+
+    /// The plan over the leaves themselves.
+    fn refresh_direct(&self, built: &mut Built, inputs: &PlanInputs<'_>) {
+        let Some(layout) = current_layout(built, inputs) else {
+            return;
+        };
+        let mut direct = self.direct.lock();
+        direct.reconfigure(routing_settings(inputs.settings, &inputs.shared.mechanisms));
+        let plan = direct_plan(&mut direct, inputs, &layout);
+        self.direct_targets.store(Arc::new(call_targets(&direct, inputs, &layout)));
+        direct.plan = Arc::new(plan);
+        // Kept where leaves are called alone: the rest of the fleet need not hold it.
+        built.layout = Some(layout);
     }
 
     /// Takes a place in the service, or waits for one until `deadline`.
@@ -249,101 +322,3 @@
         queue.machine.give_up(self.id);
     }
 }
-
-/// The targets of every replica, so that a call finds its client without a lock or a look-up.
-fn call_targets(routing: &ServiceRouting, shared: &Shared) -> Vec<CallTarget> {
-    let target = |replica: &ReplicaState| match &replica.target {
-        Target::Leaf(leaf) => shared.leaf_client(leaf).map_or(CallTarget::Gone, CallTarget::Leaf),
-        Target::Peer(node) => CallTarget::Peer(node.clone()),
-    };
-    routing.balancer.replicas().map(target).collect()
-}
-
-fn uses_peers(settings: &ServiceSettings, index: &IndexMap, aggregators: &[NodeId], shared: &Shared) -> bool {
-    let alone = aggregators.len() <= 1 && aggregators.contains(&shared.settings.node);
-    if alone {
-        return false;
-    }
-    match settings.fan_out {
-        FanOut::Direct => false,
-        FanOut::Tree => true,
-        FanOut::Auto => {
-            !aggregators.contains(&shared.settings.node) || index.shards.len() > WIDE_INDEX_SHARDS
-        }
-    }
-}
-
-/// The shards that a service searches: those of its index, cut to its partitions.
-fn wanted_shards<'a>(
-    index: &'a IndexMap,
-    settings: &'a ServiceSettings,
-) -> impl Iterator<Item = (PartitionSet, &'a sablebay_config::Shard)> {
-    index.shards.iter().filter_map(move |shard| {
-        let partitions = match &settings.partitions {
-            None => shard.partitions.clone(),
-            Some(wanted) => shard.partitions.iter().filter(|p| wanted.contains(*p)).collect(),
-        };
-        (!partitions.is_empty()).then_some((partitions, shard))
-    })
-}
-
-fn direct_plan(
-    routing: &mut ServiceRouting,
-    shared: &Shared,
-    view: &ClusterView,
-    index: &IndexMap,
-    settings: &ServiceSettings,
-    now: Micros,
-) -> ShardPlan {
-    let configuration = view.configuration.as_ref().expect("checked by the caller");
-    let fleet = shared.fleet.lock();
-    let mut shards = Vec::with_capacity(index.shards.len());
-    for (partitions, shard) in wanted_shards(index, settings) {
-        let mut replicas = Vec::with_capacity(settings.replicas as usize);
-        for leaf in shard.leaves.iter().take(settings.replicas as usize) {
-            let zone = &configuration.leaves[leaf].zone;
-            let target = Target::Leaf(leaf.clone());
-            replicas.push(routing.balancer.intern(&target, zone, now));
-            if fleet.leaving_leaves().is_leaving(leaf) {
-                routing.balancer.set_leaving(&target, true);
-            }
-        }
-        shards.push(PlannedShard { partitions: Arc::new(partitions), replicas });
-    }
-    ShardPlan { revision: configuration.version.revision, shards, through_peers: false }
-}
-
-/// Shards of about equal size, one for each aggregator; each can be answered by any of them.
-fn peer_plan(
-    routing: &mut ServiceRouting,
-    shared: &Shared,
-    view: &ClusterView,
-    index: &IndexMap,
-    settings: &ServiceSettings,
-    aggregators: &[NodeId],
-    now: Micros,
-) -> ShardPlan {
-    let configuration = view.configuration.as_ref().expect("checked by the caller");
-    let all: Vec<PartitionSet> = wanted_shards(index, settings).map(|(set, _)| set).collect();
-    let wide = all.len() > WIDE_INDEX_SHARDS || settings.fan_out == FanOut::Tree;
-    let groups = if wide { aggregators.len() } else { 1 }.clamp(1, all.len().max(1));
-    let indexes: Vec<_> = aggregators
-        .iter()
-        .map(|node| {
-            let zone = view.peer(node).map_or(&shared.settings.zone, |peer| &peer.zone);
-            routing.balancer.intern(&Target::Peer(node.clone()), zone, now)
-        })
-        .collect();
-    let per_group = all.len().div_ceil(groups).max(1);
-    let shards = all
-        .chunks(per_group)
-        .enumerate()
-        .map(|(group, sets)| {
-            let partitions = Arc::new(sets.iter().flat_map(PartitionSet::iter).collect());
-            let mut replicas = indexes.clone();
-            replicas.rotate_left(group % indexes.len().max(1));
-            PlannedShard { partitions, replicas }
-        })
-        .collect();
-    ShardPlan { revision: configuration.version.revision, shards, through_peers: true }
-}
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-use sablebay_config::{Configuration, NodeSettings};
+use sablebay_config::{Configuration, EntryKind, LeafSettings, NodeSettings};
 use sablebay_fleet::{ClaimHolder, FleetNode, MemberInfo};
 use sablebay_model::{InstanceKey, LeafId, Reason, Refusal, ServiceId};
 
@@ -21,7 +21,7 @@
 use crate::metrics::Metrics;
 use crate::node::NodeMechanisms;
 use crate::peers::PeerTransport;
-use crate::service_state::ServiceState;
+use crate::service_state::{PlanNeed, ServiceState};
 
 /// What all parts of a node share.
 pub struct Shared {
@@ -87,30 +87,41 @@
         self.view.load().configuration.clone()
     }
 
-    /// The client of a leaf; made at its first use, and made anew when its address changed.
-    pub fn leaf_client(&self, leaf: &LeafId) -> Option<Arc<LeafClient>> {
-        let view = self.view.load();
-        let settings = view.configuration.as_ref()?.leaves.get(leaf)?.clone();
-        let connections = view.connections_for(&settings, &self.settings);
+    /// The client of a leaf; made at its first use, and made anew when the leaf's settings changed.
+    pub fn leaf_client(&self, settings: &Arc<LeafSettings>) -> Arc<LeafClient> {
+        let connections = self.view.load().connections_for(settings, &self.settings);
         let mut leaves = self.leaves.lock();
-        if let Some(client) = leaves.get(leaf).filter(|client| client.address() == settings.address) {
-            return Some(client.clone());
+        if let Some(client) = leaves.get(&settings.leaf).filter(|client| client.settings() == &**settings) {
+            return client.clone();
         }
         let client = Arc::new(LeafClient::new(
-            leaf.clone(),
-            settings.address,
+            settings.clone(),
             connections,
             self.key(),
             self.clock,
             self.next_call.clone(),
             self.client_counters.clone(),
         ));
-        leaves.insert(leaf.clone(), client.clone());
-        Some(client)
+        leaves.insert(settings.leaf.clone(), client.clone());
+        client
+    }
+
+    /// The client of a leaf that a plan of this node names.
+    pub fn known_leaf_client(&self, leaf: &LeafId) -> Option<Arc<LeafClient>> {
+        self.leaves.lock().get(leaf).cloned()
     }
 
     /// The state of a service in force; made at its first use.
     pub fn service(&self, service: &ServiceId) -> Option<Arc<ServiceState>> {
+        self.service_with(service, PlanNeed::Callers)
+    }
+
+    /// The state of a service in force, with a plan over its leaves.
+    pub fn service_with_leaves(&self, service: &ServiceId) -> Option<Arc<ServiceState>> {
+        self.service_with(service, PlanNeed::Leaves)
+    }
+
+    fn service_with(&self, service: &ServiceId, need: PlanNeed) -> Option<Arc<ServiceState>> {
         let view = self.view.load_full();
         let settings = view.configuration.as_ref()?.services.get(service)?.clone();
         let state = {
@@ -118,7 +129,7 @@
             let fresh = || Arc::new(ServiceState::new(&settings, &self.mechanisms, self.clock.now()));
             services.entry(service.clone()).or_insert_with(fresh).clone()
         };
-        state.refresh(self, &view, &settings);
+        state.refresh(self, &view, &settings, need);
         Some(state)
     }
 
@@ -135,12 +146,10 @@
             return;
         };
         self.services.lock().retain(|service, _| configuration.services.contains_key(service));
-        self.leaves.lock().retain(|leaf, client| match configuration.leaves.get(leaf) {
-            Some(settings) => {
-                client.set_connections(view.connections_for(settings, &self.settings));
-                true
-            }
-            None => false,
+        let document = &configuration.document;
+        self.leaves.lock().retain(|leaf, client| {
+            client.set_connections(view.connections_for(client.settings(), &self.settings));
+            document.entry(EntryKind::Leaf, leaf.as_str()).is_some()
         });
     }
 }
--- a/crates/sablebay-query/src/plan.rs
+++ b/crates/sablebay-query/src/plan.rs
@@ -35,6 +35,11 @@
         all.collect()
     }
 
+    /// The same plan under another revision, for a change that does not touch it.
+    pub fn at_revision(&self, revision: Revision) -> ShardPlan {
+        ShardPlan { revision, ..self.clone() }
+    }
+
     /// The part of the plan that searches `wanted`.
     pub fn restricted_to(&self, wanted: &PartitionSet) -> ShardPlan {
         let cut = |shard: &PlannedShard| {
--- a/crates/sablebay/src/bin/sablebay-bench.rs
+++ b/crates/sablebay/src/bin/sablebay-bench.rs
@@ -2,7 +2,8 @@
 
 /// The product's allocator, so that what is measured here is what runs there.
 #[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+static ALLOCATOR: sablebay_bench::CountingAllocator<mimalloc::MiMalloc> =
+    sablebay_bench::CountingAllocator(mimalloc::MiMalloc);
 
 fn main() -> std::process::ExitCode {
     sablebay_bench::run_command_line()
