A peer's configuration is read in parts, and put together as it arrives

Ruled out: splitting the platform's text before it is parsed (a parser of our own). Change: a peer's entries are validated 64 KiB at a time (reader.rs: leaves, then indexes against the leaves' names, then services against a summary of the indexes); one tree and not two for a text, with one table's keys at a time; parts are added to the document as they come. Services are checked against a map of indexes, no longer a list.

--- a/crates/sablebay-bench/src/configuration_cost.rs
+++ b/crates/sablebay-bench/src/configuration_cost.rs
@@ -25,8 +25,11 @@
 pub struct ConfigurationCost {
     /// Memory that it keeps.
     pub memory_bytes: f64,
-    /// Memory that is needed at once while it is read, the part that it keeps among it.
+    /// Memory that is needed at once while it is read from the platform's text, the part that it
+    /// keeps among it.
     pub read_peak_bytes: f64,
+    /// The same while it is read from a peer's entries, without the entries.
+    pub join_peak_bytes: f64,
     /// Bytes of names and bodies in the document.
     pub document_bytes: f64,
     /// Processor time to read and validate the whole.
@@ -38,7 +41,7 @@
 }
 
 /// A document of a size. `deadline_ms` is that of the first service.
-fn document(size: ConfigurationSize, revision: u64, deadline_ms: u64) -> String {
+pub fn configuration_text(size: ConfigurationSize, revision: u64, deadline_ms: u64) -> String {
     let indexes = (size.leaves / LEAVES_PER_SHARD / SHARDS_PER_INDEX).max(1);
     let mut text = format!("revision = {revision}\n[templates.t]\nreplicas = 2\n");
     for service in 0..size.services {
@@ -75,12 +78,15 @@
 /// When the measurement's own documents are not valid.
 pub fn measure_configuration(size: ConfigurationSize) -> Result<ConfigurationCost, BenchError> {
     const DELTAS: usize = 10;
-    let text = document(size, 1, 300);
+    let text = configuration_text(size, 1, 300);
     let cpu = process_cpu_time();
     let (configuration, allocated) = count_allocations(|| Configuration::parse("capacity", &text));
     let read = process_cpu_time() - cpu;
     let configuration = configuration?;
-    let next = Configuration::parse("capacity", &document(size, 2, 301))?;
+    let next = Configuration::parse("capacity", &configuration_text(size, 2, 301))?;
+    let sent = (*configuration.document).clone();
+    let (joined, joining) = count_allocations(|| Configuration::from_document(sent));
+    black_box(joined?);
     let delta: Delta = configuration.document.delta_to(&next.document);
     let cpu = process_cpu_time();
     for _ in 0..DELTAS {
@@ -90,6 +96,7 @@
     Ok(ConfigurationCost {
         memory_bytes: allocated.kept as f64,
         read_peak_bytes: allocated.peak as f64,
+        join_peak_bytes: joining.peak as f64,
         document_bytes: configuration.document.content_bytes() as f64,
         read_us: read.as_secs_f64() * 1e6,
         delta_us: apply.as_secs_f64() * 1e6 / DELTAS as f64,
@@ -122,6 +129,7 @@
         ConfigurationCost {
             memory_bytes: each(|cost| cost.memory_bytes),
             read_peak_bytes: each(|cost| cost.read_peak_bytes),
+            join_peak_bytes: each(|cost| cost.join_peak_bytes),
             document_bytes: each(|cost| cost.document_bytes),
             read_us: each(|cost| cost.read_us),
             delta_us: each(|cost| cost.delta_us),
--- a/crates/sablebay-bench/src/lib.rs
+++ b/crates/sablebay-bench/src/lib.rs
@@ -21,6 +21,7 @@
 pub use allocation::{Allocated, CountingAllocator, count_allocations};
 pub use cli::run_command_line;
 pub use cluster::{Cluster, ClusterOptions};
+pub use configuration_cost::{ConfigurationSize, configuration_text};
 pub use error::BenchError;
 pub use experiment::{RunOptions, run_experiment};
 pub use hollow::{HollowFleet, HollowOptions, HollowReport};
--- /dev/null
+++ b/crates/sablebay-bench/tests/configuration_memory.rs
@@ -0,0 +1,28 @@
+//! What a configuration needs of memory at the two-year size, counted and not estimated.
+
+use sablebay_bench::{ConfigurationSize, CountingAllocator, configuration_text, count_allocations};
+use sablebay_config::Configuration;
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator<std::alloc::System> = CountingAllocator(std::alloc::System);
+
+/// Leaves of the measured configuration, and of the two-year size.
+const LEAVES: usize = 10_000;
+const TWO_YEAR_LEAVES: i64 = 110_000;
+/// What control may take of a node's memory.
+const LIMIT_BYTES: i64 = 32_000_000;
+
+/// A node that starts is sent the whole configuration by a peer; what it keeps of it and what it needs
+/// at once to read it stay under the limit.
+#[test]
+fn a_configuration_from_a_peer_fits_the_limit() {
+    let size = ConfigurationSize { leaves: LEAVES, services: LEAVES / 100 };
+    let text = configuration_text(size, 1, 300);
+    let (whole, read) = count_allocations(|| Configuration::parse("test", &text).unwrap());
+    let sent = (*whole.document).clone();
+    let (_joined, joining) = count_allocations(|| Configuration::from_document(sent).unwrap());
+    let at_two_years = |bytes: i64| bytes * TWO_YEAR_LEAVES / LEAVES as i64;
+    assert!(read.kept > 0, "the allocator counts");
+    assert!(at_two_years(read.kept) < LIMIT_BYTES, "{read:?}");
+    assert!(at_two_years(read.kept) + joining.peak < LIMIT_BYTES, "{read:?} {joining:?}");
+}
--- a/crates/sablebay-config/src/document.rs
+++ b/crates/sablebay-config/src/document.rs
@@ -4,10 +4,12 @@
 //! The digest is a sum over the entries, so that it follows a delta without reading the rest.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 use derive_more::Display;
 use musli::{Decode, Encode};
 use serde::{Deserialize, Serialize};
+use toml::de::{DeTable, ValueDeserializer};
 
 use sablebay_model::Revision;
 
@@ -95,24 +97,33 @@
     /// A document from entries.
     pub fn new(revision: Revision, entries: impl IntoIterator<Item = (EntryKey, String)>) -> Self {
         let mut document = Self { revision, ..Self::default() };
+        document.extend(entries);
+        document
+    }
+
+    /// Adds entries, or replaces those that there are.
+    pub fn extend(&mut self, entries: impl IntoIterator<Item = (EntryKey, String)>) {
         for (key, body) in entries {
-            document.set(Entry::new(key.kind, &key.name, &body));
+            self.set(Entry::new(key.kind, &key.name, &body));
         }
-        document
     }
 
     /// The document in a parsed TOML table that has been validated.
-    pub fn from_table(revision: Revision, table: &toml::Table) -> Self {
+    ///
+    /// # Errors
+    /// The place of a value that TOML's own values cannot hold, and why.
+    pub fn from_table(revision: Revision, table: &DeTable<'_>) -> Result<Self, (Range<usize>, String)> {
         let mut document = Self { revision, ..Self::default() };
         for kind in EntryKind::ALL {
-            let Some(toml::Value::Table(section)) = table.get(kind.section()) else {
-                continue;
-            };
-            for (name, value) in section {
-                document.set(Entry::new(kind, name, &value.to_string()));
+            let section = table.get(kind.section()).and_then(|section| section.get_ref().as_table());
+            for (name, value) in section.into_iter().flatten() {
+                // One entry at a time, so that the document never stands in memory as a second tree.
+                let body = toml::Value::deserialize(ValueDeserializer::from(value.clone()));
+                let body = body.map_err(|error| (value.span(), error.message().to_string()))?;
+                document.set(Entry::new(kind, name.get_ref(), &body.to_string()));
             }
         }
-        document
+        Ok(document)
     }
 
     /// Revision and digest.
@@ -191,10 +202,19 @@
         Ok(next)
     }
 
+    /// All entries by kind and name.
+    pub fn sorted(&self) -> Vec<&Entry> {
+        self.entries.sorted()
+    }
+
     /// The document as TOML text.
     pub fn to_text(&self) -> String {
+        self.text_of(&self.sorted())
+    }
+
+    /// Some of its entries as TOML text.
+    pub fn text_of(&self, entries: &[&Entry]) -> String {
         let mut text = format!("revision = {}\n", self.revision);
-        let entries = self.entries.sorted();
         for kind in EntryKind::ALL {
             text.push_str(&format!("[{}]\n", kind.section()));
             for entry in entries.iter().filter(|entry| entry.kind() == kind) {
--- a/crates/sablebay-config/src/index.rs
+++ b/crates/sablebay-config/src/index.rs
@@ -1,6 +1,6 @@
 //! Index maps and leaves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -97,7 +97,7 @@
     name: &str,
     place: &Range<usize>,
     keys: &Layer<'_>,
-    known: &BTreeMap<&str, LeafId>,
+    known: &BTreeSet<&str>,
 ) -> IndexMap {
     let title = format!("index `{name}`");
     let section = Section::new(findings, title.clone(), place.clone(), keys.clone());
@@ -140,7 +140,7 @@
     findings: &Findings,
     title: &str,
     section: &Section<'_>,
-    known: &BTreeMap<&str, LeafId>,
+    known: &BTreeSet<&str>,
 ) -> Vec<LeafId> {
     let given = section.text_list("leaves");
     if given.is_empty() {
@@ -148,13 +148,12 @@
     }
     let mut leaves: Vec<LeafId> = Vec::with_capacity(given.len());
     for (name, place) in given {
-        // The identifier is shared with the leaf's own entry: an index names each leaf again.
-        let leaf = known.get(name).cloned().unwrap_or_else(|| {
-            let nearest = nearest_name(name, known.keys().copied());
+        let leaf = LeafId::new(name);
+        if !known.contains(name) {
+            let nearest = nearest_name(name, known.iter().copied());
             let message = format!("{title}: there is no leaf `{name}`");
             findings.add_with_nearest(&place, message, "a leaf's name", nearest);
-            LeafId::new(name)
-        });
+        }
         if leaves.contains(&leaf) {
             findings.add(
                 &place,
--- a/crates/sablebay-config/src/lib.rs
+++ b/crates/sablebay-config/src/lib.rs
@@ -12,6 +12,7 @@
 mod nearest;
 mod node_flags;
 mod node_settings;
+mod reader;
 mod section;
 mod service;
 mod template;
--- /dev/null
+++ b/crates/sablebay-config/src/reader.rs
@@ -0,0 +1,269 @@
+//! Reading a document: whole from a text, or in parts from entries that a peer sent.
+//!
+//! Reading TOML with the places of all values takes some kilobytes for each leaf at once. A fleet's
+//! whole document therefore never becomes one tree when it comes from a peer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+
+use toml::de::DeTable;
+
+use sablebay_model::{IndexId, Revision, ZoneName};
+
+use crate::document::Document;
+use crate::entry::{Entry, EntryKind};
+use crate::error::ConfigurationError;
+use crate::finding::Findings;
+use crate::index::{IndexMap, LeafSettings, read_index, read_leaf};
+use crate::nearest::nearest_name;
+use crate::section::{Layer, NamedTable, Section, layer};
+use crate::service::ServiceSettings;
+use crate::template::{Templates, check_templates, read_instance};
+
+/// Bytes of entries that are read at once.
+const PART_BYTES: usize = 64 * 1024;
+
+/// What services are checked against of an index.
+struct IndexSummary {
+    partitions: u32,
+    fewest_replicas: usize,
+}
+
+/// What tables are checked against beyond themselves.
+#[derive(Default)]
+struct Known<'a> {
+    leaves: BTreeSet<&'a str>,
+    indexes: BTreeMap<IndexId, IndexSummary>,
+}
+
+impl Known<'_> {
+    fn note_index(&mut self, map: &IndexMap) {
+        let replicas = map.shards.iter().map(|shard| shard.leaves.len());
+        let summary =
+            IndexSummary { partitions: map.partitions, fewest_replicas: replicas.min().unwrap_or(0) };
+        self.indexes.insert(map.index.clone(), summary);
+    }
+}
+
+/// The tables of a document, not read yet.
+struct Tables<'a> {
+    revision: Revision,
+    leaves: Vec<NamedTable<'a>>,
+    indexes: Vec<NamedTable<'a>>,
+    templates: Vec<NamedTable<'a>>,
+    instances: Vec<NamedTable<'a>>,
+}
+
+/// Reads a whole text, with the place of every finding in it.
+///
+/// # Errors
+/// [`ConfigurationError::Invalid`] with every finding.
+pub fn read_whole(file: &str, text: &str) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
+    read_text(file, text, |findings, root| {
+        let tables = read_tables(findings, root);
+        let mut known = Known { leaves: names(&tables.leaves), ..Known::default() };
+        for table in &tables.leaves {
+            read_leaf(findings, table.name, &table.place, &table.keys());
+        }
+        for table in &tables.indexes {
+            known.note_index(&read_index(findings, table.name, &table.place, &table.keys(), &known.leaves));
+        }
+        let services = services_of(findings, &tables, &known);
+        // Nothing is made of a text with findings.
+        if !findings.is_empty() {
+            return (Document::default(), services);
+        }
+        let document = Document::from_table(tables.revision, root).unwrap_or_else(|(place, reason)| {
+            findings.add(&place, format!("not a value: {reason}"), "");
+            Document::default()
+        });
+        (document, services)
+    })
+}
+
+/// Reads the services of a small document that holds all they refer to.
+///
+/// # Errors
+/// As [`read_whole`].
+pub fn read_services(file: &str, text: &str) -> Result<Vec<ServiceSettings>, ConfigurationError> {
+    read_whole(file, text).map(|(_, services)| services)
+}
+
+/// Reads the index maps and leaves of a small document.
+///
+/// # Errors
+/// As [`read_whole`].
+pub fn read_layout(file: &str, text: &str) -> Result<(Vec<IndexMap>, Vec<LeafSettings>), ConfigurationError> {
+    read_text(file, text, |findings, root| {
+        let tables = read_tables(findings, root);
+        let known = names(&tables.leaves);
+        let leaves = tables.leaves.iter();
+        let leaves = leaves.map(|table| read_leaf(findings, table.name, &table.place, &table.keys()));
+        let mut leaves: Vec<LeafSettings> = leaves.collect();
+        share_zones(&mut leaves);
+        let maps = tables.indexes.iter();
+        let maps = maps.map(|table| read_index(findings, table.name, &table.place, &table.keys(), &known));
+        (maps.collect(), leaves)
+    })
+}
+
+/// Validates the entries of a document part by part, and reads its services.
+///
+/// # Errors
+/// As [`read_whole`]; places are those within the part.
+pub fn read_in_parts(file: &str, document: &Document) -> Result<Vec<ServiceSettings>, ConfigurationError> {
+    let entries = document.sorted();
+    let of_kind = |kind: EntryKind| entries.iter().copied().filter(move |entry| entry.kind() == kind);
+    let mut known = Known { leaves: of_kind(EntryKind::Leaf).map(Entry::name).collect(), ..Known::default() };
+    let templates: Vec<&Entry> = of_kind(EntryKind::Template).collect();
+    let mut services = Vec::new();
+    // In this order, since indexes name leaves and services name indexes.
+    for (kind, shared) in [
+        (EntryKind::Leaf, &[] as &[&Entry]),
+        (EntryKind::Index, &[]),
+        (EntryKind::Instance, templates.as_slice()),
+    ] {
+        let all: Vec<&Entry> = of_kind(kind).collect();
+        for part in parts(&all) {
+            let entries: Vec<&Entry> = shared.iter().chain(part).copied().collect();
+            let text = document.text_of(&entries);
+            services.extend(read_part(file, &text, &mut known)?);
+        }
+    }
+    Ok(services)
+}
+
+/// Cuts entries into parts of about [`PART_BYTES`].
+fn parts<'a, 'b>(entries: &'b [&'a Entry]) -> Vec<&'b [&'a Entry]> {
+    let mut parts = Vec::new();
+    let (mut start, mut bytes) = (0, 0);
+    for (at, entry) in entries.iter().enumerate() {
+        bytes += entry.content_bytes();
+        if bytes >= PART_BYTES {
+            parts.push(&entries[start..=at]);
+            (start, bytes) = (at + 1, 0);
+        }
+    }
+    if start < entries.len() || entries.is_empty() {
+        parts.push(&entries[start..]);
+    }
+    parts
+}
+
+fn read_part(
+    file: &str,
+    text: &str,
+    known: &mut Known<'_>,
+) -> Result<Vec<ServiceSettings>, ConfigurationError> {
+    read_text(file, text, |findings, root| {
+        let tables = read_tables(findings, root);
+        for table in &tables.leaves {
+            read_leaf(findings, table.name, &table.place, &table.keys());
+        }
+        for table in &tables.indexes {
+            let map = read_index(findings, table.name, &table.place, &table.keys(), &known.leaves);
+            known.note_index(&map);
+        }
+        services_of(findings, &tables, known)
+    })
+}
+
+/// Parses a text and reads it; all findings or what was read.
+fn read_text<T>(
+    file: &str,
+    text: &str,
+    read: impl FnOnce(&Findings, &DeTable<'_>) -> T,
+) -> Result<T, ConfigurationError> {
+    let findings = Findings::new(file, text);
+    let (root, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let place = error.span().unwrap_or(0..0);
+        findings.add(&place, format!("not TOML: {}", error.message()), "");
+    }
+    let value = read(&findings, root.get_ref());
+    let list = findings.into_sorted();
+    if list.is_empty() { Ok(value) } else { Err(ConfigurationError::Invalid { findings: list }) }
+}
+
+fn read_tables<'a>(findings: &'a Findings, root: &'a DeTable<'a>) -> Tables<'a> {
+    let section = Section::new(findings, "document".to_string(), 0..0, layer(root));
+    let revision = Revision(section.integer("revision", 1..=i64::MAX as u64).unwrap_or(0));
+    section.missing("revision", "the revision's number");
+    let tables = Tables {
+        revision,
+        leaves: section.named_tables(EntryKind::Leaf.section()),
+        indexes: section.named_tables(EntryKind::Index.section()),
+        templates: section.named_tables(EntryKind::Template.section()),
+        instances: section.named_tables(EntryKind::Instance.section()),
+    };
+    section.finish();
+    tables
+}
+
+fn names<'a>(tables: &[NamedTable<'a>]) -> BTreeSet<&'a str> {
+    tables.iter().map(|table| table.name).collect()
+}
+
+fn services_of(findings: &Findings, tables: &Tables<'_>, known: &Known<'_>) -> Vec<ServiceSettings> {
+    let templates = tables.templates.iter();
+    let templates: Templates<'_> =
+        templates.map(|table| (table.name, (table.place.clone(), table.keys()))).collect();
+    check_templates(findings, &templates);
+    let instances = tables.instances.iter();
+    let read = |table: &NamedTable<'_>| {
+        let keys = table.keys();
+        let settings = read_instance(findings, &templates, table.name, &table.place, &keys);
+        check_against_index(findings, &settings, &table.place, &keys, &known.indexes);
+        settings
+    };
+    instances.map(read).collect()
+}
+
+/// Lets leaves of one zone share its name: there are few zones and very many leaves.
+fn share_zones(leaves: &mut [LeafSettings]) {
+    let mut zones: BTreeSet<ZoneName> = BTreeSet::new();
+    for leaf in leaves {
+        match zones.get(&leaf.zone) {
+            Some(zone) => leaf.zone = zone.clone(),
+            None => {
+                zones.insert(leaf.zone.clone());
+            }
+        }
+    }
+}
+
+/// Checks what a service asks of its index: that there is one, its partitions, its replicas.
+fn check_against_index(
+    findings: &Findings,
+    settings: &ServiceSettings,
+    place: &Range<usize>,
+    keys: &Layer<'_>,
+    indexes: &BTreeMap<IndexId, IndexSummary>,
+) {
+    let name = &settings.service;
+    let place_of = |key: &str| keys.get(key).map_or(place.clone(), |place| place.range());
+    if settings.index.as_str().is_empty() {
+        return;
+    }
+    let Some(index) = indexes.get(&settings.index) else {
+        let nearest = nearest_name(settings.index.as_str(), indexes.keys().map(IndexId::as_str));
+        let message = format!("instance `{name}`: there is no index `{}`", settings.index);
+        findings.add_with_nearest(&place_of("index"), message, "an index's name", nearest);
+        return;
+    };
+    if let Some(partitions) = &settings.partitions
+        && partitions.highest().is_some_and(|highest| highest >= index.partitions)
+    {
+        let message =
+            format!("instance `{name}`: partitions {partitions} are not all in `{}`", settings.index);
+        findings.add(&place_of("partitions"), message, format!("partitions below {}", index.partitions));
+    }
+    let fewest = index.fewest_replicas;
+    if settings.replicas as usize > fewest {
+        let message = format!(
+            "instance `{name}`: {} replicas are asked for, but a shard of `{}` has {fewest} leaves",
+            settings.replicas, settings.index
+        );
+        findings.add(&place_of("replicas"), message, format!("at most {fewest}"));
+    }
+}
--- a/crates/sablebay-config/src/section.rs
+++ b/crates/sablebay-config/src/section.rs
@@ -42,6 +42,22 @@
     Place { value: value.get_ref(), start: value.span().start, end: value.span().end, key_start }
 }
 
+/// A table with the name that it stands under.
+pub struct NamedTable<'a> {
+    /// The name.
+    pub name: &'a str,
+    /// The place of the name.
+    pub place: Range<usize>,
+    table: &'a DeTable<'a>,
+}
+
+impl<'a> NamedTable<'a> {
+    /// The table's keys. Made at each call: there are very many tables.
+    pub fn keys(&self) -> Layer<'a> {
+        layer(self.table)
+    }
+}
+
 /// A table that is being read: remembers which keys were asked for.
 pub struct Section<'a> {
     findings: &'a Findings,
@@ -257,8 +273,8 @@
         sections
     }
 
-    /// A table of named tables: name, place of the name, and the table's keys.
-    pub fn named_tables(&self, key: &'static str) -> Vec<(&'a str, Range<usize>, Layer<'a>)> {
+    /// A table of named tables.
+    pub fn named_tables(&self, key: &'static str) -> Vec<NamedTable<'a>> {
         let Some(place) = self.raw(key) else {
             return Vec::new();
         };
@@ -271,7 +287,7 @@
             let text: &str = name.get_ref().as_ref();
             check_name(self.findings, text, &name.span());
             match value.get_ref().as_table() {
-                Some(inner) => tables.push((text, name.span(), layer(inner))),
+                Some(table) => tables.push(NamedTable { name: text, place: name.span(), table }),
                 None => {
                     let message = format!("`{key}.{text}` is a {}", value.get_ref().type_str());
                     self.findings.add(&value.span(), message, "a table");
--- a/crates/sablebay-config/tests/documents.rs
+++ b/crates/sablebay-config/tests/documents.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use sablebay_config::{Configuration, Document, Entry, EntryKey, EntryKind};
+use sablebay_config::{Configuration, ConfigurationError, Document, Entry, EntryKey, EntryKind};
 use sablebay_model::{IndexId, Revision};
 
 fn settings(cases: u32) -> ProptestConfig {
@@ -117,3 +117,35 @@
     assert!(!layout.is_current(&other_map.document));
     assert!(before.index_layout(&IndexId::new("none")).is_err());
 }
+
+/// A document that a peer sent is read in parts, with the same result as its whole text.
+#[test]
+fn parts_are_read_as_the_whole_is() {
+    let mut text = String::from("revision = 1\n[templates.t]\n");
+    for index in 0..40 {
+        text.push_str(&format!("[instances.s{index}]\ntemplate = \"t\"\nindex = \"i{index}\"\n"));
+        text.push_str(&format!("[indexes.i{index}]\npartitions = 60\n"));
+        for shard in 0..60 {
+            let leaf = index * 60 + shard;
+            text.push_str(&format!(
+                "[[indexes.i{index}.shards]]\npartitions = \"{shard}\"\nleaves = [\"leaf-{leaf}\"]\n\
+                 [leaves.leaf-{leaf}]\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n"
+            ));
+        }
+    }
+    let whole = Configuration::parse("whole", &text).unwrap();
+    assert!(whole.document.content_bytes() > 128 * 1024, "it takes several parts");
+    let parts = Configuration::from_document((*whole.document).clone()).unwrap();
+    assert_eq!((parts.version, &parts.services), (whole.version, &whole.services));
+
+    // What refers to an entry of another part that is not there is found.
+    for gone in [EntryKey::new(EntryKind::Leaf, "leaf-7"), EntryKey::new(EntryKind::Index, "i39")] {
+        let entries = whole.document.entries().filter(|entry| entry.key() != gone);
+        let entries = entries.map(|entry| (entry.key(), entry.body().to_string()));
+        let broken = Configuration::from_document(Document::new(Revision(2), entries));
+        let Err(ConfigurationError::Invalid { findings }) = broken else {
+            panic!("{gone} is not missed");
+        };
+        assert!(findings[0].message.contains(&gone.name), "{findings:?}");
+    }
+}
--- a/crates/sablebay-fleet/src/transfer.rs
+++ b/crates/sablebay-fleet/src/transfer.rs
@@ -1,6 +1,6 @@
 //! Sending a whole configuration in parts, and putting it together again.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use sablebay_config::{Document, EntryKey, Version};
 use sablebay_model::Micros;
@@ -39,14 +39,18 @@
 pub struct Assembly {
     version: Version,
     parts: u32,
-    received: BTreeMap<u32, Vec<(EntryKey, String)>>,
+    received: BTreeSet<u32>,
+    /// What the received parts hold: they are not kept besides, since a whole configuration is the
+    /// largest thing that a node holds.
+    document: Document,
     last_part_at: Micros,
 }
 
 impl Assembly {
     /// An assembly of `parts` parts.
     pub fn new(version: Version, parts: u32, now: Micros) -> Self {
-        Self { version, parts, received: BTreeMap::new(), last_part_at: now }
+        let document = Document::new(version.revision, []);
+        Self { version, parts, received: BTreeSet::new(), document, last_part_at: now }
     }
 
     /// The version that is put together.
@@ -61,16 +65,15 @@
 
     /// Takes a part in. Returns the document when it is whole and has the digest it should.
     pub fn add(&mut self, part: u32, entries: Vec<(EntryKey, String)>, now: Micros) -> Option<Document> {
-        if part >= self.parts {
+        if part >= self.parts || !self.received.insert(part) {
             return None;
         }
-        self.received.insert(part, entries);
+        self.document.extend(entries);
         self.last_part_at = now;
         if self.received.len() < self.parts as usize {
             return None;
         }
-        let entries = std::mem::take(&mut self.received).into_values().flatten();
-        let document = Document::new(self.version.revision, entries);
+        let document = std::mem::take(&mut self.document);
         (document.version() == self.version).then_some(document)
     }
 }
