--- a/crates/sablebay-bench/src/cli.rs
+++ b/crates/sablebay-bench/src/cli.rs
@@ -324,6 +324,8 @@
     match arguments.text("break") {
         Some("write-once") => mechanisms.claims = false,
         Some("wait-at-stop") => mechanisms.wait_at_stop = false,
+        Some("correlation") => mechanisms.correlation = false,
+        Some("unknown-outcomes") => mechanisms.unknown_outcomes = false,
         other => return Err(UsageError(format!("--break cannot be `{other:?}`")).into()),
     }
     let settings = NodeSettings::parse_with_overrides("flags", "", &overrides_of(&arguments.repeated))?;
--- a/crates/sablebay-node/src/leaf_client.rs
+++ b/crates/sablebay-node/src/leaf_client.rs
@@ -92,6 +92,8 @@
     pub clock: Clock,
     pub pool: ConnectionPool,
     pub counters: Arc<ClientCounters>,
+    /// Whether answers are held against the calls that they name; off in tests alone.
+    pub correlates: bool,
 }
 
 /// The calls of this node to one leaf.
@@ -103,7 +105,7 @@
 }
 
 impl LeafClient {
-    /// A client that uses `connections` connections at the most.
+    /// A client that uses `connections` connections at the most. `correlates` is off in tests alone.
     pub fn new(
         settings: Arc<LeafSettings>,
         connections: usize,
@@ -111,6 +113,7 @@
         clock: Clock,
         next_call: Arc<AtomicU64>,
         counters: Arc<ClientCounters>,
+        correlates: bool,
     ) -> Self {
         let context = Arc::new(ClientContext {
             leaf: settings.leaf.clone(),
@@ -118,6 +121,7 @@
             clock,
             pool: ConnectionPool::new(settings.address, connections),
             counters,
+            correlates,
         });
         let (commands, receiver) = mpsc::unbounded_channel();
         tokio::spawn(batch::run_dispatcher(context.clone(), receiver));
--- a/crates/sablebay-node/src/leaf_client/batch.rs
+++ b/crates/sablebay-node/src/leaf_client/batch.rs
@@ -232,7 +232,8 @@
         log::warn!("leaf: {} sent a line that is no answer: {error}.", context.leaf);
         ExchangeFailure::Broken
     })?;
-    let Some(call) = open.take(answer.call_id) else {
+    let call = if context.correlates { open.take(answer.call_id) } else { open.take_oldest() };
+    let Some(call) = call else {
         context.counters.misaddressed.fetch_add(1, Ordering::Relaxed);
         log::warn!("leaf: {} answered call {}, which is not open here.", context.leaf, answer.call_id);
         return Err(ExchangeFailure::Broken);
@@ -274,6 +275,11 @@
         self.calls.iter_mut().find(matches).and_then(Option::take)
     }
 
+    /// Takes the oldest call that is open, whatever the answer says.
+    fn take_oldest(&mut self) -> Option<QueuedCall> {
+        self.calls.iter_mut().find_map(Option::take)
+    }
+
     fn fail_all(&mut self, failure: CallFailure) {
         for call in self.calls.iter_mut().filter_map(Option::take) {
             call.fail(failure, None);
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -49,6 +49,10 @@
     pub claims: bool,
     /// Waiting for requests in flight at a planned stop.
     pub wait_at_stop: bool,
+    /// Holding a leaf's answer against the call that it names. Off: it is taken for the oldest one.
+    pub correlation: bool,
+    /// Calling an operation's outcome unknown when its back end gave no word. Off: `not_run`.
+    pub unknown_outcomes: bool,
 }
 
 impl Default for NodeMechanisms {
@@ -58,6 +62,8 @@
             fleet: FleetMechanisms::default(),
             claims: true,
             wait_at_stop: true,
+            correlation: true,
+            unknown_outcomes: true,
         }
     }
 }
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -270,6 +270,9 @@
                 }
                 last = Refusal::not_run(Reason::BackEndRefused, format!("{leaf} refused: {refusal:?}"));
             }
+            Err(OperationFailure::NoWord) if !shared.mechanisms.unknown_outcomes => {
+                last = Refusal::not_run(Reason::BackEndFailed, format!("{leaf} gave no word"));
+            }
             Err(OperationFailure::NoWord) => {
                 let message = format!("{leaf} was sent the operation and gave no word of it");
                 return Err(Refusal::unknown(Reason::BackEndFailed, message));
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -101,6 +101,7 @@
             self.clock,
             self.next_call.clone(),
             self.client_counters.clone(),
+            self.mechanisms.correlation,
         ));
         leaves.insert(settings.leaf.clone(), client.clone());
         client
--- a/crates/sablebay/tests/not_run.rs
+++ b/crates/sablebay/tests/not_run.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use common::{DESK, small_deployment, start};
+use common::{DESK, small_deployment, start, start_with};
 use sablebay_bench::ProcessCluster;
 use sablebay_model::Reason;
 use sablebay_standin::{CallerClient, Faults, OperationOutcome, Proxy};
@@ -80,6 +80,19 @@
     assert_eq!(cluster.leaves.operations().len(), 3);
 }
 
+/// The ledgers are not blind: a node that takes silence for a refusal is found out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_false_not_run_is_noticed_when_the_mechanism_is_off() {
+    let cluster = start_with(small_deployment("latency", 2_000.0), Some("unknown-outcomes")).await;
+    every_leaf(&cluster, |faults| faults.black_hole = true);
+    let told = submit(&cluster, 3).await;
+    let ran = cluster.leaves.operations();
+    let is_false = |(ticket, outcome): (&String, &OperationOutcome)| {
+        matches!(outcome, OperationOutcome::NotRun { .. }) && ran.contains_key(id(ticket))
+    };
+    assert_eq!(told.iter().filter(|entry| is_false(*entry)).count(), 3, "{told:?}");
+}
+
 /// Connections to the back ends break after the operation was sent: the answer is lost, not the
 /// operation.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sablebay/tests/own_answer.rs
+++ b/crates/sablebay/tests/own_answer.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use common::{load, small_deployment, start};
-use sablebay_standin::{CORPUS, Faults, Proxy, Violation, check_answer};
+use common::{load, small_deployment, start, start_with};
+use sablebay_standin::{CORPUS, Deployment, Faults, Proxy, Violation, check_answer};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn with_answers_that_are_repeated_and_out_of_order() {
@@ -71,6 +71,29 @@
     assert!(load.answered > 0);
 }
 
+/// Several queries' calls in one batch, answered as each is done: the order differs.
+fn coalescing_deployment() -> Deployment {
+    let mut deployment = small_deployment("latency", 4_000.0);
+    deployment.template("direct", "deadline_ms = 2000\nfan_out = \"direct\"\ncoalesce_us = 20000\n");
+    deployment
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_many_queries_in_one_batch() {
+    let cluster = start(coalescing_deployment()).await;
+    let load = load(&cluster, 400.0, 2.0, 5).await;
+    assert_eq!(load.violations, []);
+    assert!(load.answered > 0);
+}
+
+/// The same with answers taken for the oldest open call, whatever call they name.
+#[tokio::test(flavor = "multi_thread")]
+async fn foreign_answers_are_noticed_when_the_mechanism_is_off() {
+    let cluster = start_with(coalescing_deployment(), Some("correlation")).await;
+    let load = load(&cluster, 400.0, 2.0, 5).await;
+    assert!(load.count(Violation::ForeignAnswer) > 0, "{load:?}");
+}
+
 /// The checker is not blind: another caller's answer is noticed, and so is half of one's own.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_checker_notices_another_callers_answer_and_a_cut_one() {
