--- a/crates/sablebay-bench/tests/configuration_memory.rs
+++ b/crates/sablebay-bench/tests/configuration_memory.rs
@@ -12,15 +12,19 @@
 /// What control may take of a node's memory.
 const LIMIT_BYTES: i64 = 32_000_000;
 
-/// A node that starts is sent the whole configuration by a peer; what it keeps of it and what it needs
-/// at once to read it stay under the limit.
+/// What reading may need at once beyond what is kept: the tree of one part, and the leaves' names.
+const TREE_BYTES: i64 = 5_000_000;
+
+/// A node reads the whole configuration from the platform's text, or is sent it by a peer; what it
+/// keeps of it and what it needs at once to read it stay under the limit.
 #[test]
-fn a_configuration_from_a_peer_fits_the_limit() {
+fn reading_a_whole_configuration_fits_the_limit() {
     let size = ConfigurationSize { leaves: LEAVES, services: LEAVES / 100 };
     let text = configuration_text(size, 1, 300);
     let (whole, read) = count_allocations(|| Configuration::parse("test", &text).unwrap());
     let sent = (*whole.document).clone();
     let (_joined, joining) = count_allocations(|| Configuration::from_document(sent).unwrap());
+    assert!(read.peak < read.kept + TREE_BYTES, "{read:?}");
     let at_two_years = |bytes: i64| bytes * TWO_YEAR_LEAVES / LEAVES as i64;
     assert!(read.kept > 0, "the allocator counts");
     assert!(at_two_years(read.kept) < LIMIT_BYTES, "{read:?}");
--- a/crates/sablebay-config/src/configuration.rs
+++ b/crates/sablebay-config/src/configuration.rs
@@ -11,7 +11,7 @@
 use crate::entry::{EntryKey, EntryKind};
 use crate::error::ConfigurationError;
 use crate::index::IndexLayout;
-use crate::reader::{read_in_parts, read_layout, read_services, read_whole};
+use crate::reader::{read, read_in_parts, read_layout, read_services};
 use crate::service::ServiceSettings;
 
 /// Everything that is in force under one revision. Immutable; a query pins one for its life.
@@ -33,7 +33,7 @@
     /// # Errors
     /// [`ConfigurationError::Invalid`] with every finding.
     pub fn parse(file: &str, text: &str) -> Result<Self, ConfigurationError> {
-        let (document, services) = read_whole(file, text)?;
+        let (document, services) = read(file, text)?;
         Ok(Self::new(document, services))
     }
 
--- a/crates/sablebay-config/src/document.rs
+++ b/crates/sablebay-config/src/document.rs
@@ -101,6 +101,11 @@
         document
     }
 
+    /// Sets the revision.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
     /// Adds entries, or replaces those that there are.
     pub fn extend(&mut self, entries: impl IntoIterator<Item = (EntryKey, String)>) {
         for (key, body) in entries {
@@ -108,22 +113,25 @@
         }
     }
 
-    /// The document in a parsed TOML table that has been validated.
+    /// Adds the entries in a parsed TOML table.
     ///
     /// # Errors
-    /// The place of a value that TOML's own values cannot hold, and why.
-    pub fn from_table(revision: Revision, table: &DeTable<'_>) -> Result<Self, (Range<usize>, String)> {
-        let mut document = Self { revision, ..Self::default() };
+    /// The place of an entry that there is already, or of one that TOML's own values cannot hold; and
+    /// what is wrong with it.
+    pub fn add_table(&mut self, table: &DeTable<'_>) -> Result<(), (Range<usize>, String)> {
         for kind in EntryKind::ALL {
             let section = table.get(kind.section()).and_then(|section| section.get_ref().as_table());
             for (name, value) in section.into_iter().flatten() {
+                if self.entry(kind, name.get_ref()).is_some() {
+                    return Err((name.span(), format!("`{}` is there twice", name.get_ref())));
+                }
                 // One entry at a time, so that the document never stands in memory as a second tree.
                 let body = toml::Value::deserialize(ValueDeserializer::from(value.clone()));
                 let body = body.map_err(|error| (value.span(), error.message().to_string()))?;
-                document.set(Entry::new(kind, name.get_ref(), &body.to_string()));
+                self.set(Entry::new(kind, name.get_ref(), &body.to_string()));
             }
         }
-        Ok(document)
+        Ok(())
     }
 
     /// Revision and digest.
--- a/crates/sablebay-config/src/lib.rs
+++ b/crates/sablebay-config/src/lib.rs
@@ -15,6 +15,7 @@
 mod reader;
 mod section;
 mod service;
+mod split;
 mod template;
 
 pub use configuration::Configuration;
--- a/crates/sablebay-config/src/reader.rs
+++ b/crates/sablebay-config/src/reader.rs
@@ -1,12 +1,12 @@
-//! Reading a document: whole from a text, or in parts from entries that a peer sent.
+//! Reading a document: from a text, or from entries that a peer sent.
 //!
 //! Reading TOML with the places of all values takes some kilobytes for each leaf at once. A fleet's
-//! whole document therefore never becomes one tree when it comes from a peer.
+//! whole document therefore becomes one tree only when something is wrong with it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 
-use toml::de::DeTable;
+use toml::de::{DeTable, DeValue};
 
 use sablebay_model::{IndexId, Revision, ZoneName};
 
@@ -18,8 +18,11 @@
 use crate::nearest::nearest_name;
 use crate::section::{Layer, NamedTable, Section, layer};
 use crate::service::ServiceSettings;
+use crate::split::split_entries;
 use crate::template::{Templates, check_templates, read_instance};
 
+/// The key of the document's revision.
+const REVISION: &str = "revision";
 /// Bytes of entries that are read at once.
 const PART_BYTES: usize = 64 * 1024;
 
@@ -54,11 +57,47 @@
     instances: Vec<NamedTable<'a>>,
 }
 
-/// Reads a whole text, with the place of every finding in it.
+/// Reads a text, part by part if it is large, with the place of every finding in it.
 ///
 /// # Errors
 /// [`ConfigurationError::Invalid`] with every finding.
-pub fn read_whole(file: &str, text: &str) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
+pub fn read(file: &str, text: &str) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
+    // A text that cannot be taken in parts is read again as a whole, which tells why and where.
+    read_split(file, text).map_or_else(|| read_whole(file, text), Ok)
+}
+
+/// Reads a text in parts. Nothing when it is small, or when anything at all is amiss with a part.
+fn read_split(file: &str, text: &str) -> Option<(Document, Vec<ServiceSettings>)> {
+    let parts = split_entries(text, PART_BYTES);
+    if parts.len() < 2 {
+        return None;
+    }
+    let mut document = Document::default();
+    for part in parts {
+        let table = DeTable::parse(&text[part]).ok()?;
+        for (key, value) in table.get_ref() {
+            let name: &str = key.get_ref();
+            if name == REVISION {
+                document.set_revision(revision_of(value.get_ref())?);
+            } else if !EntryKind::ALL.iter().any(|kind| kind.section() == name) || !value.get_ref().is_table()
+            {
+                return None;
+            }
+        }
+        document.add_table(table.get_ref()).ok()?;
+    }
+    let services = read_in_parts(file, &document).ok()?;
+    Some((document, services))
+}
+
+fn revision_of(value: &DeValue<'_>) -> Option<Revision> {
+    let number = value.as_integer()?;
+    let value = u64::from_str_radix(number.as_str(), number.radix()).ok()?;
+    Some(Revision(value))
+}
+
+/// Reads a whole text at once.
+fn read_whole(file: &str, text: &str) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
     read_text(file, text, |findings, root| {
         let tables = read_tables(findings, root);
         let mut known = Known { leaves: names(&tables.leaves), ..Known::default() };
@@ -73,10 +112,10 @@
         if !findings.is_empty() {
             return (Document::default(), services);
         }
-        let document = Document::from_table(tables.revision, root).unwrap_or_else(|(place, reason)| {
+        let mut document = Document::new(tables.revision, []);
+        if let Err((place, reason)) = document.add_table(root) {
             findings.add(&place, format!("not a value: {reason}"), "");
-            Document::default()
-        });
+        }
         (document, services)
     })
 }
@@ -84,7 +123,7 @@
 /// Reads the services of a small document that holds all they refer to.
 ///
 /// # Errors
-/// As [`read_whole`].
+/// As [`read`].
 pub fn read_services(file: &str, text: &str) -> Result<Vec<ServiceSettings>, ConfigurationError> {
     read_whole(file, text).map(|(_, services)| services)
 }
@@ -92,7 +131,7 @@
 /// Reads the index maps and leaves of a small document.
 ///
 /// # Errors
-/// As [`read_whole`].
+/// As [`read`].
 pub fn read_layout(file: &str, text: &str) -> Result<(Vec<IndexMap>, Vec<LeafSettings>), ConfigurationError> {
     read_text(file, text, |findings, root| {
         let tables = read_tables(findings, root);
@@ -110,7 +149,7 @@
 /// Validates the entries of a document part by part, and reads its services.
 ///
 /// # Errors
-/// As [`read_whole`]; places are those within the part.
+/// As [`read`]; places are those within the part.
 pub fn read_in_parts(file: &str, document: &Document) -> Result<Vec<ServiceSettings>, ConfigurationError> {
     let entries = document.sorted();
     let of_kind = |kind: EntryKind| entries.iter().copied().filter(move |entry| entry.kind() == kind);
@@ -187,8 +226,8 @@
 
 fn read_tables<'a>(findings: &'a Findings, root: &'a DeTable<'a>) -> Tables<'a> {
     let section = Section::new(findings, "document".to_string(), 0..0, layer(root));
-    let revision = Revision(section.integer("revision", 1..=i64::MAX as u64).unwrap_or(0));
-    section.missing("revision", "the revision's number");
+    let revision = Revision(section.integer(REVISION, 1..=i64::MAX as u64).unwrap_or(0));
+    section.missing(REVISION, "the revision's number");
     let tables = Tables {
         revision,
         leaves: section.named_tables(EntryKind::Leaf.section()),
--- /dev/null
+++ b/crates/sablebay-config/src/split.rs
@@ -0,0 +1,120 @@
+//! Cuts a large TOML text into parts that can be parsed one after another.
+//!
+//! A text is cut only in front of a table header that stands outside of strings, lists and comments,
+//! and only between two entries: `[indexes.a]` and the `[[indexes.a.shards]]` after it stay together.
+//! A cut in the wrong place can only make a part that does not parse or does not validate; the caller
+//! then reads the text as a whole.
+
+use std::ops::Range;
+
+/// Where the scan is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Plain,
+    Comment,
+    BasicString,
+    LiteralString,
+    MultiLineBasicString,
+    MultiLineLiteralString,
+}
+
+struct Scan<'a> {
+    bytes: &'a [u8],
+    at: usize,
+    place: Place,
+    /// Open lists and inline tables.
+    depth: usize,
+}
+
+impl Scan<'_> {
+    fn starts_with(&self, text: &[u8]) -> bool {
+        self.bytes[self.at..].starts_with(text)
+    }
+
+    /// Passes over one byte, or over one delimiter.
+    fn step(&mut self) {
+        let byte = self.bytes[self.at];
+        let mut length = 1;
+        match self.place {
+            Place::Plain if self.starts_with(b"\"\"\"") => {
+                (self.place, length) = (Place::MultiLineBasicString, 3)
+            }
+            Place::Plain if self.starts_with(b"'''") => {
+                (self.place, length) = (Place::MultiLineLiteralString, 3)
+            }
+            Place::Plain => match byte {
+                b'"' => self.place = Place::BasicString,
+                b'\'' => self.place = Place::LiteralString,
+                b'#' => self.place = Place::Comment,
+                b'[' | b'{' => self.depth += 1,
+                b']' | b'}' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            },
+            Place::Comment if byte == b'\n' => self.place = Place::Plain,
+            Place::BasicString | Place::MultiLineBasicString if byte == b'\\' => length = 2,
+            Place::BasicString if byte == b'"' => self.place = Place::Plain,
+            Place::LiteralString if byte == b'\'' => self.place = Place::Plain,
+            Place::MultiLineBasicString if self.starts_with(b"\"\"\"") => {
+                (self.place, length) = (Place::Plain, 3)
+            }
+            Place::MultiLineLiteralString if self.starts_with(b"'''") => {
+                (self.place, length) = (Place::Plain, 3)
+            }
+            _ => {}
+        }
+        self.at = (self.at + length).min(self.bytes.len());
+    }
+
+    /// The end of the line that the scan is in.
+    fn line_end(&self) -> usize {
+        let rest = &self.bytes[self.at..];
+        rest.iter().position(|byte| *byte == b'\n').map_or(self.bytes.len(), |length| self.at + length + 1)
+    }
+}
+
+/// The entry that a header line belongs to: the first two of its names.
+fn entry_of(header: &str) -> (&str, &str) {
+    let names = header.trim_start_matches(['[', ' ', '\t']);
+    let names = names.split(']').next().unwrap_or("");
+    let mut names = names.split('.').map(str::trim);
+    (names.next().unwrap_or(""), names.next().unwrap_or(""))
+}
+
+/// The positions at which another entry than the one before begins.
+fn entry_starts(text: &str) -> Vec<usize> {
+    let mut scan = Scan { bytes: text.as_bytes(), at: 0, place: Place::Plain, depth: 0 };
+    let mut starts = Vec::new();
+    let mut last = ("", "");
+    let mut at_line_start = true;
+    while scan.at < scan.bytes.len() {
+        let is_header =
+            at_line_start && scan.place == Place::Plain && scan.depth == 0 && scan.starts_with(b"[");
+        if is_header {
+            let end = scan.line_end();
+            let entry = entry_of(&text[scan.at..end]);
+            if entry != last {
+                starts.push(scan.at);
+            }
+            last = entry;
+            scan.at = end;
+            continue;
+        }
+        at_line_start = scan.bytes[scan.at] == b'\n';
+        scan.step();
+    }
+    starts
+}
+
+/// Cuts a text between entries into parts of at least `part_bytes`, but for the last.
+pub fn split_entries(text: &str, part_bytes: usize) -> Vec<Range<usize>> {
+    let mut parts = Vec::new();
+    let mut start = 0;
+    for position in entry_starts(text) {
+        if position - start >= part_bytes {
+            parts.push(start..position);
+            start = position;
+        }
+    }
+    parts.push(start..text.len());
+    parts
+}
--- a/crates/sablebay-config/tests/documents.rs
+++ b/crates/sablebay-config/tests/documents.rs
@@ -118,21 +118,58 @@
     assert!(before.index_layout(&IndexId::new("none")).is_err());
 }
 
-/// A document that a peer sent is read in parts, with the same result as its whole text.
-#[test]
-fn parts_are_read_as_the_whole_is() {
-    let mut text = String::from("revision = 1\n[templates.t]\n");
+/// Enough text that it is read in several parts, in forms that a cut must not be misled by.
+fn large_text() -> String {
+    let mut text = String::from("revision = 1 # [leaves.not-a-header]\n[templates.t]\n");
     for index in 0..40 {
-        text.push_str(&format!("[instances.s{index}]\ntemplate = \"t\"\nindex = \"i{index}\"\n"));
+        text.push_str(&format!("[instances.s{index}]\ntemplate = \"t\"\nindex = \"\"\"\ni{index}\"\"\"\n"));
         text.push_str(&format!("[indexes.i{index}]\npartitions = 60\n"));
         for shard in 0..60 {
             let leaf = index * 60 + shard;
             text.push_str(&format!(
-                "[[indexes.i{index}.shards]]\npartitions = \"{shard}\"\nleaves = [\"leaf-{leaf}\"]\n\
-                 [leaves.leaf-{leaf}]\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n"
+                "[[indexes.i{index}.shards]]\npartitions = '{shard}'\nleaves = [\n# [indexes.i0]\n\"leaf-{leaf}\"\n]\n"
             ));
         }
+        for leaf in index * 60..(index + 1) * 60 {
+            text.push_str(&format!("[leaves.leaf-{leaf}]\naddress = \"127.0.0.1:1\"\nzone = '''z'''\n"));
+        }
+    }
+    text
+}
+
+/// A large text gives the entries that the TOML library finds in it.
+#[test]
+fn a_text_read_in_parts_has_the_entries_of_the_whole() {
+    let text = large_text();
+    let table: toml::Table = text.parse().unwrap();
+    let mut entries = Vec::new();
+    for kind in EntryKind::ALL {
+        let section = table[kind.section()].as_table().unwrap();
+        entries.extend(section.iter().map(|(name, value)| (EntryKey::new(kind, name), value.to_string())));
     }
+    let expected = Document::new(Revision(1), entries);
+    assert_eq!(*Configuration::parse("large", &text).unwrap().document, expected);
+}
+
+/// A mistake in a large text is found at its place in the whole, and so is an entry that is given
+/// twice in different parts.
+#[test]
+fn findings_in_a_large_text_have_their_places() {
+    let text = large_text();
+    let broken = text.replace("[leaves.leaf-2000]\naddress = \"127", "[leaves.leaf-2000]\naddress = \"x127");
+    let line = broken.lines().position(|line| line.contains("x127")).unwrap() as u32 + 1;
+    let Err(ConfigurationError::Invalid { findings }) = Configuration::parse("large", &broken) else {
+        panic!("a wrong address is accepted");
+    };
+    assert_eq!(findings.iter().map(|finding| finding.line).collect::<Vec<_>>(), [line], "{findings:?}");
+    let twice = format!("{text}[leaves.leaf-7]\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n");
+    assert!(Configuration::parse("large", &twice).is_err());
+}
+
+/// A document that a peer sent is read in parts, with the same result as its whole text.
+#[test]
+fn parts_are_read_as_the_whole_is() {
+    let text = large_text();
     let whole = Configuration::parse("whole", &text).unwrap();
     assert!(whole.document.content_bytes() > 128 * 1024, "it takes several parts");
     let parts = Configuration::from_document((*whole.document).clone()).unwrap();
