--- a/crates/sablebay-config/src/reader.rs
+++ b/crates/sablebay-config/src/reader.rs
@@ -106,13 +106,7 @@
     read_text(file, text, |findings, root| {
         let tables = read_tables(findings, root);
         let mut known = Known { leaves: names(&tables.leaves), ..Known::default() };
-        for table in &tables.leaves {
-            read_leaf(findings, table.name, &table.place, &table.keys());
-        }
-        for table in &tables.indexes {
-            known.note_index(&read_index(findings, table.name, &table.place, &table.keys(), &known.leaves));
-        }
-        let services = services_of(findings, &tables, &known);
+        let services = validate(findings, &tables, &mut known);
         // Nothing is made of a text with findings.
         if !findings.is_empty() {
             return (Document::default(), services);
@@ -199,17 +193,19 @@
     text: &str,
     known: &mut Known<'_>,
 ) -> Result<Vec<ServiceSettings>, ConfigurationError> {
-    read_text(file, text, |findings, root| {
-        let tables = read_tables(findings, root);
-        for table in &tables.leaves {
-            read_leaf(findings, table.name, &table.place, &table.keys());
-        }
-        for table in &tables.indexes {
-            let map = read_index(findings, table.name, &table.place, &table.keys(), &known.leaves);
-            known.note_index(&map);
-        }
-        services_of(findings, &tables, known)
-    })
+    read_text(file, text, |findings, root| validate(findings, &read_tables(findings, root), known))
+}
+
+/// Validates every table, notes the indexes, and returns the services.
+fn validate(findings: &Findings, tables: &Tables<'_>, known: &mut Known<'_>) -> Vec<ServiceSettings> {
+    for table in &tables.leaves {
+        read_leaf(findings, table.name, &table.place, &table.keys());
+    }
+    for table in &tables.indexes {
+        let map = read_index(findings, table.name, &table.place, &table.keys(), &known.leaves);
+        known.note_index(&map);
+    }
+    services_of(findings, tables, known)
 }
 
 /// Parses a text and reads it; all findings or what was read.
--- a/crates/sablebay-config/src/split.rs
+++ b/crates/sablebay-config/src/split.rs
@@ -7,9 +7,9 @@
 
 use std::ops::Range;
 
-/// Where the scan is.
+/// What the scan is in the middle of.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Place {
+enum ScanState {
     Plain,
     Comment,
     BasicString,
@@ -21,7 +21,7 @@
 struct Scan<'a> {
     bytes: &'a [u8],
     at: usize,
-    place: Place,
+    state: ScanState,
     /// Open lists and inline tables.
     depth: usize,
 }
@@ -35,30 +35,30 @@
     fn step(&mut self) {
         let byte = self.bytes[self.at];
         let mut length = 1;
-        match self.place {
-            Place::Plain if self.starts_with(b"\"\"\"") => {
-                (self.place, length) = (Place::MultiLineBasicString, 3)
+        match self.state {
+            ScanState::Plain if self.starts_with(b"\"\"\"") => {
+                (self.state, length) = (ScanState::MultiLineBasicString, 3)
             }
-            Place::Plain if self.starts_with(b"'''") => {
-                (self.place, length) = (Place::MultiLineLiteralString, 3)
+            ScanState::Plain if self.starts_with(b"'''") => {
+                (self.state, length) = (ScanState::MultiLineLiteralString, 3)
             }
-            Place::Plain => match byte {
-                b'"' => self.place = Place::BasicString,
-                b'\'' => self.place = Place::LiteralString,
-                b'#' => self.place = Place::Comment,
+            ScanState::Plain => match byte {
+                b'"' => self.state = ScanState::BasicString,
+                b'\'' => self.state = ScanState::LiteralString,
+                b'#' => self.state = ScanState::Comment,
                 b'[' | b'{' => self.depth += 1,
                 b']' | b'}' => self.depth = self.depth.saturating_sub(1),
                 _ => {}
             },
-            Place::Comment if byte == b'\n' => self.place = Place::Plain,
-            Place::BasicString | Place::MultiLineBasicString if byte == b'\\' => length = 2,
-            Place::BasicString if byte == b'"' => self.place = Place::Plain,
-            Place::LiteralString if byte == b'\'' => self.place = Place::Plain,
-            Place::MultiLineBasicString if self.starts_with(b"\"\"\"") => {
-                (self.place, length) = (Place::Plain, 3)
+            ScanState::Comment if byte == b'\n' => self.state = ScanState::Plain,
+            ScanState::BasicString | ScanState::MultiLineBasicString if byte == b'\\' => length = 2,
+            ScanState::BasicString if byte == b'"' => self.state = ScanState::Plain,
+            ScanState::LiteralString if byte == b'\'' => self.state = ScanState::Plain,
+            ScanState::MultiLineBasicString if self.starts_with(b"\"\"\"") => {
+                (self.state, length) = (ScanState::Plain, 3)
             }
-            Place::MultiLineLiteralString if self.starts_with(b"'''") => {
-                (self.place, length) = (Place::Plain, 3)
+            ScanState::MultiLineLiteralString if self.starts_with(b"'''") => {
+                (self.state, length) = (ScanState::Plain, 3)
             }
             _ => {}
         }
@@ -82,13 +82,13 @@
 
 /// The positions at which another entry than the one before begins.
 fn entry_starts(text: &str) -> Vec<usize> {
-    let mut scan = Scan { bytes: text.as_bytes(), at: 0, place: Place::Plain, depth: 0 };
+    let mut scan = Scan { bytes: text.as_bytes(), at: 0, state: ScanState::Plain, depth: 0 };
     let mut starts = Vec::new();
     let mut last = ("", "");
     let mut at_line_start = true;
     while scan.at < scan.bytes.len() {
         let is_header =
-            at_line_start && scan.place == Place::Plain && scan.depth == 0 && scan.starts_with(b"[");
+            at_line_start && scan.state == ScanState::Plain && scan.depth == 0 && scan.starts_with(b"[");
         if is_header {
             let end = scan.line_end();
             let entry = entry_of(&text[scan.at..end]);
