A plan is never replaced by one made from an older view

Cause, found by reading: ServiceState::refresh compared the view's epoch for equality alone. Ruled out: that the next query mends it in time (it does, but those in between have planned). Change: refresh refuses an older view, and the caller loads the view again.

--- a/crates/sablebay-node/src/service_state.rs
+++ b/crates/sablebay-node/src/service_state.rs
@@ -202,17 +202,22 @@
     }
 
     /// Makes the plans that are needed anew, when the configuration or the members changed since.
+    /// Returns whether `view` was current: plans made from a newer one are never replaced by older
+    /// ones, else a query could be planned under a configuration that was in force before.
     pub fn refresh(
         &self,
         shared: &Shared,
         view: &ClusterView,
         settings: &Arc<ServiceSettings>,
         need: PlanNeed,
-    ) {
+    ) -> bool {
         let Some(configuration) = &view.configuration else {
-            return;
+            return true;
         };
         let mut built = self.built.lock();
+        if built.epoch.is_some_and(|epoch| epoch > view.epoch) {
+            return false;
+        }
         let inputs = PlanInputs { shared, view, configuration, settings };
         if built.epoch != Some(view.epoch) {
             self.refresh_for_callers(&mut built, &inputs);
@@ -223,6 +228,7 @@
             self.refresh_direct(&mut built, &inputs);
             built.direct_epoch = Some(view.epoch);
         }
+        true
     }
 
     /// What every node needs to know of a service, and the plan over aggregators if it uses them.
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -123,15 +123,19 @@
     }
 
     fn service_with(&self, service: &ServiceId, need: PlanNeed) -> Option<Arc<ServiceState>> {
-        let view = self.view.load_full();
-        let settings = view.configuration.as_ref()?.services.get(service)?.clone();
-        let state = {
-            let mut services = self.services.lock();
-            let fresh = || Arc::new(ServiceState::new(&settings, &self.mechanisms, self.clock.now()));
-            services.entry(service.clone()).or_insert_with(fresh).clone()
-        };
-        state.refresh(self, &view, &settings, need);
-        Some(state)
+        loop {
+            let view = self.view.load_full();
+            let settings = view.configuration.as_ref()?.services.get(service)?.clone();
+            let state = {
+                let mut services = self.services.lock();
+                let fresh = || Arc::new(ServiceState::new(&settings, &self.mechanisms, self.clock.now()));
+                services.entry(service.clone()).or_insert_with(fresh).clone()
+            };
+            // A view that was replaced meanwhile is loaded again.
+            if state.refresh(self, &view, &settings, need) {
+                return Some(state);
+            }
+        }
     }
 
     /// Every service state there is.
--- /dev/null
+++ b/crates/sablebay-node/tests/plans.rs
@@ -0,0 +1,58 @@
+//! Plans follow the configuration in force and never go back, however many threads look at once.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use sablebay_config::{Configuration, NodeSettings};
+use sablebay_model::ServiceId;
+use sablebay_node::{Node, NodeMechanisms, Shared};
+
+const THREADS: usize = 8;
+const REVISIONS: u64 = 3_000;
+
+fn configuration(revision: u64) -> Arc<Configuration> {
+    let text = format!(
+        "revision = {revision}\n[templates.t]\ndeadline_ms = {}\n[instances.s]\ntemplate = \"t\"\nindex = \"i\"\n\
+         [indexes.i]\npartitions = 1\nshards = [{{ partitions = \"0\", leaves = [\"l\"] }}]\n\
+         [leaves.l]\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n",
+        100 + revision
+    );
+    Arc::new(Configuration::parse("test", &text).unwrap())
+}
+
+/// The revisions that plans are seen under by one thread, as long as `running`; whether one was lower
+/// than the one before.
+fn plans_go_back(shared: &Shared, running: &AtomicBool) -> bool {
+    let mut last = 0;
+    while running.load(Ordering::Relaxed) {
+        let Some(state) = shared.service(&ServiceId::new("s")) else { continue };
+        let revision = state.direct_route().routing.lock().plan.revision.0;
+        if revision < last {
+            return true;
+        }
+        last = revision;
+    }
+    false
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plan_is_never_replaced_by_an_older_one() {
+    let settings = NodeSettings::parse_with_overrides("test", "node = \"n\"\nzone = \"z\"\n", &[]).unwrap();
+    let node = Node::start(settings, NodeMechanisms::default(), None).await.unwrap();
+    let configurations: Vec<_> = (1..=REVISIONS).map(configuration).collect();
+    let running = Arc::new(AtomicBool::new(true));
+    let readers: Vec<_> = (0..THREADS)
+        .map(|_| {
+            let (shared, running) = (node.shared.clone(), running.clone());
+            tokio::task::spawn_blocking(move || plans_go_back(&shared, &running))
+        })
+        .collect();
+    for configuration in configurations {
+        node.shared.update_view(|view| view.with_configuration(configuration.clone()));
+        tokio::task::yield_now().await;
+    }
+    running.store(false, Ordering::Relaxed);
+    for reader in readers {
+        assert!(!reader.await.unwrap(), "a plan went back");
+    }
+}
