--- /dev/null
+++ b/crates/sablebay-catalogue/src/route_table.rs
@@ -0,0 +1,60 @@
+//! Which route a request takes: by its host, then by the longest prefix that begins its path.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::configuration::{BackendService, Route, RoutingConfiguration};
+use crate::replica::ServiceName;
+
+/// The routes and services of one configuration, made for look-ups.
+#[derive(Debug)]
+pub struct RouteTable {
+    configuration: RoutingConfiguration,
+    hosts: HashMap<String, HashMap<String, Arc<Route>>>,
+    services: HashMap<ServiceName, BackendService>,
+}
+
+impl RouteTable {
+    /// Makes the table of a configuration.
+    pub fn new(configuration: RoutingConfiguration) -> Self {
+        let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let prefixes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            prefixes.insert(route.prefix.clone(), Arc::new(route.clone()));
+        }
+        let services = configuration.services.iter().map(|service| (service.name.clone(), service.clone()));
+        Self { services: services.collect(), hosts, configuration }
+    }
+
+    /// The configuration that the table was made of.
+    pub fn configuration(&self) -> &RoutingConfiguration {
+        &self.configuration
+    }
+
+    /// The configuration's version.
+    pub fn version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// The route of a request; `host` may carry a port.
+    ///
+    /// Prefixes end with a slash, so that only the parts of the path up to a slash are looked up,
+    /// the longest first.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = self.hosts.get(&name.to_ascii_lowercase())?;
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &ServiceName) -> Option<&BackendService> {
+        self.services.get(name)
+    }
+}
--- /dev/null
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -0,0 +1,17 @@
+//! The whole of a node's catalogue, as one node passes it on to another.
+
+use musli::{Decode, Encode};
+
+use crate::configuration::RoutingConfiguration;
+use crate::replica::Replica;
+
+/// What one node knows, with the revisions that order it.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct CatalogueSnapshot {
+    /// The configuration, when the receiver had an older one.
+    pub configuration: Option<RoutingConfiguration>,
+    /// The revision up to which the replicas are known; 0 when nothing is known.
+    pub replicas_at: u64,
+    /// The replicas with the revisions of their entries, when the receiver knew less.
+    pub replicas: Vec<(Replica, u64)>,
+}
--- /dev/null
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -0,0 +1,215 @@
+//! What a node knows of the catalogue, and how news changes it.
+//!
+//! Invariants kept here:
+//! - a configuration is replaced by one of a higher version alone (must-hold 8);
+//! - an entry is replaced by one of a higher revision alone, so that news may come in any order and
+//!   from several sources;
+//! - a replica that drains or whose entry is gone for [`ABSENCE_PATIENCE`] gets no new work
+//!   (must-hold 6). An entry may also vanish while the source is in trouble and come back with the
+//!   replica's next heartbeat, so that a vanished replica stays a last resort until then.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use sablebay_model::Micros;
+
+use crate::configuration::RoutingConfiguration;
+use crate::replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
+use crate::route_table::RouteTable;
+use crate::snapshot::CatalogueSnapshot;
+
+/// How long a replica whose entry vanished is a last resort.
+const ABSENCE_PATIENCE: Micros = Micros::from_millis(1_600);
+/// How long the revision of a vanished entry is remembered, against older news of it.
+const TOMBSTONE_LIFETIME: Micros = Micros::from_secs(60);
+
+/// News of one replica.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReplicaChange {
+    /// Its entry as written.
+    Written(Replica),
+    /// Its entry is gone.
+    Gone(ReplicaId),
+}
+
+/// Every replica that there was when a listing was taken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// The revision that the listing was begun at.
+    pub at: u64,
+    /// The replicas with the revisions of their entries.
+    pub replicas: Vec<(Replica, u64)>,
+}
+
+/// A replica that may get new work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutableReplica {
+    /// The replica.
+    pub replica: Arc<Replica>,
+    /// Whether it is to be used only when nothing else is left.
+    pub last_resort: bool,
+    /// Until when it is slow from its start.
+    pub warm_at: Micros,
+}
+
+#[derive(Debug)]
+struct Entry {
+    replica: Option<Arc<Replica>>,
+    revision: u64,
+    warm_at: Micros,
+    vanished_at: Option<Micros>,
+}
+
+/// What a node knows of the catalogue.
+#[derive(Debug, Default)]
+pub struct CatalogueView {
+    routes: Option<Arc<RouteTable>>,
+    entries: HashMap<ReplicaId, Entry>,
+    replicas_at: u64,
+}
+
+impl CatalogueView {
+    /// The routes in force.
+    pub fn routes(&self) -> Option<&Arc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// The revision up to which the replicas are known; 0 when nothing is known.
+    pub fn replicas_at(&self) -> u64 {
+        self.replicas_at
+    }
+
+    /// Takes a configuration into force if it is newer. Returns whether it was.
+    pub fn offer_configuration(&mut self, configuration: RoutingConfiguration) -> bool {
+        let newer = self.routes.as_ref().is_none_or(|routes| configuration.version > routes.version());
+        if newer {
+            self.routes = Some(Arc::new(RouteTable::new(configuration)));
+        }
+        newer
+    }
+
+    /// Takes news of one replica. Returns whether it changed anything.
+    pub fn apply(&mut self, change: ReplicaChange, revision: u64, now: Micros) -> bool {
+        match change {
+            ReplicaChange::Written(replica) => self.write(replica, revision, now),
+            ReplicaChange::Gone(id) => self.vanish(&id, revision, now),
+        }
+    }
+
+    /// Notes that all changes up to `revision` were applied.
+    pub fn advance(&mut self, revision: u64) {
+        self.replicas_at = self.replicas_at.max(revision);
+    }
+
+    /// Takes a listing of every replica: those that it leaves out, and that were written before it,
+    /// are gone. Returns whether it changed anything.
+    pub fn replace(&mut self, listing: Listing, now: Micros) -> bool {
+        let mut changed = false;
+        let listed: std::collections::HashSet<ReplicaId> =
+            listing.replicas.iter().map(|(replica, _)| replica.id.clone()).collect();
+        for (replica, revision) in listing.replicas {
+            changed |= self.write(replica, revision, now);
+        }
+        let missing: Vec<ReplicaId> = self
+            .entries
+            .iter()
+            .filter(|(id, entry)| entry.revision < listing.at && !listed.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            changed |= self.vanish(&id, listing.at, now);
+        }
+        self.advance(listing.at);
+        changed
+    }
+
+    fn write(&mut self, replica: Replica, revision: u64, now: Micros) -> bool {
+        let id = replica.id.clone();
+        if self.entries.get(&id).is_some_and(|entry| entry.revision >= revision) {
+            return false;
+        }
+        let warm_at = now.plus(Micros::from_millis(replica.warm_up_left_ms));
+        let entry = Entry { replica: Some(Arc::new(replica)), revision, warm_at, vanished_at: None };
+        self.entries.insert(id, entry);
+        true
+    }
+
+    fn vanish(&mut self, id: &ReplicaId, revision: u64, now: Micros) -> bool {
+        let absent = || Entry { replica: None, revision: 0, warm_at: Micros(0), vanished_at: Some(now) };
+        let entry = self.entries.entry(id.clone()).or_insert_with(absent);
+        if entry.revision >= revision {
+            return false;
+        }
+        entry.revision = revision;
+        let first = entry.vanished_at.is_none();
+        if first {
+            entry.vanished_at = Some(now);
+        }
+        first
+    }
+
+    /// Forgets what vanished long ago.
+    pub fn expire(&mut self, now: Micros) {
+        self.entries.retain(|_, entry| {
+            entry.vanished_at.is_none_or(|vanished_at| now.since(vanished_at) < TOMBSTONE_LIFETIME)
+        });
+    }
+
+    /// The replicas that may get new work, by service.
+    pub fn routable(&self, now: Micros) -> HashMap<ServiceName, Vec<RoutableReplica>> {
+        let mut services: HashMap<ServiceName, Vec<RoutableReplica>> = HashMap::new();
+        for entry in self.entries.values() {
+            let Some(replica) = entry.replica.as_ref().filter(|replica| replica.phase == ReplicaPhase::Ready)
+            else {
+                continue;
+            };
+            let vanished_for = entry.vanished_at.map(|vanished_at| now.since(vanished_at));
+            if vanished_for.is_some_and(|absence| absence >= ABSENCE_PATIENCE) {
+                continue;
+            }
+            services.entry(replica.service.clone()).or_default().push(RoutableReplica {
+                replica: replica.clone(),
+                last_resort: vanished_for.is_some(),
+                warm_at: entry.warm_at,
+            });
+        }
+        for replicas in services.values_mut() {
+            replicas.sort_by(|left, right| left.replica.id.cmp(&right.replica.id));
+        }
+        services
+    }
+
+    /// When [`CatalogueView::routable`] next changes by itself.
+    pub fn next_expiry(&self, now: Micros) -> Option<Micros> {
+        let expiries = self.entries.values().filter_map(|entry| entry.vanished_at);
+        expiries.map(|at| at.plus(ABSENCE_PATIENCE)).filter(|at| *at > now).min()
+    }
+
+    /// What a peer that has these revisions is missing.
+    pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
+        let routes = self.routes.as_ref().filter(|routes| routes.version() > version);
+        let newer = self.replicas_at > replicas_at;
+        let present = self.entries.values().filter(|entry| entry.vanished_at.is_none());
+        let replicas =
+            present.filter_map(|entry| Some(((**entry.replica.as_ref()?).clone(), entry.revision)));
+        CatalogueSnapshot {
+            configuration: routes.map(|routes| routes.configuration().clone()),
+            replicas_at: self.replicas_at,
+            replicas: if newer { replicas.collect() } else { Vec::new() },
+        }
+    }
+
+    /// Takes what a peer knows. Returns whether it changed anything.
+    ///
+    /// A peer's list stands for the revision that it is at; an older one than this node's says
+    /// nothing new and is left.
+    pub fn merge(&mut self, snapshot: CatalogueSnapshot, now: Micros) -> bool {
+        let mut changed =
+            snapshot.configuration.is_some_and(|configuration| self.offer_configuration(configuration));
+        if snapshot.replicas_at > self.replicas_at {
+            let listing = Listing { at: snapshot.replicas_at, replicas: snapshot.replicas };
+            changed |= self.replace(listing, now);
+        }
+        changed
+    }
+}
--- /dev/null
+++ b/crates/sablebay-catalogue/tests/view.rs
@@ -0,0 +1,146 @@
+//! A node's view of the catalogue never goes back, whatever order news comes in.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use sablebay_catalogue::{
+    CallerLimits, CatalogueView, Listing, Replica, ReplicaChange, ReplicaId, ReplicaPhase,
+    RoutingConfiguration, ServiceName,
+};
+use sablebay_model::{Micros, ZoneName};
+
+const START: Micros = Micros::from_secs(10);
+
+fn replica(id: &str, phase: ReplicaPhase) -> Replica {
+    Replica {
+        id: ReplicaId::new(id),
+        service: ServiceName::new("s"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::new("z"),
+        slots: 2,
+        phase,
+        warm_up_left_ms: 0,
+    }
+}
+
+fn configuration(version: u64) -> RoutingConfiguration {
+    RoutingConfiguration {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits::default(),
+    }
+}
+
+fn routable(view: &CatalogueView, now: Micros) -> Vec<(String, bool)> {
+    let services = view.routable(now);
+    let replicas = services.get(&ServiceName::new("s")).map(Vec::as_slice).unwrap_or_default();
+    replicas.iter().map(|known| (known.replica.id.to_string(), known.last_resort)).collect()
+}
+
+#[test]
+fn a_draining_replica_gets_no_work() {
+    let mut view = CatalogueView::default();
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 1, START);
+    view.apply(ReplicaChange::Written(replica("b", ReplicaPhase::Ready)), 2, START);
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Draining)), 3, START);
+    assert_eq!(routable(&view, START), [("b".to_string(), false)]);
+    // Older news of it, which may come from a peer, does not bring it back.
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 1, START);
+    assert_eq!(routable(&view, START), [("b".to_string(), false)]);
+}
+
+#[test]
+fn a_vanished_replica_is_a_last_resort_and_then_nothing() {
+    let mut view = CatalogueView::default();
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 1, START);
+    view.apply(ReplicaChange::Gone(ReplicaId::new("a")), 2, START);
+    assert_eq!(routable(&view, START), [("a".to_string(), true)]);
+    let expiry = view.next_expiry(START).expect("it expires");
+    assert!(expiry.since(START) < Micros::from_secs(3), "well within the bound on leaving back ends");
+    assert!(routable(&view, expiry).is_empty());
+    // Its next heartbeat, after trouble of the source, brings it back.
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 3, expiry);
+    assert_eq!(routable(&view, expiry), [("a".to_string(), false)]);
+}
+
+#[test]
+fn a_listing_leaves_alone_what_is_newer_than_it() {
+    let mut view = CatalogueView::default();
+    view.apply(ReplicaChange::Written(replica("old", ReplicaPhase::Ready)), 1, START);
+    view.apply(ReplicaChange::Written(replica("new", ReplicaPhase::Ready)), 9, START);
+    view.replace(Listing { at: 5, replicas: vec![(replica("kept", ReplicaPhase::Ready), 4)] }, START);
+    let known = routable(&view, START);
+    assert_eq!(known, [("kept".to_string(), false), ("new".to_string(), false), ("old".to_string(), true)]);
+}
+
+#[test]
+fn a_configuration_is_replaced_by_a_newer_one_alone() {
+    let mut view = CatalogueView::default();
+    assert!(view.offer_configuration(configuration(7)));
+    assert!(!view.offer_configuration(configuration(7)));
+    assert!(!view.offer_configuration(configuration(3)));
+    assert!(view.offer_configuration(configuration(8)));
+    assert_eq!(view.routes().map(|routes| routes.version()), Some(8));
+}
+
+#[test]
+fn a_peer_that_knows_less_changes_nothing() {
+    let mut newer = CatalogueView::default();
+    newer.offer_configuration(configuration(4));
+    newer.replace(Listing { at: 20, replicas: vec![(replica("a", ReplicaPhase::Draining), 18)] }, START);
+    let mut older = CatalogueView::default();
+    older.offer_configuration(configuration(3));
+    older.replace(Listing { at: 10, replicas: vec![(replica("a", ReplicaPhase::Ready), 5)] }, START);
+    assert!(!newer.merge(older.snapshot(0, 0), START));
+    assert!(older.merge(newer.snapshot(3, 10), START));
+    assert!(routable(&older, START).is_empty());
+    assert_eq!(older.routes().map(|routes| routes.version()), Some(4));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write(u8, bool),
+    Remove(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0u8..4, any::<bool>()).prop_map(|(id, draining)| Step::Write(id, draining)),
+        (0u8..4).prop_map(Step::Remove),
+    ]
+}
+
+fn change(step: &Step) -> ReplicaChange {
+    match step {
+        Step::Write(id, draining) => {
+            let phase = if *draining { ReplicaPhase::Draining } else { ReplicaPhase::Ready };
+            ReplicaChange::Written(replica(&format!("r{id}"), phase))
+        }
+        Step::Remove(id) => ReplicaChange::Gone(ReplicaId::new(format!("r{id}"))),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(12), cases: 300, ..Config::default() })]
+
+    /// Changes that come in any order, some of them twice, end in the state that their own order
+    /// ends in.
+    #[test]
+    fn the_order_of_arrival_does_not_matter(
+        steps in proptest::collection::vec(step(), 1..20),
+        order in proptest::collection::vec(any::<prop::sample::Index>(), 0..60),
+    ) {
+        let mut ordered = CatalogueView::default();
+        for (revision, step) in steps.iter().enumerate() {
+            ordered.apply(change(step), revision as u64 + 1, START);
+        }
+        let mut shuffled = CatalogueView::default();
+        let arrivals = order.iter().map(|index| index.index(steps.len())).chain((0..steps.len()).rev());
+        for position in arrivals {
+            shuffled.apply(change(&steps[position]), position as u64 + 1, START);
+        }
+        let later = START.plus(Micros::from_secs(2));
+        prop_assert_eq!(routable(&ordered, later), routable(&shuffled, later));
+    }
+}
--- /dev/null
+++ b/crates/sablebay-config/src/gateway_settings.rs
@@ -0,0 +1,62 @@
+//! The settings of a node's gateway: the `[gateway]` table of its settings file.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::section::Section;
+
+/// The settings of a node's gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatewaySettings {
+    /// Where callers connect. Required.
+    pub caller_address: SocketAddr,
+    /// Where the node is asked whether it takes new connections. Required.
+    pub readiness_address: SocketAddr,
+    /// Where the catalogue of routes and replicas is read. Required.
+    pub catalogue_address: SocketAddr,
+    /// Extra calls to a service that the fleet may send for each request. Default 0.1.
+    pub retry_ratio: f64,
+    /// Extra calls to a service that the fleet may send in a window whatever the traffic. Default 10.
+    pub retry_fixed: f64,
+    /// The window of these, in milliseconds. Default 10,000.
+    pub retry_window_ms: u64,
+    /// Nodes that are assumed to share budgets and connections before any was met. Default 12.
+    pub assumed_nodes: u32,
+    /// How long before a route's target latency an incomplete answer is given, in milliseconds.
+    /// Default 8.
+    pub partial_margin_ms: u64,
+    /// How long a stopping node still takes connections after it has called itself unready, in
+    /// milliseconds. Default 2,300.
+    pub stop_linger_ms: u64,
+    /// How long a planned stop of the gateway may take, in milliseconds. Default 5,500.
+    pub stop_timeout_ms: u64,
+}
+
+const ADDRESS: &str = "an IP address and port such as \"127.0.0.1:7000\"";
+
+/// Reads the table; mistakes go to its findings.
+pub(crate) fn read_gateway(section: &Section<'_>) -> GatewaySettings {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = GatewaySettings {
+        caller_address: section.parsed("caller_address", ADDRESS).unwrap_or(any_port),
+        readiness_address: section.parsed("readiness_address", ADDRESS).unwrap_or(any_port),
+        catalogue_address: section.parsed("catalogue_address", ADDRESS).unwrap_or(any_port),
+        retry_ratio: section.number("retry_ratio", 0.0..=10.0).unwrap_or(0.1),
+        retry_fixed: section.number("retry_fixed", 0.0..=1_000_000.0).unwrap_or(10.0),
+        retry_window_ms: section.integer("retry_window_ms", 100..=3_600_000).unwrap_or(10_000),
+        assumed_nodes: section.integer("assumed_nodes", 1..=100_000).unwrap_or(12) as u32,
+        partial_margin_ms: section.integer("partial_margin_ms", 0..=10_000).unwrap_or(8),
+        stop_linger_ms: section.integer("stop_linger_ms", 0..=600_000).unwrap_or(2_300),
+        stop_timeout_ms: section.integer("stop_timeout_ms", 1..=3_600_000).unwrap_or(5_500),
+    };
+    for (key, expected) in [
+        ("caller_address", "where callers connect"),
+        ("readiness_address", "where the node is asked whether it is ready"),
+        ("catalogue_address", "where routes and replicas are read"),
+    ] {
+        section.missing(key, expected);
+    }
+    section.finish();
+    settings
+}
--- a/crates/sablebay-config/src/node_settings.rs
+++ b/crates/sablebay-config/src/node_settings.rs
@@ -9,6 +9,7 @@
 
 use crate::error::ConfigurationError;
 use crate::finding::Findings;
+use crate::gateway_settings::{GatewaySettings, read_gateway};
 use crate::section::{Section, check_name, layer};
 
 /// The form of log lines.
@@ -64,6 +65,8 @@
     pub platform_reads_per_second: f64,
     /// Nodes that connect to the leaves of one service. Default 8.
     pub aggregators_per_service: u32,
+    /// The gateway, when the node has one. Default: none.
+    pub gateway: Option<GatewaySettings>,
 }
 
 const LEVELS: [(&str, &str); 5] =
@@ -163,6 +166,7 @@
             .number("platform_reads_per_second", 0.001..=1_000.0)
             .unwrap_or(1.5),
         aggregators_per_service: section.integer("aggregators_per_service", 1..=1_000).unwrap_or(8) as u32,
+        gateway: section.section("gateway").as_ref().map(read_gateway),
     };
     for key in ["node", "zone", "region", "fleet"] {
         if let Some(name) = section.text(key) {
--- a/crates/sablebay-config/src/section.rs
+++ b/crates/sablebay-config/src/section.rs
@@ -248,6 +248,17 @@
         texts
     }
 
+    /// A table as a section, when there is one.
+    pub fn section(&self, key: &'static str) -> Option<Section<'a>> {
+        let place = self.raw(key)?;
+        let Some(table) = place.value.as_table() else {
+            self.wrong_type(key, &place, "a table");
+            return None;
+        };
+        let name = format!("{}.{key}", self.name);
+        Some(Section::new(self.findings, name, place.range(), layer(table)))
+    }
+
     /// A list of tables, as sections.
     pub fn sections(&self, key: &'static str) -> Vec<Section<'a>> {
         let Some(place) = self.raw(key) else {
--- /dev/null
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -0,0 +1,433 @@
+//! One request: a state machine from answers, failures and the passing of time to calls.
+//!
+//! Invariants kept here:
+//! - a request that may not be repeated is sent again only when it is known that it did not run
+//!   (must-hold 5);
+//! - "did not run" is the outcome only when no call can have run (must-hold 4);
+//! - no shard is sent to more replicas than the route allows;
+//! - every call after the first of its shard is paid from the service's budget, unless no byte of
+//!   the one before can have arrived;
+//! - nothing is sent at or after the deadline, also when the process was paused.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use rand::Rng;
+use smallvec::SmallVec;
+
+use sablebay_catalogue::{Repeatability, ReplicaId, RoutableReplica, ServiceName};
+use sablebay_model::Micros;
+
+use crate::replica_table::ReplicaTable;
+use crate::retry_window::{RetryAllowance, RetryBudgets};
+
+/// Numbers the calls of one request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallNumber(pub u32);
+
+/// One shard and the replicas that may answer for it.
+#[derive(Clone, Debug)]
+pub struct ShardTargets {
+    /// The shard.
+    pub service: ServiceName,
+    /// Its replicas.
+    pub replicas: Arc<[RoutableReplica]>,
+}
+
+/// What bounds one request.
+#[derive(Clone, Copy, Debug)]
+pub struct FanoutSettings {
+    /// Whether it may run more than once.
+    pub repeatability: Repeatability,
+    /// Replicas that each shard may be sent to.
+    pub maximum_attempts: u32,
+    /// Shards without which there is no success.
+    pub minimum_shards: usize,
+    /// When the request is given up.
+    pub deadline: Micros,
+    /// When an answer that leaves shards out is worth more than a late whole one.
+    pub partial_at: Micros,
+    /// After how long a silent call is hedged.
+    pub hedge_delay: Micros,
+}
+
+/// Whether a failed call can have run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Execution {
+    /// No byte can have arrived.
+    #[display("not sent")]
+    NotSent,
+    /// The replica says that it did not run it.
+    #[display("not run")]
+    NotRun,
+    /// It may have run.
+    #[display("may have run")]
+    Possible,
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CallFailure {
+    /// No connection came about.
+    #[display("no connection")]
+    NoConnection,
+    /// The replica rejects work.
+    #[display("rejected")]
+    Rejected,
+    /// Another replica has the address.
+    #[display("wrong instance")]
+    WrongInstance,
+    /// The connection broke.
+    #[display("broken")]
+    Broken,
+    /// The answer is another request's, or none in the protocol.
+    #[display("mismatched")]
+    Mismatched,
+    /// The replica answered with a failure.
+    #[display("failed")]
+    Failed,
+    /// No answer came in time.
+    #[display("timed out")]
+    TimedOut,
+}
+
+impl CallFailure {
+    /// Whether a call that failed so can have run.
+    pub fn execution(self) -> Execution {
+        match self {
+            CallFailure::NoConnection => Execution::NotSent,
+            CallFailure::Rejected | CallFailure::WrongInstance => Execution::NotRun,
+            CallFailure::Broken | CallFailure::Mismatched | CallFailure::Failed | CallFailure::TimedOut => {
+                Execution::Possible
+            }
+        }
+    }
+}
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FanoutAction {
+    /// Send a call.
+    Send {
+        /// Names the call in what comes back.
+        call: CallNumber,
+        /// The shard's position in the request.
+        shard: usize,
+        /// Where to.
+        replica: ReplicaId,
+        /// Whether it is the first call of its shard.
+        first: bool,
+    },
+    /// The answer to a call is no longer wanted.
+    Abandon {
+        /// The call.
+        call: CallNumber,
+    },
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FanoutOutcome {
+    /// Enough shards answered.
+    Answered {
+        /// Shards left out.
+        missing: usize,
+    },
+    /// Too few shards answered, and no call can have run.
+    NotRun,
+    /// Too few shards answered.
+    Unknown,
+    /// The deadline came before enough shards had answered.
+    Expired {
+        /// Whether a call can have run.
+        may_have_run: bool,
+    },
+}
+
+/// What a step of the machine works with.
+pub struct FanoutTurn<'a, R> {
+    /// What is known of the replicas.
+    pub table: &'a ReplicaTable,
+    /// The budgets of the services.
+    pub budgets: &'a mut RetryBudgets,
+    /// What the fleet may send beyond first calls.
+    pub allowance: &'a RetryAllowance,
+    /// Now.
+    pub now: Micros,
+    /// Random draws.
+    pub random: &'a mut R,
+    /// Where actions are put.
+    pub actions: &'a mut Vec<FanoutAction>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    shard: usize,
+    open: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShardState {
+    Open,
+    Answered,
+    Missing,
+}
+
+#[derive(Clone, Debug)]
+struct Shard {
+    state: ShardState,
+    tried: SmallVec<[ReplicaId; 3]>,
+    /// Replicas that the shard was sent to; those that could not be reached do not count.
+    attempts: u32,
+    open_calls: u32,
+    hedge_at: Micros,
+}
+
+/// Replicas without a connection that one shard is tried at.
+const MAXIMUM_UNREACHABLE: usize = 3;
+/// How soon a hedge that was not possible is looked at again.
+const HEDGE_RECHECK: Micros = Micros::from_millis(15);
+
+/// One request in progress.
+#[derive(Debug)]
+pub struct Fanout {
+    settings: FanoutSettings,
+    targets: Vec<ShardTargets>,
+    shards: Vec<Shard>,
+    calls: Vec<Call>,
+    answered: usize,
+    open: usize,
+    may_have_run: bool,
+    outcome: Option<FanoutOutcome>,
+}
+
+impl Fanout {
+    /// A request over `targets`. Nothing is sent before [`Fanout::start`].
+    pub fn new(settings: FanoutSettings, targets: Vec<ShardTargets>) -> Self {
+        let shard = Shard {
+            state: ShardState::Open,
+            tried: SmallVec::new(),
+            attempts: 0,
+            open_calls: 0,
+            hedge_at: Micros::MAX,
+        };
+        Self {
+            shards: vec![shard; targets.len()],
+            open: targets.len(),
+            calls: Vec::with_capacity(targets.len()),
+            settings,
+            targets,
+            answered: 0,
+            may_have_run: false,
+            outcome: None,
+        }
+    }
+
+    /// The shards of the request.
+    pub fn targets(&self) -> &[ShardTargets] {
+        &self.targets
+    }
+
+    /// Sends the first call of each shard.
+    pub fn start<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        for shard in 0..self.shards.len() {
+            let service = &self.targets[shard].service;
+            turn.budgets.request(service, turn.allowance, turn.now);
+            if turn.now >= self.settings.deadline || !self.send(shard, turn) {
+                self.close(shard);
+            }
+        }
+        self.settle(turn);
+    }
+
+    /// Sends one call of a shard; false when no replica is left.
+    fn send<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) -> bool {
+        let replicas = &self.targets[shard].replicas;
+        let chosen = turn.table.choose(replicas, &self.shards[shard].tried, turn.now, turn.random);
+        let Some(index) = chosen else {
+            return false;
+        };
+        let replica = replicas[index].replica.id.clone();
+        let call = CallNumber(self.calls.len() as u32);
+        self.calls.push(Call { shard, open: true });
+        let progress = &mut self.shards[shard];
+        let first = progress.tried.is_empty();
+        progress.tried.push(replica.clone());
+        progress.attempts += 1;
+        progress.open_calls += 1;
+        self.shards[shard].hedge_at = self.next_hedge(shard, turn.now);
+        turn.actions.push(FanoutAction::Send { call, shard, replica, first });
+        true
+    }
+
+    fn next_hedge(&self, shard: usize, now: Micros) -> Micros {
+        let repeatable = self.settings.repeatability == Repeatability::Repeatable;
+        let attempts_left = self.shards[shard].attempts < self.settings.maximum_attempts;
+        if repeatable && attempts_left { now.plus(self.settings.hedge_delay) } else { Micros::MAX }
+    }
+
+    /// The call, if it is open. Anything else is late or repeated.
+    fn take_open(&mut self, call: CallNumber) -> Option<usize> {
+        let call = self.calls.get_mut(call.0 as usize).filter(|call| call.open)?;
+        call.open = false;
+        self.shards[call.shard].open_calls -= 1;
+        Some(call.shard)
+    }
+
+    /// A call was answered with success. Returns the shard that the answer is taken for.
+    pub fn on_answer<R: Rng>(&mut self, call: CallNumber, turn: &mut FanoutTurn<'_, R>) -> Option<usize> {
+        if self.outcome.is_some() {
+            return None;
+        }
+        let shard = self.take_open(call)?;
+        self.may_have_run = true;
+        if self.shards[shard].state != ShardState::Open {
+            return None;
+        }
+        self.shards[shard].state = ShardState::Answered;
+        self.answered += 1;
+        self.open -= 1;
+        self.abandon(turn, |open| open.shard == shard);
+        self.settle(turn);
+        Some(shard)
+    }
+
+    /// A call failed.
+    pub fn on_failure<R: Rng>(
+        &mut self,
+        call: CallNumber,
+        failure: CallFailure,
+        turn: &mut FanoutTurn<'_, R>,
+    ) {
+        if self.outcome.is_some() {
+            return;
+        }
+        let Some(shard) = self.take_open(call) else {
+            return;
+        };
+        let execution = failure.execution();
+        self.may_have_run |= execution == Execution::Possible;
+        if execution == Execution::NotSent {
+            self.shards[shard].attempts -= 1;
+        }
+        if self.shards[shard].state == ShardState::Open {
+            self.replace(shard, execution, turn);
+        }
+        self.settle(turn);
+    }
+
+    /// Sends a failed call's work to another replica, or closes the shard.
+    fn replace<R: Rng>(&mut self, shard: usize, execution: Execution, turn: &mut FanoutTurn<'_, R>) {
+        if self.shards[shard].open_calls > 0 {
+            return;
+        }
+        if self.may_send_again(shard, execution, turn) && self.send(shard, turn) {
+            return;
+        }
+        self.close(shard);
+    }
+
+    fn may_send_again<R: Rng>(
+        &self,
+        shard: usize,
+        execution: Execution,
+        turn: &mut FanoutTurn<'_, R>,
+    ) -> bool {
+        let progress = &self.shards[shard];
+        let unreachable = progress.tried.len() - progress.attempts as usize;
+        let allowed = turn.now < self.settings.deadline
+            && progress.attempts < self.settings.maximum_attempts
+            && unreachable < MAXIMUM_UNREACHABLE
+            && (self.settings.repeatability == Repeatability::Repeatable || execution != Execution::Possible);
+        // A call that was never sent is no arrival at the service; its replacement is the first.
+        let free = execution == Execution::NotSent && progress.attempts == 0;
+        allowed && (free || turn.budgets.spend(&self.targets[shard].service, turn.allowance, turn.now))
+    }
+
+    fn close(&mut self, shard: usize) {
+        if self.shards[shard].state == ShardState::Open {
+            self.shards[shard].state = ShardState::Missing;
+            self.open -= 1;
+        }
+    }
+
+    /// Time has passed: hedges what is slow, and ends what is due.
+    pub fn on_wake<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        if self.outcome.is_some() {
+            return;
+        }
+        if turn.now < self.settings.deadline {
+            for shard in 0..self.shards.len() {
+                if self.shards[shard].state == ShardState::Open && turn.now >= self.shards[shard].hedge_at {
+                    self.hedge(shard, turn);
+                }
+            }
+        }
+        self.settle(turn);
+    }
+
+    fn hedge<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) {
+        let replicas = &self.targets[shard].replicas;
+        let tried = &self.shards[shard].tried;
+        if replicas.iter().all(|candidate| tried.contains(&candidate.replica.id)) {
+            self.shards[shard].hedge_at = Micros::MAX;
+            return;
+        }
+        let worthwhile = turn.table.has_fit(replicas, tried, turn.now);
+        let paid = worthwhile && turn.budgets.spend(&self.targets[shard].service, turn.allowance, turn.now);
+        if !paid || !self.send(shard, turn) {
+            self.shards[shard].hedge_at = turn.now.plus(HEDGE_RECHECK);
+        }
+    }
+
+    /// Ends the request when its outcome is known.
+    fn settle<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        if self.outcome.is_some() {
+            return;
+        }
+        self.outcome = self.decide(turn.now);
+        if self.outcome.is_some() {
+            self.abandon(turn, |_| true);
+        }
+    }
+
+    fn decide(&self, now: Micros) -> Option<FanoutOutcome> {
+        let missing = self.shards.len() - self.answered;
+        let enough = self.answered >= self.settings.minimum_shards;
+        let expired = now >= self.settings.deadline;
+        if enough && (self.open == 0 || now >= self.settings.partial_at || expired) {
+            return Some(FanoutOutcome::Answered { missing });
+        }
+        let may_have_run = self.may_have_run || self.calls.iter().any(|call| call.open);
+        if expired {
+            return Some(FanoutOutcome::Expired { may_have_run });
+        }
+        let unreachable = self.answered + self.open < self.settings.minimum_shards;
+        let failed = if may_have_run { FanoutOutcome::Unknown } else { FanoutOutcome::NotRun };
+        unreachable.then_some(failed)
+    }
+
+    fn abandon<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>, selected: impl Fn(&Call) -> bool) {
+        for (number, call) in self.calls.iter_mut().enumerate() {
+            if call.open && selected(call) {
+                call.open = false;
+                self.shards[call.shard].open_calls -= 1;
+                turn.actions.push(FanoutAction::Abandon { call: CallNumber(number as u32) });
+            }
+        }
+    }
+
+    /// When [`Fanout::on_wake`] is next due.
+    pub fn next_wake(&self) -> Micros {
+        let open = self.shards.iter().filter(|shard| shard.state == ShardState::Open);
+        let hedge_at = open.map(|shard| shard.hedge_at).min().unwrap_or(Micros::MAX);
+        let enough = self.answered >= self.settings.minimum_shards;
+        let partial_at = if enough { self.settings.partial_at } else { Micros::MAX };
+        hedge_at.min(partial_at).min(self.settings.deadline)
+    }
+
+    /// How the request ended, once it has.
+    pub fn outcome(&self) -> Option<FanoutOutcome> {
+        self.outcome
+    }
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions about one request that goes to one replica of each of its shards: which replica gets
+//! a call, when a silent one is hedged, when a failed one is retried, and when the answer is final.
+//! A request for one replica is a request over one shard.
+//!
+//! Not decided here: what routes and replicas there are (`sablebay-catalogue`), and how bytes
+//! travel (`sablebay-gateway`). No I/O, no clock, no ambient randomness: time and random draws are
+//! arguments.
+
+mod connection_share;
+mod fanout;
+mod records;
+mod replica_health;
+mod replica_table;
+mod retry_window;
+mod route_latency;
+mod weighted_choice;
+
+pub use connection_share::connection_share;
+pub use fanout::{
+    CallFailure, CallNumber, Execution, Fanout, FanoutAction, FanoutOutcome, FanoutSettings, FanoutTurn,
+    ShardTargets,
+};
+pub use records::{RECORD_BYTES, TopRecords};
+pub use replica_health::{LoadHint, ReplicaHealth};
+pub use replica_table::{CallKey, ReplicaTable};
+pub use retry_window::{RetryAllowance, RetryBudgets, RetryWindow};
+pub use route_latency::RouteLatency;
+pub use weighted_choice::WeightedChoice;
--- /dev/null
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -0,0 +1,173 @@
+//! What a node knows of one replica from its own calls.
+
+use smallvec::SmallVec;
+
+use sablebay_model::Micros;
+
+use crate::replica_table::CallKey;
+
+/// What a replica says of its load with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadHint {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// A call that the replica has not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    key: CallKey,
+    sent_at: Micros,
+    usual: Micros,
+}
+
+/// Weight of a new observation that is slower than what is known: slowness is believed sooner.
+const SLOWER_WEIGHT: f64 = 0.35;
+/// The slowness that one observation says at the most: a pause looks like great slowness, and is
+/// over when it is seen.
+const HIGHEST_OBSERVATION: f64 = 5.0;
+/// Weight of a new observation that is faster.
+const FASTER_WEIGHT: f64 = 0.3;
+/// Time over which remembered slowness falls to half.
+const SLOWNESS_HALF_LIFE: Micros = Micros::from_millis(1_500);
+/// How long a load hint is believed.
+const HINT_LIFETIME: Micros = Micros::from_millis(400);
+/// How long a replica that rejected a call for its load is left alone.
+const REJECTION_PAUSE: Micros = Micros::from_millis(60);
+/// Failures in a row after which a replica is left alone.
+const FAILURES_BEFORE_PAUSE: u32 = 2;
+/// The first pause; doubles with each further failure.
+const FIRST_PAUSE: Micros = Micros::from_millis(150);
+/// The longest pause.
+const LONGEST_PAUSE: Micros = Micros::from_millis(2_400);
+/// An open call that took this many times its usual time says that the replica stands still.
+const SILENT_RATIO: f64 = 3.0;
+/// A silence shorter than this says nothing.
+const SHORTEST_SILENCE: Micros = Micros::from_millis(12);
+
+/// What a node knows of one replica from its own calls.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaHealth {
+    open: SmallVec<[OpenCall; 4]>,
+    /// How many times longer than usual its answers take.
+    slowness: f64,
+    observed_at: Micros,
+    failures: u32,
+    paused_until: Micros,
+    rejected_until: Micros,
+    hint: Option<(LoadHint, Micros)>,
+}
+
+impl ReplicaHealth {
+    /// A call is sent that usually takes `usual`.
+    pub fn sent(&mut self, key: CallKey, usual: Micros, now: Micros) {
+        self.open.push(OpenCall { key, sent_at: now, usual });
+    }
+
+    /// A call is over without word on its latency.
+    pub fn forget(&mut self, key: CallKey) {
+        self.take(key);
+    }
+
+    /// A call was answered. Returns its latency.
+    pub fn answered(&mut self, key: CallKey, hint: Option<LoadHint>, now: Micros) -> Option<Micros> {
+        self.failures = 0;
+        self.paused_until = Micros(0);
+        if let Some(hint) = hint {
+            self.hint = Some((hint, now));
+        }
+        let call = self.take(key)?;
+        let latency = now.since(call.sent_at);
+        self.observe(latency.0 as f64 / call.usual.0.max(1) as f64, now);
+        Some(latency)
+    }
+
+    /// A call was rejected because of the replica's load.
+    pub fn rejected(&mut self, key: CallKey, hint: Option<LoadHint>, now: Micros) {
+        self.take(key);
+        self.rejected_until = now.plus(REJECTION_PAUSE);
+        if let Some(hint) = hint {
+            self.hint = Some((hint, now));
+        }
+    }
+
+    /// A call failed for the replica's reasons.
+    pub fn failed(&mut self, key: CallKey, now: Micros) {
+        self.take(key);
+        self.failures += 1;
+        if self.failures >= FAILURES_BEFORE_PAUSE {
+            let doublings = (self.failures - FAILURES_BEFORE_PAUSE).min(8);
+            let pause = Micros(FIRST_PAUSE.0 << doublings).min(LONGEST_PAUSE);
+            self.paused_until = now.plus(pause);
+        }
+    }
+
+    /// A call took its whole time without an answer.
+    pub fn timed_out(&mut self, key: CallKey, now: Micros) {
+        if let Some(call) = self.open.iter().find(|call| call.key == key) {
+            let ratio = now.since(call.sent_at).0 as f64 / call.usual.0.max(1) as f64;
+            self.observe(ratio, now);
+        }
+        self.failed(key, now);
+    }
+
+    fn take(&mut self, key: CallKey) -> Option<OpenCall> {
+        let position = self.open.iter().position(|call| call.key == key)?;
+        Some(self.open.swap_remove(position))
+    }
+
+    fn observe(&mut self, ratio: f64, now: Micros) {
+        let ratio = ratio.min(HIGHEST_OBSERVATION);
+        let known = self.remembered_slowness(now);
+        let weight = if ratio > known { SLOWER_WEIGHT } else { FASTER_WEIGHT };
+        self.slowness = known + weight * (ratio - known);
+        self.observed_at = now;
+    }
+
+    fn remembered_slowness(&self, now: Micros) -> f64 {
+        if self.slowness == 0.0 {
+            return 1.0;
+        }
+        let half_lives = now.since(self.observed_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        1.0 + (self.slowness - 1.0) * 0.5f64.powf(half_lives)
+    }
+
+    /// The ratio of the longest silence to what was usual for its call.
+    fn silence(&self, now: Micros) -> f64 {
+        let ratios = self.open.iter().filter_map(|call| {
+            let age = now.since(call.sent_at);
+            (age >= SHORTEST_SILENCE).then(|| age.0 as f64 / call.usual.0.max(1) as f64)
+        });
+        ratios.fold(0.0, f64::max)
+    }
+
+    /// Whether the replica seems to stand still.
+    pub fn is_silent(&self, now: Micros) -> bool {
+        self.silence(now) >= SILENT_RATIO
+    }
+
+    /// Whether the replica is left alone after failures.
+    pub fn is_paused(&self, now: Micros) -> bool {
+        self.paused_until > now
+    }
+
+    /// Calls of this node that are open there.
+    pub fn open_calls(&self) -> usize {
+        self.open.len()
+    }
+
+    /// The expected cost of one more call; lower is better.
+    pub fn cost(&self, slots: u32, now: Micros) -> f64 {
+        const REJECTED_COST: f64 = 3.0;
+        let slowness = self.remembered_slowness(now).max(self.silence(now)).max(0.3);
+        let hint = self.hint.filter(|(_, at)| now.since(*at) <= HINT_LIFETIME);
+        let told = hint.map_or(0, |(hint, _)| hint.running + hint.waiting);
+        let load = f64::from(told.max(self.open.len() as u32)) / f64::from(slots.max(1));
+        let rejected = if self.rejected_until > now { REJECTED_COST } else { 1.0 };
+        slowness * (1.0 + load) * rejected * (1.0 + f64::from(self.failures))
+    }
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -0,0 +1,150 @@
+//! The choice of a replica, from what this node's own calls have shown.
+
+use std::collections::HashMap;
+
+use rand::{Rng, RngExt};
+
+use sablebay_catalogue::{ReplicaId, RoutableReplica};
+use sablebay_model::{Micros, ZoneName};
+
+use crate::replica_health::{LoadHint, ReplicaHealth};
+
+/// Names a call among all of this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallKey(pub u64);
+
+/// What one more call to a replica in another zone costs, against one in the same.
+const OTHER_ZONE_COST: f64 = 1.15;
+/// What one more call to a replica that is slow from its start costs.
+const COLD_COST: f64 = 1.6;
+/// Costs are spread by up to this part, so that nodes that see the same do not choose alike.
+const SPREAD: f64 = 0.25;
+
+/// How fit a replica is; the first class that is not empty is chosen from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Fitness {
+    Fit,
+    Silent,
+    LastResort,
+    Paused,
+}
+
+/// What this node knows of every replica.
+#[derive(Debug)]
+pub struct ReplicaTable {
+    zone: ZoneName,
+    health: HashMap<ReplicaId, ReplicaHealth>,
+}
+
+impl ReplicaTable {
+    /// A table of a node in `zone`.
+    pub fn new(zone: ZoneName) -> Self {
+        Self { zone, health: HashMap::new() }
+    }
+
+    fn health(&mut self, replica: &ReplicaId) -> &mut ReplicaHealth {
+        if !self.health.contains_key(replica) {
+            self.health.insert(replica.clone(), ReplicaHealth::default());
+        }
+        self.health.get_mut(replica).expect("an entry was just added")
+    }
+
+    /// What is known of a replica.
+    pub fn get(&self, replica: &ReplicaId) -> Option<&ReplicaHealth> {
+        self.health.get(replica)
+    }
+
+    /// Forgets replicas that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&ReplicaId) -> bool) {
+        self.health.retain(|replica, health| keep(replica) || health.open_calls() > 0);
+    }
+
+    /// A call is sent that usually takes `usual`.
+    pub fn sent(&mut self, replica: &ReplicaId, key: CallKey, usual: Micros, now: Micros) {
+        self.health(replica).sent(key, usual, now);
+    }
+
+    /// A call is over without word on the replica.
+    pub fn forget(&mut self, replica: &ReplicaId, key: CallKey) {
+        self.health(replica).forget(key);
+    }
+
+    /// A call was answered. Returns its latency.
+    pub fn answered(
+        &mut self,
+        replica: &ReplicaId,
+        key: CallKey,
+        hint: Option<LoadHint>,
+        now: Micros,
+    ) -> Option<Micros> {
+        self.health(replica).answered(key, hint, now)
+    }
+
+    /// A call was rejected because of the replica's load.
+    pub fn rejected(&mut self, replica: &ReplicaId, key: CallKey, hint: Option<LoadHint>, now: Micros) {
+        self.health(replica).rejected(key, hint, now);
+    }
+
+    /// A call failed for the replica's reasons.
+    pub fn failed(&mut self, replica: &ReplicaId, key: CallKey, now: Micros) {
+        self.health(replica).failed(key, now);
+    }
+
+    /// A call took its whole time without an answer.
+    pub fn timed_out(&mut self, replica: &ReplicaId, key: CallKey, now: Micros) {
+        self.health(replica).timed_out(key, now);
+    }
+
+    /// The replica for the next call, of those not in `tried`.
+    pub fn choose<R: Rng>(
+        &self,
+        candidates: &[RoutableReplica],
+        tried: &[ReplicaId],
+        now: Micros,
+        random: &mut R,
+    ) -> Option<usize> {
+        let mut best: Option<(Fitness, f64, usize)> = None;
+        for (index, candidate) in candidates.iter().enumerate() {
+            if tried.contains(&candidate.replica.id) {
+                continue;
+            }
+            let fitness = self.fitness(candidate, now);
+            let cost = self.cost(candidate, now) * (1.0 + SPREAD * random.random::<f64>());
+            let better = best.is_none_or(|(best_fitness, best_cost, _)| {
+                fitness < best_fitness || (fitness == best_fitness && cost < best_cost)
+            });
+            if better {
+                best = Some((fitness, cost, index));
+            }
+        }
+        best.map(|(_, _, index)| index)
+    }
+
+    /// Whether one of the replicas not in `tried` would likely answer in good time.
+    pub fn has_fit(&self, candidates: &[RoutableReplica], tried: &[ReplicaId], now: Micros) -> bool {
+        let untried = candidates.iter().filter(|candidate| !tried.contains(&candidate.replica.id));
+        untried.into_iter().any(|candidate| self.fitness(candidate, now) == Fitness::Fit)
+    }
+
+    fn fitness(&self, candidate: &RoutableReplica, now: Micros) -> Fitness {
+        let health = self.health.get(&candidate.replica.id);
+        if health.is_some_and(|health| health.is_paused(now)) {
+            return Fitness::Paused;
+        }
+        if candidate.last_resort {
+            return Fitness::LastResort;
+        }
+        if health.is_some_and(|health| health.is_silent(now)) {
+            return Fitness::Silent;
+        }
+        Fitness::Fit
+    }
+
+    fn cost(&self, candidate: &RoutableReplica, now: Micros) -> f64 {
+        let replica = &candidate.replica;
+        let known = self.health.get(&replica.id).map_or(1.0, |health| health.cost(replica.slots, now));
+        let zone = if replica.zone == self.zone { 1.0 } else { OTHER_ZONE_COST };
+        let cold = if candidate.warm_at > now { COLD_COST } else { 1.0 };
+        known * zone * cold
+    }
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/src/retry_window.rs
@@ -0,0 +1,102 @@
+//! The budget for sending a request to more than one replica: a sliding window, shared by the
+//! fleet without talking about it.
+//!
+//! The fleet may send `ratio` x requests + `fixed` extra calls to a service in any window. Each
+//! node spends what its own requests earn and, of the fixed part, its share by the number of nodes.
+//! A node that knows few others does not thereby get more: see [`RetryAllowance::nodes`].
+
+use std::collections::{HashMap, VecDeque};
+
+use sablebay_catalogue::ServiceName;
+use sablebay_model::Micros;
+
+/// Slots that a window is divided into.
+const SLOTS: u64 = 20;
+/// The part of the allowance that is spent; the rest covers what nodes cannot see of one another.
+const SPENT_PART: f64 = 0.8;
+
+/// What the fleet may send beyond the first call of each request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryAllowance {
+    /// Extra calls for each request.
+    pub ratio: f64,
+    /// Extra calls whatever the traffic, for the whole fleet.
+    pub fixed: f64,
+    /// The length of the window.
+    pub window: Micros,
+    /// Nodes that share the fixed part: the highest number of late.
+    pub nodes: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    number: u64,
+    requests: u64,
+    extra: u64,
+}
+
+/// The calls of one node to one service over the last window.
+#[derive(Debug, Default)]
+pub struct RetryWindow {
+    slots: VecDeque<Slot>,
+}
+
+impl RetryWindow {
+    /// Counts a request for the service.
+    pub fn request(&mut self, allowance: &RetryAllowance, now: Micros) {
+        self.slot(allowance, now).requests += 1;
+    }
+
+    /// Takes an extra call out of the budget; false when there is none left.
+    pub fn spend(&mut self, allowance: &RetryAllowance, now: Micros) -> bool {
+        self.slot(allowance, now);
+        let requests: u64 = self.slots.iter().map(|slot| slot.requests).sum();
+        let extra: u64 = self.slots.iter().map(|slot| slot.extra).sum();
+        let fixed_share = allowance.fixed / allowance.nodes.max(1) as f64;
+        let allowed = SPENT_PART * (allowance.ratio * requests as f64 + fixed_share);
+        let granted = (extra + 1) as f64 <= allowed;
+        if granted {
+            self.slot(allowance, now).extra += 1;
+        }
+        granted
+    }
+
+    /// The slot of this moment, after those that have left the window were dropped. The window is
+    /// one slot longer than the allowance's, so that no shorter span can hold more.
+    fn slot(&mut self, allowance: &RetryAllowance, now: Micros) -> &mut Slot {
+        let number = now.0 / (allowance.window.0 / SLOTS).max(1);
+        while self.slots.front().is_some_and(|slot| slot.number + SLOTS < number) {
+            self.slots.pop_front();
+        }
+        if self.slots.back().is_none_or(|slot| slot.number < number) {
+            self.slots.push_back(Slot { number, requests: 0, extra: 0 });
+        }
+        self.slots.back_mut().expect("a slot was just added")
+    }
+}
+
+/// The budgets of every service.
+#[derive(Debug, Default)]
+pub struct RetryBudgets {
+    windows: HashMap<ServiceName, RetryWindow>,
+}
+
+impl RetryBudgets {
+    /// Counts a request for a service.
+    pub fn request(&mut self, service: &ServiceName, allowance: &RetryAllowance, now: Micros) {
+        match self.windows.get_mut(service) {
+            Some(window) => window.request(allowance, now),
+            None => self.windows.entry(service.clone()).or_default().request(allowance, now),
+        }
+    }
+
+    /// Takes an extra call to a service out of its budget; false when there is none left.
+    pub fn spend(&mut self, service: &ServiceName, allowance: &RetryAllowance, now: Micros) -> bool {
+        self.windows.entry(service.clone()).or_default().spend(allowance, now)
+    }
+
+    /// Forgets services that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&ServiceName) -> bool) {
+        self.windows.retain(|service, _| keep(service));
+    }
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -0,0 +1,109 @@
+//! Which replica gets a call.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use sablebay_catalogue::{Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
+use sablebay_dispatch::{CallKey, LoadHint, ReplicaTable};
+use sablebay_model::{Micros, ZoneName};
+
+const START: Micros = Micros::from_secs(10);
+const USUAL: Micros = Micros::from_millis(20);
+
+fn replica(id: &str) -> RoutableReplica {
+    RoutableReplica {
+        replica: Arc::new(Replica {
+            id: ReplicaId::new(id),
+            service: ServiceName::new("s"),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            zone: ZoneName::new("z"),
+            slots: 2,
+            phase: ReplicaPhase::Ready,
+            warm_up_left_ms: 0,
+        }),
+        last_resort: false,
+        warm_at: Micros(0),
+    }
+}
+
+fn table() -> ReplicaTable {
+    ReplicaTable::new(ZoneName::new("z"))
+}
+
+/// How often each of two replicas is chosen in a hundred draws.
+fn draws(table: &ReplicaTable, candidates: &[RoutableReplica], now: Micros) -> (usize, usize) {
+    let mut random = SmallRng::seed_from_u64(5);
+    let first = (0..100).filter(|_| table.choose(candidates, &[], now, &mut random) == Some(0)).count();
+    (first, 100 - first)
+}
+
+#[test]
+fn a_replica_that_stands_still_is_avoided_at_once() {
+    let candidates = [replica("a"), replica("b")];
+    let mut table = table();
+    table.sent(&candidates[0].replica.id, CallKey(1), USUAL, START);
+    let silent = START.plus(Micros::from_millis(70));
+    assert_eq!(draws(&table, &candidates, silent).0, 0);
+    assert!(!table.has_fit(&candidates[..1], &[], silent));
+    // Its answer comes after the pause: it is used again.
+    table.answered(&candidates[0].replica.id, CallKey(1), None, silent);
+    let later = silent.plus(Micros::from_secs(6));
+    assert!(draws(&table, &candidates, later).0 > 20);
+}
+
+#[test]
+fn a_slow_replica_gets_less_and_is_forgiven_in_time() {
+    let candidates = [replica("a"), replica("b")];
+    let mut table = table();
+    let mut now = START;
+    for call in 0..6 {
+        for (candidate, latency) in candidates.iter().zip([7, 1]) {
+            let key = CallKey(call * 2 + latency);
+            table.sent(&candidate.replica.id, key, USUAL, now);
+            table.answered(&candidate.replica.id, key, None, now.plus(Micros(USUAL.0 * latency)));
+        }
+        now = now.plus(Micros::from_millis(200));
+    }
+    assert_eq!(draws(&table, &candidates, now).0, 0);
+    assert!(draws(&table, &candidates, now.plus(Micros::from_secs(30))).0 > 20);
+}
+
+#[test]
+fn a_replica_that_fails_is_left_alone_for_a_while() {
+    let candidates = [replica("a"), replica("b")];
+    let mut table = table();
+    for call in 0..2 {
+        table.sent(&candidates[0].replica.id, CallKey(call), USUAL, START);
+        table.failed(&candidates[0].replica.id, CallKey(call), START);
+    }
+    assert_eq!(draws(&table, &candidates, START).0, 0);
+    let mut random = SmallRng::seed_from_u64(5);
+    let only = table.choose(&candidates[..1], &[], START, &mut random);
+    assert_eq!(only, Some(0), "it is still better than nothing");
+}
+
+#[test]
+fn a_replica_that_tells_of_a_queue_gets_less() {
+    let candidates = [replica("a"), replica("b")];
+    let mut table = table();
+    for (candidate, waiting) in candidates.iter().zip([8, 0]) {
+        table.sent(&candidate.replica.id, CallKey(1), USUAL, START);
+        let hint = LoadHint { running: 2, waiting, slots: 2 };
+        table.answered(&candidate.replica.id, CallKey(1), Some(hint), START.plus(USUAL));
+    }
+    assert_eq!(draws(&table, &candidates, START.plus(USUAL)).0, 0);
+}
+
+#[test]
+fn a_last_resort_is_used_when_nothing_else_is_left() {
+    let mut vanished = replica("a");
+    vanished.last_resort = true;
+    let candidates = [vanished, replica("b")];
+    let table = table();
+    let mut random = SmallRng::seed_from_u64(5);
+    assert_eq!(draws(&table, &candidates, START).0, 0);
+    let tried = [ReplicaId::new("b")];
+    assert_eq!(table.choose(&candidates, &tried, START, &mut random), Some(0));
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/tests/shares.rs
@@ -0,0 +1,101 @@
+//! Shares of what is bounded for the whole fleet: extra calls, connections, and weights.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use sablebay_catalogue::{ServiceName, WeightedService};
+use sablebay_dispatch::{RetryAllowance, RetryWindow, WeightedChoice, connection_share};
+use sablebay_model::Micros;
+
+const WINDOW: Micros = Micros::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+struct Event {
+    node: usize,
+    gap: u64,
+    extra: bool,
+}
+
+fn event(nodes: usize) -> impl Strategy<Value = Event> {
+    (0..nodes, 0u64..400_000, any::<bool>()).prop_map(|(node, gap, extra)| Event { node, gap, extra })
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(31), cases: 200, ..Config::default() })]
+
+    /// In every window, wherever it begins, the fleet's extra calls stay within what its requests of
+    /// that window and of the one before earn, and the fixed part.
+    #[test]
+    fn the_fleet_stays_within_its_budget_in_every_window(
+        events in (1usize..8).prop_flat_map(|nodes| (Just(nodes), proptest::collection::vec(event(nodes), 1..400))),
+    ) {
+        let (nodes, events) = events;
+        let allowance = RetryAllowance { ratio: 0.2, fixed: 24.0, window: WINDOW, nodes };
+        let mut windows: Vec<RetryWindow> = (0..nodes).map(|_| RetryWindow::default()).collect();
+        let mut now = Micros::from_secs(100);
+        let mut requests: Vec<Micros> = Vec::new();
+        let mut extras: Vec<Micros> = Vec::new();
+        for event in events {
+            now = now.plus(Micros(event.gap));
+            if event.extra {
+                if windows[event.node].spend(&allowance, now) {
+                    extras.push(now);
+                }
+            } else {
+                windows[event.node].request(&allowance, now);
+                requests.push(now);
+            }
+        }
+        let within = |times: &[Micros], from: Micros| {
+            times.iter().filter(|at| **at >= from && at.since(from) < WINDOW).count() as f64
+        };
+        for begin in extras.iter().copied() {
+            let before = Micros(begin.0.saturating_sub(WINDOW.0));
+            let half_before = Micros(begin.0.saturating_sub(WINDOW.0 / 2));
+            let most = within(&requests, begin).max(within(&requests, before)).max(within(&requests, half_before));
+            prop_assert!(within(&extras, begin) <= allowance.ratio * most + allowance.fixed);
+        }
+    }
+
+    /// All shares together never exceed what a replica takes, unless each node has just one.
+    #[test]
+    fn connection_shares_fit(maximum in 1u32..500, nodes in 1usize..300) {
+        let share = connection_share(maximum, nodes);
+        prop_assert!(share >= 1);
+        prop_assert!(share == 1 || share * nodes <= maximum as usize);
+    }
+
+    /// Over any run the shares are off by less than one request a part.
+    #[test]
+    fn weights_are_kept_over_short_runs(
+        weights in proptest::collection::vec(0u32..10, 1..5),
+        phase in 0.0f64..1.0,
+        turns in 1usize..200,
+    ) {
+        let total: u32 = weights.iter().sum();
+        prop_assume!(total > 0);
+        let parts: Vec<WeightedService> = weights.iter().enumerate().map(|(index, weight)| WeightedService {
+            service: ServiceName::new(format!("s{index}")),
+            weight: f64::from(*weight),
+        }).collect();
+        let mut choice = WeightedChoice::new(parts.clone(), phase);
+        let mut counts = vec![0usize; parts.len()];
+        for _ in 0..turns {
+            let chosen = choice.next().expect("a part has a weight");
+            let index = parts.iter().position(|part| part.service == chosen).expect("a known part");
+            counts[index] += 1;
+        }
+        for (count, weight) in counts.iter().zip(&weights) {
+            let due = turns as f64 * f64::from(*weight) / f64::from(total);
+            prop_assert!((*count as f64 - due).abs() <= parts.len() as f64, "{count} of {due}");
+        }
+    }
+}
+
+#[test]
+fn a_part_without_weight_gets_nothing() {
+    let part = |name: &str, weight| WeightedService { service: ServiceName::new(name), weight };
+    let mut choice = WeightedChoice::new(vec![part("a", 0.0), part("b", 1.0)], 0.0);
+    assert!((0..50).all(|_| choice.next() == Some(ServiceName::new("b"))));
+    assert_eq!(WeightedChoice::new(vec![part("a", 0.0)], 0.0).next(), None);
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/call.rs
@@ -0,0 +1,239 @@
+//! One call to one replica: takes a connection, sends, reads the whole answer, and tells the
+//! replica table how it went, also when nobody waits for the answer any more.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::sync::{mpsc, oneshot};
+
+use sablebay_catalogue::RoutableReplica;
+use sablebay_dispatch::{CallFailure, CallKey, CallNumber, LoadHint};
+use sablebay_model::Micros;
+
+use crate::connections::{Lease, ReplicaConnections};
+use crate::context::Context;
+use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, WholeAnswer};
+
+/// The longest answer of a back end.
+const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
+/// How long a call goes on that nobody waits for: most end soon, and their connection is kept.
+const ABANDONED_PATIENCE: Duration = Duration::from_millis(350);
+
+/// A caller's request, as it goes to every replica.
+#[derive(Debug)]
+pub struct ForwardedRequest {
+    /// The caller's identifier.
+    pub id: HeaderValue,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The headers, without those that concern one connection.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The name of its route.
+    pub route: String,
+    /// When the caller stops waiting.
+    pub caller_deadline: Micros,
+}
+
+/// A call that succeeded.
+#[derive(Debug)]
+pub struct CallSuccess {
+    /// What proves it to the caller.
+    pub receipt: HeaderValue,
+    /// The answer.
+    pub answer: WholeAnswer,
+}
+
+/// How a call ended, for the request that it belongs to.
+#[derive(Debug)]
+pub enum CallResult {
+    /// With success.
+    Success(CallSuccess),
+    /// Without; a back end's own failure comes with its answer.
+    Failure(CallFailure, Option<WholeAnswer>),
+}
+
+/// What a call tells its request.
+#[derive(Debug)]
+pub struct CallEvent {
+    /// The call.
+    pub call: CallNumber,
+    /// How it ended.
+    pub result: CallResult,
+}
+
+/// One call to be made.
+pub struct OutgoingCall {
+    /// Names it in its request.
+    pub number: CallNumber,
+    /// Names it among all of this node.
+    pub key: CallKey,
+    /// Where to.
+    pub replica: RoutableReplica,
+    /// What.
+    pub request: Arc<ForwardedRequest>,
+    /// When the answer is no longer wanted.
+    pub deadline: Micros,
+    /// Ready when nobody waits any more; also when its other end is dropped.
+    pub abandoned: oneshot::Receiver<()>,
+    /// Where the result goes.
+    pub events: mpsc::UnboundedSender<CallEvent>,
+}
+
+/// Makes a call.
+pub async fn run_call<C: CallerProtocol, B: BackendProtocol>(
+    context: Arc<Context<C, B>>,
+    call: OutgoingCall,
+) {
+    let OutgoingCall { number, key, replica, request, deadline, mut abandoned, events } = call;
+    let connections = context.connections_to(&replica);
+    let leased = tokio::select! {
+        lease = connections.lease() => lease,
+        _ = &mut abandoned => {
+            // Nothing was sent.
+            context.dispatch.lock().table.forget(&replica.replica.id, key);
+            return;
+        }
+        () = tokio::time::sleep_until(context.clock().instant(deadline)) => {
+            context.dispatch.lock().table.forget(&replica.replica.id, key);
+            let _ = events.send(CallEvent { call: number, result: CallResult::Failure(CallFailure::NoConnection, None) });
+            return;
+        }
+    };
+    let Some(lease) = leased else {
+        context.dispatch.lock().table.failed(&replica.replica.id, key, context.clock().now());
+        let _ = events
+            .send(CallEvent { call: number, result: CallResult::Failure(CallFailure::NoConnection, None) });
+        return;
+    };
+    let mut exchange = std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, deadline));
+    let finished = tokio::select! {
+        result = &mut exchange => Some(result),
+        _ = &mut abandoned => tokio::time::timeout(ABANDONED_PATIENCE, &mut exchange).await.ok(),
+        () = tokio::time::sleep_until(context.clock().instant(deadline)) => None,
+    };
+    let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
+    note(&context, &replica, key, &request, &result);
+    let _ = events.send(CallEvent { call: number, result: result.0 });
+}
+
+/// Tells the replica table how a call went.
+fn note<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    replica: &RoutableReplica,
+    key: CallKey,
+    request: &ForwardedRequest,
+    (result, load): &(CallResult, Option<LoadHint>),
+) {
+    let now = context.clock().now();
+    let id = &replica.replica.id;
+    let mut dispatch = context.dispatch.lock();
+    match result {
+        CallResult::Success(_) => {
+            if let Some(latency) = dispatch.table.answered(id, key, *load, now)
+                && let Some(latencies) = dispatch.latencies.get_mut(&request.route)
+            {
+                latencies.record(latency, now);
+            }
+        }
+        CallResult::Failure(CallFailure::Rejected, _) => dispatch.table.rejected(id, key, *load, now),
+        CallResult::Failure(CallFailure::TimedOut, _) => dispatch.table.timed_out(id, key, now),
+        CallResult::Failure(_, _) => dispatch.table.failed(id, key, now),
+    }
+}
+
+/// Sends a request on a connection and reads the whole answer.
+async fn exchange<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    connections: &ReplicaConnections,
+    mut lease: Lease,
+    replica: &RoutableReplica,
+    request: &ForwardedRequest,
+    deadline: Micros,
+) -> (CallResult, Option<LoadHint>) {
+    let now = context.clock().now();
+    if now >= deadline {
+        connections.give_back(lease);
+        return (CallResult::Failure(CallFailure::NoConnection, None), None);
+    }
+    let remaining = request.caller_deadline.min(deadline).since(now).as_duration();
+    let mut outgoing = outgoing_request(request);
+    context.back_ends.address_to(&mut outgoing, &replica.replica, remaining);
+    let Ok(response) = lease.send(outgoing).await else {
+        return (CallResult::Failure(CallFailure::Broken, None), None);
+    };
+    let (head, body) = response.into_parts();
+    let read = context.back_ends.read(&request.id, head.status, &head.headers);
+    if matches!(read.verdict, AnswerVerdict::Mismatched) {
+        // What else comes on this connection cannot be told apart either: it is closed.
+        return (CallResult::Failure(CallFailure::Mismatched, None), None);
+    }
+    let Ok(collected) = Limited::new(body, MAXIMUM_ANSWER_BYTES).collect().await else {
+        return (CallResult::Failure(CallFailure::Broken, None), read.load);
+    };
+    if let Some(idle) = keep_alive(&head.headers) {
+        lease.keep_for(idle);
+    }
+    connections.give_back(lease);
+    let headers = end_to_end_headers(head.headers);
+    let answer = WholeAnswer { status: head.status, headers, body: collected.to_bytes() };
+    let result = match read.verdict {
+        AnswerVerdict::Success { receipt } => CallResult::Success(CallSuccess { receipt, answer }),
+        AnswerVerdict::Failure => CallResult::Failure(CallFailure::Failed, Some(answer)),
+        AnswerVerdict::NotRun => CallResult::Failure(CallFailure::Rejected, None),
+        AnswerVerdict::WrongInstance => CallResult::Failure(CallFailure::WrongInstance, None),
+        AnswerVerdict::Mismatched => CallResult::Failure(CallFailure::Mismatched, None),
+    };
+    (result, read.load)
+}
+
+fn outgoing_request(request: &ForwardedRequest) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    *outgoing.headers_mut() = request.headers.clone();
+    outgoing
+}
+
+/// How long a back end keeps an idle connection, when it says so.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let parameters = text.split(',').filter_map(|parameter| parameter.trim().split_once('='));
+    let mut timeouts = parameters.filter(|(name, _)| name.eq_ignore_ascii_case("timeout"));
+    let seconds: u64 = timeouts.next()?.1.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+/// The headers without those that concern one connection, and without the length, which the
+/// library sets by the body.
+pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
+    const OF_ONE_CONNECTION: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in OF_ONE_CONNECTION.iter().copied().chain(named.iter().map(String::as_str)) {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -0,0 +1,141 @@
+//! The connections of this node to one replica: few, kept, one request at a time on each.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use prometheus_client::metrics::counter::Counter;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::socket;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// The longest head of an answer.
+const MAXIMUM_HEAD_BYTES: usize = 64 * 1024;
+/// How long before a replica closes an idle connection it is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(600);
+
+/// An open connection. Dropping it closes it, which cancels a request in progress.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    usable_until: Option<Instant>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A connection in use, with its place in the limit.
+pub struct Lease {
+    connection: Connection,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Lease {
+    /// Sends a request; the answer's head comes back.
+    ///
+    /// # Errors
+    /// The library's error.
+    pub async fn send(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<hyper::body::Incoming>, hyper::Error> {
+        self.connection.sender.send_request(request).await
+    }
+
+    /// Notes how long the replica keeps the connection when it is idle.
+    pub fn keep_for(&mut self, idle: Duration) {
+        self.connection.usable_until = Some(Instant::now() + idle.saturating_sub(IDLE_MARGIN));
+    }
+}
+
+/// The connections to one replica.
+pub struct ReplicaConnections {
+    address: SocketAddr,
+    idle: Mutex<Vec<Connection>>,
+    permits: Arc<Semaphore>,
+    limit: AtomicUsize,
+    opened: Counter,
+}
+
+impl ReplicaConnections {
+    /// No connection yet, and `limit` at the most.
+    pub fn new(address: SocketAddr, limit: usize, opened: Counter) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+            permits: Arc::new(Semaphore::new(limit)),
+            limit: AtomicUsize::new(limit),
+            opened,
+        }
+    }
+
+    /// Changes the limit. A lower one takes hold as connections come back.
+    pub fn set_limit(&self, limit: usize) {
+        let before = self.limit.swap(limit, Ordering::AcqRel);
+        if limit > before {
+            self.permits.add_permits(limit - before);
+        } else if limit < before {
+            let removed = self.permits.forget_permits(before - limit);
+            self.limit.store(before - removed, Ordering::Release);
+            self.idle.lock().truncate(limit);
+        }
+    }
+
+    /// Waits for a place in the limit, and gives an idle connection or a new one. Nothing when the
+    /// replica cannot be reached.
+    pub async fn lease(&self) -> Option<Lease> {
+        let permit = self.permits.clone().acquire_owned().await.ok()?;
+        while let Some(mut connection) = self.take_idle() {
+            if connection.sender.ready().await.is_ok() {
+                return Some(Lease { connection, _permit: permit });
+            }
+        }
+        self.opened.inc();
+        let connection = tokio::time::timeout(CONNECT_TIMEOUT, open(self.address)).await.ok()??;
+        Some(Lease { connection, _permit: permit })
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        idle.retain(|connection| {
+            let forgotten = connection.usable_until.is_some_and(|until| until <= now);
+            !connection.sender.is_closed() && !forgotten
+        });
+        idle.pop()
+    }
+
+    /// Gives back a connection whose answer was read to its end.
+    pub fn give_back(&self, lease: Lease) {
+        if !lease.connection.sender.is_closed() {
+            self.idle.lock().push(lease.connection);
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> Option<Connection> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    socket::prepare(&stream);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAXIMUM_HEAD_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    // How a connection ends shows in its requests.
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Some(Connection { sender, task: task.abort_handle(), usable_until: None })
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/context.rs
@@ -0,0 +1,222 @@
+//! What the requests of a gateway share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+
+use sablebay_catalogue::{
+    Destination, ReplicaId, RoutableReplica, Route, RouteTable, ServiceName, WeightedService,
+};
+use sablebay_config::GatewaySettings;
+use sablebay_dispatch::{
+    CallKey, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, WeightedChoice,
+    connection_share,
+};
+use sablebay_model::Micros;
+use sablebay_node::{Clock, Shared};
+
+use crate::connections::ReplicaConnections;
+use crate::edge::{BackendProtocol, CallerProtocol};
+use crate::metrics::GatewayMetrics;
+
+/// The replicas that may get new work, at one moment.
+#[derive(Debug, Default)]
+pub struct RoutingView {
+    /// The routes; none before a configuration is known.
+    pub routes: Option<Arc<RouteTable>>,
+    /// The replicas by service.
+    pub replicas: HashMap<ServiceName, Arc<[RoutableReplica]>>,
+}
+
+impl RoutingView {
+    /// The replicas of a service.
+    pub fn targets(&self, service: &ServiceName) -> ShardTargets {
+        let replicas = self.replicas.get(service).cloned().unwrap_or_else(|| Arc::from([]));
+        ShardTargets { service: service.clone(), replicas }
+    }
+}
+
+/// The machines of `sablebay-dispatch`, behind one lock.
+pub struct Dispatch {
+    /// What is known of the replicas.
+    pub table: ReplicaTable,
+    /// The budgets for extra calls.
+    pub budgets: RetryBudgets,
+    /// Latencies by route.
+    pub latencies: HashMap<String, RouteLatency>,
+    /// Splits by route.
+    pub splits: HashMap<String, WeightedChoice>,
+}
+
+/// What the requests of a gateway share.
+pub struct Context<C, B> {
+    /// The node that the gateway is a part of.
+    pub node: Arc<Shared>,
+    /// What callers speak.
+    pub callers: C,
+    /// What back ends speak.
+    pub back_ends: B,
+    /// The settings.
+    pub settings: ArcSwap<GatewaySettings>,
+    /// Routes and replicas.
+    pub view: ArcSwap<RoutingView>,
+    /// Decisions.
+    pub dispatch: Mutex<Dispatch>,
+    /// Connections by replica.
+    pub connections: Mutex<HashMap<ReplicaId, Arc<ReplicaConnections>>>,
+    /// Nodes that share budgets and connections.
+    pub nodes: AtomicU64,
+    /// When the catalogue was last confirmed, in microseconds of the clock; 0 when never.
+    pub confirmed_at: AtomicU64,
+    /// Whether the last read of the source failed.
+    pub source_fails: AtomicBool,
+    /// Counts and latencies.
+    pub metrics: GatewayMetrics,
+    next_call: AtomicU64,
+}
+
+impl<C: CallerProtocol, B: BackendProtocol> Context<C, B> {
+    /// A context without routes.
+    pub fn new(node: Arc<Shared>, callers: C, back_ends: B, settings: GatewaySettings) -> Self {
+        let dispatch = Dispatch {
+            table: ReplicaTable::new(node.settings.zone.clone()),
+            budgets: RetryBudgets::default(),
+            latencies: HashMap::new(),
+            splits: HashMap::new(),
+        };
+        Self {
+            node,
+            callers,
+            back_ends,
+            nodes: AtomicU64::new(u64::from(settings.assumed_nodes)),
+            confirmed_at: AtomicU64::new(0),
+            source_fails: AtomicBool::new(false),
+            settings: ArcSwap::from_pointee(settings),
+            view: ArcSwap::from_pointee(RoutingView::default()),
+            dispatch: Mutex::new(dispatch),
+            connections: Mutex::default(),
+            metrics: GatewayMetrics::default(),
+            next_call: AtomicU64::new(0),
+        }
+    }
+
+    /// The node's clock.
+    pub fn clock(&self) -> Clock {
+        self.node.clock
+    }
+
+    /// Since when the catalogue was not confirmed.
+    pub fn catalogue_age(&self) -> Micros {
+        self.clock().now().since(Micros(self.confirmed_at.load(Ordering::Relaxed)))
+    }
+
+    /// Whether the configuration may well have been replaced without this node's knowing: the
+    /// source fails, and did not confirm it of late.
+    pub fn catalogue_is_old(&self) -> bool {
+        const OLD: Micros = Micros::from_millis(1_500);
+        self.source_fails.load(Ordering::Relaxed) && self.catalogue_age() > OLD
+    }
+
+    /// A number for one more call.
+    pub fn next_call(&self) -> CallKey {
+        CallKey(self.next_call.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// What the fleet may send beyond first calls.
+    pub fn allowance(&self) -> RetryAllowance {
+        let settings = self.settings.load();
+        RetryAllowance {
+            ratio: settings.retry_ratio,
+            fixed: settings.retry_fixed,
+            window: Micros::from_millis(settings.retry_window_ms),
+            nodes: self.nodes.load(Ordering::Relaxed) as usize,
+        }
+    }
+
+    /// The connections to a replica; made at their first use.
+    pub fn connections_to(&self, replica: &RoutableReplica) -> Arc<ReplicaConnections> {
+        let mut connections = self.connections.lock();
+        if let Some(known) = connections.get(&replica.replica.id) {
+            return known.clone();
+        }
+        let limit = self.connection_limit(&replica.replica.service);
+        let opened = self.metrics.connections_opened.clone();
+        let made = Arc::new(ReplicaConnections::new(replica.replica.address, limit, opened));
+        connections.insert(replica.replica.id.clone(), made.clone());
+        made
+    }
+
+    fn connection_limit(&self, service: &ServiceName) -> usize {
+        /// Assumed of a service that the configuration does not name.
+        const UNKNOWN_MAXIMUM: u32 = 16;
+        let view = self.view.load();
+        let known = view.routes.as_ref().and_then(|routes| routes.service(service));
+        let maximum = known.map_or(UNKNOWN_MAXIMUM, |service| service.maximum_connections);
+        connection_share(maximum, self.nodes.load(Ordering::Relaxed) as usize)
+    }
+
+    /// Takes a new view of routes and replicas into use.
+    pub fn install(&self, view: RoutingView) {
+        self.view.store(Arc::new(view));
+        self.refresh_connections();
+        let view = self.view.load();
+        let known =
+            |id: &ReplicaId| view.replicas.values().flat_map(|r| r.iter()).any(|r| r.replica.id == *id);
+        let mut dispatch = self.dispatch.lock();
+        dispatch.table.retain(known);
+        if let Some(routes) = view.routes.as_ref() {
+            let named = |name: &str| routes.configuration().routes.iter().any(|route| route.name == name);
+            dispatch.latencies.retain(|name, _| named(name));
+            dispatch.splits.retain(|name, _| named(name));
+            dispatch.budgets.retain(|service| routes.service(service).is_some());
+        }
+    }
+
+    /// Sets the limits of all connections anew, and drops those to replicas that are no longer
+    /// routable. Calls in progress keep theirs until they end.
+    pub fn refresh_connections(&self) {
+        let view = self.view.load();
+        let mut connections = self.connections.lock();
+        let mut limits: HashMap<&ReplicaId, usize> = HashMap::new();
+        for (service, replicas) in &view.replicas {
+            let limit = self.connection_limit(service);
+            limits.extend(replicas.iter().map(|replica| (&replica.replica.id, limit)));
+        }
+        connections.retain(|id, known| {
+            let limit = limits.get(id);
+            if let Some(limit) = limit {
+                known.set_limit(*limit);
+            }
+            limit.is_some()
+        });
+    }
+
+    /// The shards that a request on a route goes to, and whether their answers are merged.
+    pub fn targets_of(&self, view: &RoutingView, route: &Route) -> Vec<ShardTargets> {
+        match &route.destination {
+            Destination::Gather(gather) => gather.shards.iter().map(|shard| view.targets(shard)).collect(),
+            Destination::Services(parts) => {
+                let chosen = self.choose_part(route, parts);
+                chosen.iter().map(|service| view.targets(service)).collect()
+            }
+        }
+    }
+
+    fn choose_part(&self, route: &Route, parts: &[WeightedService]) -> Option<ServiceName> {
+        if let [only] = parts {
+            return Some(only.service.clone());
+        }
+        let mut dispatch = self.dispatch.lock();
+        let split = dispatch.splits.get_mut(&route.name).filter(|split| split.parts() == parts);
+        if let Some(split) = split {
+            return split.next();
+        }
+        let mut split = WeightedChoice::new(parts.to_vec(), rand::random());
+        let chosen = split.next();
+        dispatch.splits.insert(route.name.clone(), split);
+        chosen
+    }
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -0,0 +1,166 @@
+//! The three edges of the request path, in the product's terms: callers, back ends, and the source
+//! of the catalogue. An adapter implements them with the names and formats of one platform, and
+//! decides nothing.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+
+use sablebay_catalogue::{Listing, Replica, ReplicaChange, RoutingConfiguration};
+use sablebay_dispatch::LoadHint;
+
+/// What the gateway needs to know of a request's head.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// The caller's identifier of this attempt.
+    pub id: HeaderValue,
+    /// How long the caller will wait.
+    pub patience: Option<Duration>,
+}
+
+/// Why a request gets no answer of a back end.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Refusal {
+    /// No route serves it.
+    #[display("no route")]
+    NoRoute,
+    /// It has no identifier.
+    #[display("no identifier")]
+    NoIdentifier,
+    /// Its body is longer than the configuration allows.
+    #[display("body too long")]
+    BodyTooLong,
+    /// It did not run, and never will; come back after this time.
+    #[display("not run")]
+    NotRun {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+    /// Its time is over; it may have run.
+    #[display("expired")]
+    Expired,
+}
+
+/// The whole answer of one back end.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers, without those that concern one connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What the answers of all shards were merged to.
+#[derive(Clone, Debug)]
+pub struct GatheredAnswer {
+    /// The receipts of the shards that are in.
+    pub receipts: Vec<HeaderValue>,
+    /// The number of shards left out.
+    pub missing: usize,
+    /// The merged records.
+    pub body: Bytes,
+}
+
+/// What callers speak.
+pub trait CallerProtocol: Send + Sync + 'static {
+    /// Reads the head of a request; nothing when it has no identifier.
+    fn read(&self, headers: &HeaderMap) -> Option<CallerRequest>;
+    /// An answer that one back end gave.
+    fn relayed(&self, answer: WholeAnswer) -> Response<Full<Bytes>>;
+    /// An answer that was put together from shards.
+    fn gathered(&self, answer: GatheredAnswer) -> Response<Full<Bytes>>;
+    /// An answer of the gateway's own.
+    fn refused(&self, refusal: Refusal) -> Response<Full<Bytes>>;
+}
+
+/// What the head of a back end's answer says.
+#[derive(Clone, Debug)]
+pub enum AnswerVerdict {
+    /// It succeeded; the receipt proves it to the caller.
+    Success {
+        /// The receipt.
+        receipt: HeaderValue,
+    },
+    /// It ran, or may have, and failed.
+    Failure,
+    /// It did not run.
+    NotRun,
+    /// Another replica has the address; it did not run.
+    WrongInstance,
+    /// It is the answer to another request, or names none.
+    Mismatched,
+}
+
+/// What the gateway needs to know of an answer's head.
+#[derive(Clone, Debug)]
+pub struct BackendAnswer {
+    /// What became of the request.
+    pub verdict: AnswerVerdict,
+    /// The back end's load, when it tells it.
+    pub load: Option<LoadHint>,
+}
+
+/// What back ends speak.
+pub trait BackendProtocol: Send + Sync + 'static {
+    /// Adds to a request what a replica must be told; `remaining` is how long its answer is wanted.
+    fn address_to(&self, request: &mut Request<Full<Bytes>>, replica: &Replica, remaining: Duration);
+    /// Reads the head of an answer to the request `id`.
+    fn read(&self, id: &HeaderValue, status: StatusCode, headers: &HeaderMap) -> BackendAnswer;
+}
+
+/// Why the source of the catalogue gave nothing.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum SourceError {
+    /// The changes since the revision asked for are forgotten.
+    #[display("history is lost")]
+    HistoryLost,
+    /// It refuses for now.
+    #[display("refused for now")]
+    Busy,
+    /// It does not answer.
+    #[display("no answer")]
+    Unavailable,
+    /// Its answer cannot be read.
+    #[display("malformed answer")]
+    Malformed,
+}
+
+/// Everything that the source holds.
+#[derive(Clone, Debug)]
+pub struct CatalogueListing {
+    /// The configuration; none before the first was published.
+    pub configuration: Option<RoutingConfiguration>,
+    /// The replicas, and the revision that the listing was begun at.
+    pub listing: Listing,
+}
+
+/// What changed after a revision.
+#[derive(Clone, Debug, Default)]
+pub struct CatalogueNews {
+    /// The newest configuration, when it changed.
+    pub configuration: Option<RoutingConfiguration>,
+    /// Changes of replicas with their revisions, in order.
+    pub replicas: Vec<(ReplicaChange, u64)>,
+    /// The revision to go on from.
+    pub at: u64,
+}
+
+/// Where the catalogue comes from.
+pub trait CatalogueSource: Send + Sync + 'static {
+    /// Reads everything.
+    fn list(&self) -> impl Future<Output = Result<CatalogueListing, SourceError>> + Send;
+    /// Waits up to `wait` for changes after a revision.
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<CatalogueNews, SourceError>> + Send;
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -0,0 +1,121 @@
+//! A gateway: opens its listeners, starts its tasks, and stops as planned.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use sablebay_config::GatewaySettings;
+use sablebay_node::{ListenerPhase, Node, serve_http};
+
+use crate::catalogue_reader::{follow_source, install_changes};
+use crate::context::Context;
+use crate::edge::{BackendProtocol, CallerProtocol, CatalogueSource};
+use crate::error::GatewayError;
+use crate::ingress::caller_routes;
+use crate::peer_catalogue::follow_peers;
+use crate::readiness::readiness_routes;
+
+/// How long connections that stay silent are kept after the listener has closed.
+const SILENT_PATIENCE: Duration = Duration::from_millis(700);
+
+/// The addresses that a gateway's listeners got.
+#[derive(Clone, Debug, Serialize)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub caller_address: SocketAddr,
+    /// For whoever asks whether the node is ready.
+    pub readiness_address: SocketAddr,
+}
+
+/// A running gateway. Dropping it ends its tasks at once; [`Gateway::stop`] is the planned stop.
+pub struct Gateway {
+    /// The addresses of its listeners.
+    pub addresses: GatewayAddresses,
+    settings: GatewaySettings,
+    tasks: Vec<JoinHandle<()>>,
+    callers: Option<JoinHandle<()>>,
+    phase: watch::Sender<ListenerPhase>,
+    /// Never sends: readiness is answered until the process ends.
+    _always_open: watch::Sender<ListenerPhase>,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        for task in self.tasks.iter().chain(&self.callers) {
+            task.abort();
+        }
+    }
+}
+
+async fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(TcpListener, SocketAddr), GatewayError> {
+    let fail = |source| GatewayError::Listen { address, purpose, source };
+    let listener = TcpListener::bind(address).await.map_err(fail)?;
+    let bound = listener.local_addr().map_err(fail)?;
+    Ok((listener, bound))
+}
+
+impl Gateway {
+    /// Starts a gateway as a part of a node.
+    ///
+    /// # Errors
+    /// When a listener cannot be opened.
+    pub async fn start<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
+        node: &Node,
+        settings: GatewaySettings,
+        callers: C,
+        back_ends: B,
+        source: S,
+    ) -> Result<Gateway, GatewayError> {
+        let (caller_listener, caller_address) =
+            listen(settings.caller_address, "callers of the gateway").await?;
+        let (readiness_listener, readiness_address) = listen(settings.readiness_address, "readiness").await?;
+        let context = Arc::new(Context::new(node.shared.clone(), callers, back_ends, settings.clone()));
+        node.shared.metrics.extend(|registry| context.metrics.register(registry));
+        let (phase, phases) = watch::channel(ListenerPhase::Open);
+        let (_always_open, always_open) = watch::channel(ListenerPhase::Open);
+        let tasks = vec![
+            tokio::spawn(follow_source(context.clone(), Arc::new(source))),
+            tokio::spawn(follow_peers(context.clone())),
+            tokio::spawn(install_changes(context.clone())),
+            tokio::spawn(serve_http(readiness_listener, readiness_routes(context.clone()), always_open)),
+        ];
+        let callers = tokio::spawn(serve_http(caller_listener, caller_routes(context), phases));
+        log::info!("gateway: listens for callers on {caller_address}, for readiness on {readiness_address}.");
+        let addresses = GatewayAddresses { caller_address, readiness_address };
+        Ok(Gateway { addresses, settings, tasks, callers: Some(callers), phase, _always_open })
+    }
+
+    /// The planned stop. The node must already call itself draining: readiness is refused from then
+    /// on, and each answer tells its caller to connect anew. Connections are taken until whoever
+    /// hands them out has noticed; then the listener closes, what is in flight is finished, and
+    /// idle connections are closed. Returns whether nothing was cut.
+    pub async fn stop(mut self) -> bool {
+        let Some(callers) = self.callers.take() else {
+            return true;
+        };
+        let mut callers = std::pin::pin!(callers);
+        let limit = Duration::from_millis(self.settings.stop_timeout_ms);
+        let linger = Duration::from_millis(self.settings.stop_linger_ms).min(limit);
+        tokio::time::sleep(linger).await;
+        self.phase.send_replace(ListenerPhase::Closed);
+        let silence = SILENT_PATIENCE.min(limit - linger);
+        if tokio::time::timeout(silence, callers.as_mut()).await.is_ok() {
+            return true;
+        }
+        self.phase.send_replace(ListenerPhase::Ended);
+        let finished = tokio::time::timeout(limit - linger - silence, callers.as_mut()).await.is_ok();
+        if !finished {
+            callers.abort();
+            log::warn!("stop: requests were still in flight at the end of the time allowed.");
+        }
+        finished
+    }
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -0,0 +1,197 @@
+//! Takes requests from callers: finds their route, runs them, and answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::Response;
+use bytes::Bytes;
+use http::{HeaderValue, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+
+use sablebay_catalogue::{Destination, Gather, Route, RouteTable};
+use sablebay_dispatch::{FanoutOutcome, TopRecords};
+use sablebay_model::Micros;
+
+use crate::call::{ForwardedRequest, end_to_end_headers};
+use crate::context::Context;
+use crate::driver::{DriverResult, DriverWork, RequestBounds, drive};
+use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, GatheredAnswer, Refusal};
+use crate::request_log::{self, RequestRecord};
+
+/// How long a caller is assumed to wait who does not say.
+const ASSUMED_PATIENCE: Duration = Duration::from_secs(10);
+/// How long before a caller's deadline its final answer is on the way.
+const ANSWER_MARGIN: Micros = Micros::from_millis(5);
+/// When to come back while nothing is known of routes or replicas.
+const UNPREPARED_RETRY: Duration = Duration::from_millis(400);
+/// When to come back after every replica rejected a request.
+const REJECTED_RETRY: Duration = Duration::from_millis(150);
+
+/// Routes of the callers' listener: everything goes through the gateway.
+pub fn caller_routes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) -> Router {
+    Router::new().fallback(handle::<C, B>).with_state(context)
+}
+
+async fn handle<C: CallerProtocol, B: BackendProtocol>(
+    State(context): State<Arc<Context<C, B>>>,
+    request: Request,
+) -> Response {
+    // A planned stop waits for this request; new ones are taken until the listener is closed.
+    let _in_flight = context.node.lifecycle.hold();
+    let mut response = answer(&context, request).await.map(Body::new);
+    if context.node.lifecycle.is_draining() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer<C: CallerProtocol, B: BackendProtocol>(
+    context: &Arc<Context<C, B>>,
+    request: Request,
+) -> http::Response<Full<Bytes>> {
+    let received_at = context.clock().now();
+    let Some(caller) = context.callers.read(request.headers()) else {
+        return context.callers.refused(Refusal::NoIdentifier);
+    };
+    let view = context.view.load_full();
+    let mut record = RequestRecord::new(&caller, received_at);
+    let Some(routes) = view.routes.clone() else {
+        return refuse(
+            context,
+            record,
+            Refusal::NotRun { retry_after: UNPREPARED_RETRY },
+            "no configuration yet",
+        );
+    };
+    record.version = routes.version();
+    let Some(route) = find_route(&routes, &request) else {
+        if context.catalogue_is_old() {
+            let refusal = Refusal::NotRun { retry_after: UNPREPARED_RETRY };
+            return refuse(context, record, refusal, "no route in an old configuration");
+        }
+        return refuse(context, record, Refusal::NoRoute, "no route");
+    };
+    record.route = Some(route.clone());
+    let bounds = bounds_of(&caller, &route, received_at);
+    let caller_deadline = received_at.plus(Micros::from(caller.patience.unwrap_or(ASSUMED_PATIENCE)));
+    let limit = routes.configuration().limits.body_bytes;
+    let Some(forwarded) = read_request(request, caller, &route, limit, caller_deadline).await else {
+        return refuse(context, record, Refusal::BodyTooLong, "the body is too long or was broken off");
+    };
+    let targets = context.targets_of(&view, &route);
+    let result = drive(context, &route, targets, Arc::new(forwarded), bounds).await;
+    conclude(context, record, &route, result)
+}
+
+fn find_route(routes: &RouteTable, request: &Request) -> Option<Arc<Route>> {
+    let named = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = request.uri().authority().map(|authority| authority.as_str()).or(named)?;
+    routes.find(host, request.uri().path()).cloned()
+}
+
+fn bounds_of(caller: &CallerRequest, route: &Route, received_at: Micros) -> RequestBounds {
+    let patience = Micros::from(caller.patience.unwrap_or(ASSUMED_PATIENCE)).since(ANSWER_MARGIN);
+    let limit = match route.time_limit_ms {
+        0 => patience,
+        milliseconds => patience.min(Micros::from_millis(milliseconds)),
+    };
+    RequestBounds { received_at, deadline: received_at.plus(limit) }
+}
+
+/// The request as it goes on; nothing when its body is too long or was broken off.
+async fn read_request(
+    request: Request,
+    caller: CallerRequest,
+    route: &Route,
+    limit: usize,
+    caller_deadline: Micros,
+) -> Option<ForwardedRequest> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
+    let path = head.uri.path_and_query()?.clone();
+    Some(ForwardedRequest {
+        id: caller.id,
+        method: head.method,
+        uri: Uri::from(path),
+        headers: end_to_end_headers(head.headers),
+        body,
+        route: route.name.clone(),
+        caller_deadline,
+    })
+}
+
+fn refuse<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    record: RequestRecord,
+    refusal: Refusal,
+    why: &str,
+) -> http::Response<Full<Bytes>> {
+    context.metrics.refused(refusal);
+    request_log::refused(context, &record, refusal, why, &DriverWork::default());
+    context.callers.refused(refusal)
+}
+
+/// Makes the answer out of what a request has come to.
+fn conclude<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    record: RequestRecord,
+    route: &Route,
+    result: DriverResult,
+) -> http::Response<Full<Bytes>> {
+    let DriverResult { outcome, answers, failed_answer, work } = result;
+    context.metrics.work(&work);
+    let refusal = match outcome {
+        FanoutOutcome::Answered { missing } => {
+            request_log::answered(context, &record, missing, &work);
+            context.metrics.answered(context.clock().now().since(record.received_at), missing);
+            return merge(context, route, answers, missing);
+        }
+        FanoutOutcome::NotRun => Refusal::NotRun { retry_after: REJECTED_RETRY },
+        FanoutOutcome::Unknown => Refusal::Unknown,
+        FanoutOutcome::Expired { may_have_run: true } => Refusal::Expired,
+        FanoutOutcome::Expired { may_have_run: false } => Refusal::NotRun { retry_after: REJECTED_RETRY },
+    };
+    context.metrics.refused(refusal);
+    request_log::refused(context, &record, refusal, "too few shards answered", &work);
+    match (failed_answer, &route.destination) {
+        (Some(answer), Destination::Services(_)) if refusal == Refusal::Unknown => {
+            context.callers.relayed(answer)
+        }
+        _ => context.callers.refused(refusal),
+    }
+}
+
+fn merge<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    route: &Route,
+    mut answers: Vec<(usize, crate::call::CallSuccess)>,
+    missing: usize,
+) -> http::Response<Full<Bytes>> {
+    match &route.destination {
+        Destination::Gather(gather) => {
+            answers.sort_by_key(|(shard, _)| *shard);
+            context.callers.gathered(gathered(gather, answers, missing))
+        }
+        Destination::Services(_) => {
+            let only = answers.pop().expect("an answered request over one shard has its answer");
+            context.callers.relayed(only.1.answer)
+        }
+    }
+}
+
+fn gathered(
+    gather: &Gather,
+    answers: Vec<(usize, crate::call::CallSuccess)>,
+    missing: usize,
+) -> GatheredAnswer {
+    let mut records = TopRecords::new(gather.top);
+    let mut receipts = Vec::with_capacity(answers.len());
+    for (_, success) in answers {
+        records.add(&success.answer.body);
+        receipts.push(success.receipt);
+    }
+    GatheredAnswer { receipts, missing, body: Bytes::from(records.into_bytes()) }
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! Forwards requests to one replica of each of their shards.
+//!
+//! This is the shell: it owns sockets, tasks and clocks, and does what `sablebay-dispatch` and
+//! `sablebay-catalogue` decide. What callers, back ends and the source of the catalogue speak is
+//! behind the traits in [`edge`].
+
+mod call;
+mod catalogue_reader;
+mod connections;
+mod context;
+mod driver;
+pub mod edge;
+mod error;
+mod gateway;
+mod ingress;
+mod metrics;
+mod peer_catalogue;
+mod readiness;
+mod request_log;
+mod socket;
+
+pub use error::GatewayError;
+pub use gateway::{Gateway, GatewayAddresses};
--- /dev/null
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Counts and latencies of a gateway, and the budget of its log lines.
+
+use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use sablebay_model::Micros;
+
+use crate::driver::DriverWork;
+use crate::edge::Refusal;
+
+/// The outcome of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// A word of a closed list.
+    pub outcome: &'static str,
+}
+
+/// Log lines about requests that may be written at once, and that are allowed anew each second.
+const LINES_PER_SECOND: u64 = 10;
+
+/// Bounds the log lines about requests.
+#[derive(Debug, Default)]
+pub struct LogBudget {
+    state: Mutex<(u64, u64, u64)>,
+}
+
+impl LogBudget {
+    /// Whether one more line may be written now. What was left out is told once a second.
+    pub fn take(&self, now: Micros) -> bool {
+        let mut state = self.state.lock();
+        let second = now.0 / 1_000_000;
+        if state.0 != second {
+            if state.2 > 0 {
+                log::warn!(omitted = state.2; "log: lines about requests were left out.");
+            }
+            *state = (second, 0, 0);
+        }
+        let allowed = state.1 < LINES_PER_SECOND;
+        if allowed {
+            state.1 += 1;
+        } else {
+            state.2 += 1;
+        }
+        allowed
+    }
+}
+
+/// Counts and latencies of a gateway.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    /// Connections opened to replicas.
+    pub connections_opened: Counter,
+    /// The log's budget.
+    pub log_budget: LogBudget,
+    /// Reads of the catalogue's source, by outcome.
+    pub source_reads: Family<OutcomeLabel, Counter>,
+    /// The version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// The age of the catalogue's last confirmation, in milliseconds.
+    pub catalogue_age: Gauge,
+    requests: Family<OutcomeLabel, Counter>,
+    calls: Counter,
+    extra_calls: Counter,
+    missing_shards: Counter,
+    latency: Histogram,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        /// Upper bounds of the latency buckets, in seconds.
+        const BUCKETS: [f64; 12] = [0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
+        Self {
+            connections_opened: Counter::default(),
+            log_budget: LogBudget::default(),
+            source_reads: Family::default(),
+            configuration_version: Gauge::default(),
+            catalogue_age: Gauge::default(),
+            requests: Family::default(),
+            calls: Counter::default(),
+            extra_calls: Counter::default(),
+            missing_shards: Counter::default(),
+            latency: Histogram::new(BUCKETS),
+        }
+    }
+}
+
+fn refusal_word(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::NoRoute => "no_route",
+        Refusal::NoIdentifier => "no_identifier",
+        Refusal::BodyTooLong => "body_too_long",
+        Refusal::NotRun { .. } => "not_run",
+        Refusal::Unknown => "unknown",
+        Refusal::Expired => "expired",
+    }
+}
+
+impl GatewayMetrics {
+    /// A request was answered.
+    pub fn answered(&self, held: Micros, missing: usize) {
+        self.latency.observe(held.as_secs_f64());
+        self.missing_shards.inc_by(missing as u64);
+        let outcome = if missing == 0 { "answered" } else { "answered_in_part" };
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// A request was refused or failed.
+    pub fn refused(&self, refusal: Refusal) {
+        self.requests.get_or_create(&OutcomeLabel { outcome: refusal_word(refusal) }).inc();
+    }
+
+    /// What one request needed.
+    pub fn work(&self, work: &DriverWork) {
+        self.calls.inc_by(u64::from(work.calls));
+        self.extra_calls.inc_by(u64::from(work.extra_calls));
+    }
+
+    /// A read of the catalogue's source ended.
+    pub fn source_read(&self, outcome: &'static str) {
+        self.source_reads.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// All of them, for a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("gateway");
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register("calls", "Calls to replicas", self.calls.clone());
+        registry.register("extra_calls", "Calls after the first of their shard", self.extra_calls.clone());
+        registry.register("missing_shards", "Shards left out of answers", self.missing_shards.clone());
+        registry.register(
+            "connections_opened",
+            "Connections opened to replicas",
+            self.connections_opened.clone(),
+        );
+        registry.register("latency_seconds", "Time from request to answer", self.latency.clone());
+        registry.register("source_reads", "Reads of the catalogue by outcome", self.source_reads.clone());
+        registry.register("configuration_version", "Version in force", self.configuration_version.clone());
+        registry.register(
+            "catalogue_age_milliseconds",
+            "Since the catalogue was confirmed",
+            self.catalogue_age.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/sablebay-gateway/src/request_log.rs
@@ -0,0 +1,95 @@
+//! One log line for each request that was refused, failed or came out incomplete, with what
+//! decided it. Requests that went well are logged at debug level.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use http::HeaderValue;
+
+use sablebay_catalogue::Route;
+use sablebay_model::Micros;
+
+use crate::context::Context;
+use crate::driver::DriverWork;
+use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, Refusal};
+
+/// What is known of a request when its line is written.
+pub struct RequestRecord {
+    /// The caller's identifier.
+    pub id: HeaderValue,
+    /// When it came in.
+    pub received_at: Micros,
+    /// The configuration that it was routed by; 0 when there was none.
+    pub version: u64,
+    /// Its route, once found.
+    pub route: Option<Arc<Route>>,
+}
+
+impl RequestRecord {
+    /// Of a request that came in.
+    pub fn new(caller: &CallerRequest, received_at: Micros) -> Self {
+        Self { id: caller.id.clone(), received_at, version: 0, route: None }
+    }
+
+    fn id(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+
+    fn route_name(&self) -> &str {
+        self.route.as_ref().map_or("-", |route| route.name.as_str())
+    }
+}
+
+/// Failures that one line names at the most.
+const NAMED_FAILURES: usize = 6;
+
+fn failures(work: &DriverWork) -> String {
+    let mut text = String::new();
+    for (replica, failure) in work.failures.iter().take(NAMED_FAILURES) {
+        // Writing to a text does not fail.
+        let _ = write!(text, "{replica}: {failure}; ");
+    }
+    if work.failures.len() > NAMED_FAILURES {
+        let _ = write!(text, "and {} more", work.failures.len() - NAMED_FAILURES);
+    }
+    text
+}
+
+/// A request that was refused or failed.
+pub fn refused<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    record: &RequestRecord,
+    refusal: Refusal,
+    why: &str,
+    work: &DriverWork,
+) {
+    if !context.metrics.log_budget.take(context.clock().now()) {
+        return;
+    }
+    let held = context.clock().now().since(record.received_at).as_millis();
+    log::warn!(
+        request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
+        calls = work.calls, extra_calls = work.extra_calls, failures = failures(work).as_str(),
+        catalogue_age_ms = context.catalogue_age().as_millis();
+        "gateway: {refusal}: {why}."
+    );
+}
+
+/// A request that was answered.
+pub fn answered<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    record: &RequestRecord,
+    missing: usize,
+    work: &DriverWork,
+) {
+    if missing == 0 || !context.metrics.log_budget.take(context.clock().now()) {
+        return;
+    }
+    let held = context.clock().now().since(record.received_at).as_millis();
+    log::info!(
+        request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
+        missing = missing, calls = work.calls, extra_calls = work.extra_calls,
+        failures = failures(work).as_str();
+        "gateway: answered without some shards."
+    );
+}
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admin_api;
 mod caller_api;
+mod catalogue_store;
 mod clock;
 mod cluster_view;
 mod common_routes;
@@ -27,12 +28,16 @@
 mod service_state;
 mod shared;
 
+pub use admin_api::start_draining;
+pub use catalogue_store::CatalogueStore;
 pub use clock::Clock;
 pub use error::NodeError;
 pub use http_listener::{ListenerPhase, serve_http};
 pub use leaf_client::{CallEvent, LeafClient, OutgoingSearch};
+pub use lifecycle::Lifecycle;
 pub use logging::{LogControl, start_logging};
 pub use node::{BoundAddresses, Node, NodeMechanisms};
+pub use peers::{Lane, PeerFailure, PeerTransport};
 pub use report::{NodeReport, ServiceReport};
 pub use root_search::{QueryInput, root_search};
 pub use shared::Shared;
--- a/crates/sablebay-node/src/metrics.rs
+++ b/crates/sablebay-node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics for Prometheus.
 
+use parking_lot::Mutex;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -30,7 +31,7 @@
 
 /// Every metric of a node.
 pub struct Metrics {
-    registry: Registry,
+    registry: Mutex<Registry>,
     answers: Family<ServiceLabel, Counter>,
     partial_answers: Family<ServiceLabel, Counter>,
     refusals: Family<RefusalLabels, Counter>,
@@ -71,7 +72,7 @@
     /// Metrics at zero.
     pub fn new() -> Self {
         let mut metrics = Self {
-            registry: Registry::with_prefix("sablebay"),
+            registry: Mutex::new(Registry::with_prefix("sablebay")),
             answers: Family::default(),
             partial_answers: Family::default(),
             refusals: Family::default(),
@@ -95,7 +96,7 @@
     }
 
     fn register_services(&mut self) {
-        let registry = &mut self.registry;
+        let registry = self.registry.get_mut();
         registry.register("answers", "Queries answered", self.answers.clone());
         registry.register("partial_answers", "Answers with missing partitions", self.partial_answers.clone());
         registry.register("refusals", "Queries without an answer", self.refusals.clone());
@@ -107,7 +108,7 @@
     }
 
     fn register_node(&mut self) {
-        let registry = &mut self.registry;
+        let registry = self.registry.get_mut();
         registry.register("revision", "Revision in force", self.revision.clone());
         registry.register("members", "Members that take work", self.members.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
@@ -152,11 +153,16 @@
         }
     }
 
+    /// Adds the metrics of another part of the process.
+    pub fn extend(&self, register: impl FnOnce(&mut Registry)) {
+        register(&mut self.registry.lock());
+    }
+
     /// All metrics in the text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
         // Writing to a string does not fail.
-        let _ = encode(&mut text, &self.registry);
+        let _ = encode(&mut text, &self.registry.lock());
         text
     }
 }
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -22,6 +22,7 @@
 
 use crate::admin_api::{admin_routes, start_draining};
 use crate::caller_api::caller_routes;
+use crate::catalogue_store::CatalogueStore;
 use crate::clock::Clock;
 use crate::cluster_view::ClusterView;
 use crate::error::NodeError;
@@ -258,6 +259,7 @@
         listed_leaving: Mutex::new(HashSet::new()),
         metrics: Metrics::new(),
         lifecycle: Lifecycle::default(),
+        catalogue: CatalogueStore::default(),
         next_call: Arc::new(AtomicU64::new(1)),
         next_claim: AtomicU64::new(1),
         client_counters: Arc::default(),
@@ -291,6 +293,9 @@
                 let answer = shared.claims.lock().question(&ticket, shared.clock.wall());
                 PeerResponse::Claim(answer)
             }
+            PeerRequest::Catalogue { version, replicas_at } => {
+                PeerResponse::Catalogue(Box::new(shared.catalogue.snapshot(version, replicas_at)))
+            }
             PeerRequest::Report => match serde_json::to_string(&short_report(shared)) {
                 Ok(text) => PeerResponse::Report(text),
                 Err(error) => PeerResponse::Refused(Refusal::not_run(Reason::PeerFailed, error.to_string())),
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -12,6 +12,7 @@
 use sablebay_fleet::{ClaimHolder, FleetNode, MemberInfo};
 use sablebay_model::{InstanceKey, LeafId, Reason, Refusal, ServiceId};
 
+use crate::catalogue_store::CatalogueStore;
 use crate::clock::Clock;
 use crate::cluster_view::ClusterView;
 use crate::freshness::Freshness;
@@ -49,6 +50,8 @@
     pub listed_leaving: Mutex<HashSet<LeafId>>,
     /// Metrics.
     pub metrics: Metrics,
+    /// The catalogue of routes and replicas, for a node with a gateway.
+    pub catalogue: CatalogueStore,
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
     /// Requests that the node runs at once, over all services.
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -3,6 +3,7 @@
 
 use musli::{Decode, Encode};
 
+use sablebay_catalogue::CatalogueSnapshot;
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -74,6 +75,13 @@
     },
     /// The node's own report, as JSON, for the admin API of another.
     Report,
+    /// What is in the catalogue that the sender does not have?
+    Catalogue {
+        /// The version of the routing configuration that the sender has; 0 when none.
+        version: u64,
+        /// The revision up to which the sender knows the replicas; 0 when none.
+        replicas_at: u64,
+    },
 }
 
 /// A search of some partitions.
@@ -129,4 +137,6 @@
     Report(String),
     /// The request was not run.
     Refused(Refusal),
+    /// The part of the catalogue that was asked for.
+    Catalogue(Box<CatalogueSnapshot>),
 }
--- a/crates/sablebay/src/command/serve.rs
+++ b/crates/sablebay/src/command/serve.rs
@@ -8,7 +8,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use sablebay_config::{ConfigurationError, NodeSettings, node_flags, overrides_of};
-use sablebay_node::{BoundAddresses, Node, NodeMechanisms, start_logging};
+use sablebay_gateway::Gateway;
+use sablebay_node::{BoundAddresses, Node, NodeMechanisms, start_draining, start_logging};
+
+use sablebay_platform::{PlatformBackends, PlatformCallers, StoreCatalogue};
 
 use crate::CommandResult;
 use crate::arguments::{Accepted, Arguments, UsageError};
@@ -90,15 +93,37 @@
             return ExitCode::FAILURE;
         }
     };
+    let gateway = match start_gateway(&node).await {
+        Ok(gateway) => gateway,
+        Err(error) => {
+            eprintln!("sablebay: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     if let Err(error) = announce(&node.addresses, ready_fd) {
         eprintln!("sablebay: the bound addresses cannot be written: {error}");
         return ExitCode::FAILURE;
     }
     wait_for_signal().await;
-    let finished = node.stop().await;
+    log::info!("stop: the planned stop begins.");
+    start_draining(&node.shared);
+    let gateway_finished = match gateway {
+        Some(gateway) => gateway.stop().await,
+        None => true,
+    };
+    let finished = node.stop().await && gateway_finished;
     if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Starts the gateway when the settings ask for one.
+async fn start_gateway(node: &Node) -> Result<Option<Gateway>, sablebay_gateway::GatewayError> {
+    let Some(settings) = node.shared.settings.gateway.clone() else {
+        return Ok(None);
+    };
+    let source = StoreCatalogue::new(settings.catalogue_address);
+    Gateway::start(node, settings, PlatformCallers, PlatformBackends, source).await.map(Some)
+}
+
 fn announce(addresses: &BoundAddresses, ready_fd: Option<u32>) -> std::io::Result<()> {
     let line = serde_json::to_string(addresses)?;
     println!("{line}");
