--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -1,10 +1,11 @@
 //! What routes and replicas there are, by revision.
 //!
-//! Decided here: which route a request takes, which replicas of a service may get new work, and
-//! that a node's view of both never goes back. Not decided here: when the source of the catalogue
-//! is read (`sablebay-gateway`) and how it is spelled (an adapter). No I/O and no clock.
+//! Decided here: which route a request takes, which replicas of a service may get new work, that a
+//! node's view of both never goes back, and when the source of the catalogue is read. Not decided
+//! here: how that source spells things, which is an adapter's matter. No I/O and no clock.
 
 mod configuration;
+mod reading;
 mod replica;
 mod route_table;
 mod snapshot;
@@ -14,6 +15,7 @@
     BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
     WeightedService,
 };
+pub use reading::{LONGEST_UNAWARE, ReadFailure, ReadingPolicy, SourceRead};
 pub use replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
--- a/crates/sablebay-config/src/lib.rs
+++ b/crates/sablebay-config/src/lib.rs
@@ -28,5 +28,5 @@
 pub use index::{IndexLayout, IndexMap, LeafSettings, Shard};
 pub use nearest::nearest_name;
 pub use node_flags::{node_flags, overrides_of};
-pub use node_settings::{LogFormat, NodeSettings};
+pub use node_settings::{LogFormat, LogTarget, NodeSettings};
 pub use service::{FanOut, Priority, ServiceSettings, WhenUnconfirmed};
--- a/crates/sablebay-config/src/node_flags.rs
+++ b/crates/sablebay-config/src/node_flags.rs
@@ -1,7 +1,7 @@
 //! Node settings given as command-line flags.
 
 /// Settings whose value is a text.
-const TEXT_FLAGS: [&str; 13] = [
+const TEXT_FLAGS: [&str; 14] = [
     "node",
     "zone",
     "region",
@@ -15,6 +15,7 @@
     "operator-token",
     "log-level",
     "log-format",
+    "log-target",
 ];
 /// Settings whose value is a number.
 const NUMBER_FLAGS: [&str; 5] = [
--- a/crates/sablebay-config/src/node_settings.rs
+++ b/crates/sablebay-config/src/node_settings.rs
@@ -22,6 +22,16 @@
     Json,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogTarget {
+    /// Standard output, after the line with the bound addresses.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeSettings {
@@ -55,6 +65,8 @@
     pub log_level: String,
     /// Text or JSON lines. Default text.
     pub log_format: LogFormat,
+    /// Where log lines go. Default `stderr`.
+    pub log_target: LogTarget,
     /// Queries that run at once on this node, over all services. Default 4,096.
     pub concurrency: u32,
     /// How long a planned stop may take, in milliseconds. Default 30,000.
@@ -159,6 +171,9 @@
         log_format: section
             .choice("log_format", &[("text", LogFormat::Text), ("json", LogFormat::Json)])
             .unwrap_or(LogFormat::Text),
+        log_target: section
+            .choice("log_target", &[("stdout", LogTarget::Stdout), ("stderr", LogTarget::Stderr)])
+            .unwrap_or(LogTarget::Stderr),
         concurrency: section.integer("concurrency", 1..=1_000_000).unwrap_or(4_096) as u32,
         stop_timeout_ms: section.integer("stop_timeout_ms", 1..=3_600_000).unwrap_or(30_000),
         probe_period_ms: section.integer("probe_period_ms", 10..=60_000).unwrap_or(1_000),
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -8,58 +8,49 @@
 
 use rand::RngExt;
 
-use sablebay_catalogue::{CatalogueView, RoutableReplica, ServiceName};
+use sablebay_catalogue::{
+    CatalogueView, ReadFailure, ReadingPolicy, RoutableReplica, ServiceName, SourceRead,
+};
 use sablebay_model::Micros;
 
 use crate::context::{Context, RoutingView};
 use crate::edge::{BackendProtocol, CallerProtocol, CatalogueNews, CatalogueSource, SourceError};
 
-/// How long one wait for changes lasts. A change that a wait has missed is learnt from peers
-/// meanwhile, so that it may be long; waits are priced.
-const WATCH_WAIT: Duration = Duration::from_secs(6);
-/// Changes come in groups: how long after some the next wait begins.
-const GROUP_PAUSE: Duration = Duration::from_millis(250);
-/// Bounds of the pause after a failure.
-const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(700));
-
 /// Follows the source until the node ends.
 pub async fn follow_source<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
     context: Arc<Context<C, B>>,
     source: Arc<S>,
 ) {
-    let mut position: Option<u64> = None;
-    let mut failures = 0;
+    let mut policy = ReadingPolicy::default();
+    let mut answered_before = false;
     loop {
-        let asked_at = context.clock().now();
-        let outcome = match position {
-            None => read_all(&context, &*source, asked_at).await.map(|at| (at, true)),
-            Some(after) => read_changes(&context, &*source, after, asked_at).await,
+        let outcome = match policy.next() {
+            SourceRead::All { patience } => read_all(&context, &*source, patience).await,
+            SourceRead::Changes { after, wait, patience } => {
+                read_changes(&context, &*source, after, wait, patience).await
+            }
         };
-        match outcome {
+        let pause = match outcome {
             Ok((at, changed)) => {
-                note_success(&context, position.is_none() || failures > 0);
-                position = Some(at);
-                failures = 0;
-                if changed {
-                    tokio::time::sleep(GROUP_PAUSE).await;
-                }
+                note_success(&context, policy.is_failing() || !answered_before);
+                answered_before = true;
+                policy.succeeded(at, changed)
             }
             Err(error) => {
-                note_failure(&context, error, failures);
-                if matches!(error, SourceError::HistoryLost | SourceError::Malformed) {
-                    position = None;
-                }
-                tokio::time::sleep(failure_pause(failures)).await;
-                failures += 1;
+                note_failure(&context, error, policy.is_failing());
+                policy.failed(failure_of(error), rand::rng().random())
             }
-        }
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
-fn failure_pause(failures: u32) -> Duration {
-    let (shortest, longest) = FAILURE_PAUSE;
-    let doubled = shortest * 2u32.pow(failures.min(4));
-    doubled.min(longest).mul_f64(rand::rng().random_range(0.7..1.3))
+fn failure_of(error: SourceError) -> ReadFailure {
+    match error {
+        SourceError::HistoryLost | SourceError::Malformed => ReadFailure::MustReadAll,
+        SourceError::Unavailable => ReadFailure::NoAnswer,
+        SourceError::Busy => ReadFailure::Refused,
+    }
 }
 
 fn note_success<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, regained: bool) {
@@ -73,7 +64,7 @@
 fn note_failure<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     error: SourceError,
-    failures: u32,
+    failing: bool,
 ) {
     context.source_fails.store(true, Ordering::Relaxed);
     context.metrics.source_read(match error {
@@ -82,7 +73,7 @@
         SourceError::Unavailable => "unavailable",
         SourceError::Malformed => "malformed",
     });
-    if failures == 0 {
+    if !failing {
         let age = context.catalogue_age().as_millis();
         log::warn!(catalogue_age_ms = age; "catalogue: the source gave nothing: {error}.");
     }
@@ -91,9 +82,10 @@
 async fn read_all<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
     context: &Context<C, B>,
     source: &S,
-    asked_at: Micros,
-) -> Result<u64, SourceError> {
-    let read = source.list().await?;
+    patience: Duration,
+) -> Result<(u64, bool), SourceError> {
+    let asked_at = context.clock().now();
+    let read = source.list(patience).await?;
     let at = read.listing.at;
     let now = context.clock().now();
     context.node.catalogue.update(|view| {
@@ -102,16 +94,18 @@
         view.replace(read.listing, now) || configured
     });
     confirm(context, asked_at);
-    Ok(at)
+    Ok((at, true))
 }
 
 async fn read_changes<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
     context: &Context<C, B>,
     source: &S,
     after: u64,
-    asked_at: Micros,
+    wait: Duration,
+    patience: Duration,
 ) -> Result<(u64, bool), SourceError> {
-    let news = source.watch(after, WATCH_WAIT).await?;
+    let asked_at = context.clock().now();
+    let news = source.watch(after, wait, patience).await?;
     let at = news.at.max(after);
     let now = context.clock().now();
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -155,12 +155,13 @@
 
 /// Where the catalogue comes from.
 pub trait CatalogueSource: Send + Sync + 'static {
-    /// Reads everything.
-    fn list(&self) -> impl Future<Output = Result<CatalogueListing, SourceError>> + Send;
-    /// Waits up to `wait` for changes after a revision.
+    /// Reads everything within `patience`.
+    fn list(&self, patience: Duration) -> impl Future<Output = Result<CatalogueListing, SourceError>> + Send;
+    /// Waits up to `wait` for changes after a revision; the answer comes within `patience`.
     fn watch(
         &self,
         after: u64,
         wait: Duration,
+        patience: Duration,
     ) -> impl Future<Output = Result<CatalogueNews, SourceError>> + Send;
 }
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -37,6 +37,7 @@
     /// The addresses of its listeners.
     pub addresses: GatewayAddresses,
     settings: GatewaySettings,
+    reload: Box<dyn Fn(GatewaySettings) + Send + Sync>,
     tasks: Vec<JoinHandle<()>>,
     callers: Option<JoinHandle<()>>,
     phase: watch::Sender<ListenerPhase>,
@@ -87,10 +88,17 @@
             tokio::spawn(install_changes(context.clone())),
             tokio::spawn(serve_http(readiness_listener, readiness_routes(context.clone()), always_open)),
         ];
+        let reloaded = context.clone();
+        let reload = Box::new(move |settings| reloaded.settings.store(Arc::new(settings)));
         let callers = tokio::spawn(serve_http(caller_listener, caller_routes(context), phases));
         log::info!("gateway: listens for callers on {caller_address}, for readiness on {readiness_address}.");
         let addresses = GatewayAddresses { caller_address, readiness_address };
-        Ok(Gateway { addresses, settings, tasks, callers: Some(callers), phase, _always_open })
+        Ok(Gateway { addresses, settings, reload, tasks, callers: Some(callers), phase, _always_open })
+    }
+
+    /// Takes changed settings into use: budgets and margins at once, addresses with the next start.
+    pub fn reload(&self, settings: GatewaySettings) {
+        (self.reload)(settings);
     }
 
     /// The planned stop. The node must already call itself draining: readiness is refused from then
--- a/crates/sablebay-node/src/logging.rs
+++ b/crates/sablebay-node/src/logging.rs
@@ -1,34 +1,39 @@
-//! Structured logs on standard error, by log4rs.
+//! Structured logs, by log4rs.
+
+mod line_encoder;
+mod queued_appender;
 
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::Encode;
-use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
-use sablebay_config::LogFormat;
+use sablebay_config::{LogFormat, LogTarget};
 
 use crate::error::NodeError;
 
+use line_encoder::LineEncoder;
+use queued_appender::QueuedAppender;
+
 /// One line of text: time, level, message, and the fields that records carry most.
 const TEXT_PATTERN: &str =
     "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {m} {K(service)} {K(request)} {K(reason)}{n}";
-const APPENDER: &str = "standard_error";
+const APPENDER: &str = "process_output";
 
 /// Changes the level while the process runs.
 #[derive(Clone)]
 pub struct LogControl {
     handle: log4rs::Handle,
     format: LogFormat,
+    target: LogTarget,
 }
 
-fn configuration(level: LevelFilter, format: LogFormat) -> Result<Config, NodeError> {
+fn configuration(level: LevelFilter, format: LogFormat, target: LogTarget) -> Result<Config, NodeError> {
     let encoder: Box<dyn Encode> = match format {
         LogFormat::Text => Box::new(PatternEncoder::new(TEXT_PATTERN)),
-        LogFormat::Json => Box::new(JsonEncoder::new()),
+        LogFormat::Json => Box::new(LineEncoder),
     };
-    let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let appender = QueuedAppender::start(target, encoder);
     Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
         .build(Root::builder().appender(APPENDER).build(level))
@@ -39,10 +44,14 @@
 ///
 /// # Errors
 /// When the log was started before.
-pub fn start_logging(level: LevelFilter, format: LogFormat) -> Result<LogControl, NodeError> {
-    let handle = log4rs::init_config(configuration(level, format)?)
+pub fn start_logging(
+    level: LevelFilter,
+    format: LogFormat,
+    target: LogTarget,
+) -> Result<LogControl, NodeError> {
+    let handle = log4rs::init_config(configuration(level, format, target)?)
         .map_err(|error| NodeError::Log { message: error.to_string() })?;
-    Ok(LogControl { handle, format })
+    Ok(LogControl { handle, format, target })
 }
 
 impl LogControl {
@@ -51,7 +60,7 @@
     /// # Errors
     /// When the new configuration is not accepted.
     pub fn set_level(&self, level: LevelFilter) -> Result<(), NodeError> {
-        self.handle.set_config(configuration(level, self.format)?);
+        self.handle.set_config(configuration(level, self.format, self.target)?);
         Ok(())
     }
 }
--- a/crates/sablebay/src/command/serve.rs
+++ b/crates/sablebay/src/command/serve.rs
@@ -1,21 +1,27 @@
 //! `sablebay serve`: runs a node until it is told to stop.
 
+mod reload;
+
 use std::fs::OpenOptions;
 use std::io::Write;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use log::LevelFilter;
+use serde::Serialize;
 use tokio::signal::unix::{SignalKind, signal};
 
 use sablebay_config::{ConfigurationError, NodeSettings, node_flags, overrides_of};
-use sablebay_gateway::Gateway;
-use sablebay_node::{BoundAddresses, Node, NodeMechanisms, start_draining, start_logging};
+use sablebay_gateway::{Gateway, GatewayAddresses};
+use sablebay_node::{BoundAddresses, LogControl, Node, NodeMechanisms, start_draining, start_logging};
 
 use sablebay_platform::{PlatformBackends, PlatformCallers, StoreCatalogue};
 
 use crate::CommandResult;
 use crate::arguments::{Accepted, Arguments, UsageError};
 
+use reload::{LOOK_PERIOD, SettingsFile};
+
 const HELP: &str = "\
 Runs a node.
 
@@ -25,7 +31,8 @@
   --node NAME  --zone NAME  --region NAME  --fleet NAME  --fleet-key TEXT
   --caller-address A  --admin-address A  --peer-address A  --advertised-peer-address A
   --platform-address A  --peers A (repeatable)  --operator-token TEXT
-  --log-level LEVEL  --log-format text|json  --concurrency N  --stop-timeout-ms N
+  --log-level LEVEL  --log-format text|json  --log-target stdout|stderr
+  --concurrency N  --stop-timeout-ms N
   --probe-period-ms N  --platform-reads-per-second X  --aggregators-per-service N
 
   --settings FILE   read settings from a TOML file
@@ -44,26 +51,31 @@
         return Ok(ExitCode::SUCCESS);
     };
     let ready_fd: Option<u32> = arguments.parsed("ready-fd", "a file descriptor")?;
-    let Some(settings) = read_settings(&arguments)? else {
+    let Some((settings, file)) = read_settings(&arguments)? else {
         return Ok(ExitCode::FAILURE);
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     match runtime {
-        Ok(runtime) => Ok(runtime.block_on(serve(settings, ready_fd))),
+        Ok(runtime) => Ok(runtime.block_on(serve(settings, file, ready_fd))),
         Err(error) => Err(UsageError::new(format!("the runtime does not start: {error}"))),
     }
 }
 
 /// The settings, or nothing after every finding was printed.
-fn read_settings(arguments: &Arguments) -> Result<Option<NodeSettings>, UsageError> {
+fn read_settings(arguments: &Arguments) -> Result<Option<(NodeSettings, SettingsFile)>, UsageError> {
     let file = arguments.value("settings").unwrap_or("flags");
     let text = match arguments.value("settings") {
         None => String::new(),
         Some(path) => std::fs::read_to_string(path)
             .map_err(|error| UsageError::new(format!("cannot read {path}: {error}")))?,
     };
-    match NodeSettings::parse_with_overrides(file, &text, &overrides_of(&arguments.given_options())) {
-        Ok(settings) => Ok(Some(settings)),
+    let overrides = overrides_of(&arguments.given_options());
+    match NodeSettings::parse_with_overrides(file, &text, &overrides) {
+        Ok(settings) => {
+            let path = arguments.value("settings").map(PathBuf::from);
+            let file = SettingsFile::new(path, overrides, text, settings.clone());
+            Ok(Some((settings, file)))
+        }
         Err(ConfigurationError::Invalid { findings }) => {
             for finding in findings {
                 eprintln!("{finding}");
@@ -77,16 +89,16 @@
     }
 }
 
-async fn serve(settings: NodeSettings, ready_fd: Option<u32>) -> ExitCode {
+async fn serve(settings: NodeSettings, mut file: SettingsFile, ready_fd: Option<u32>) -> ExitCode {
     let level: LevelFilter = settings.log_level.parse().unwrap_or(LevelFilter::Info);
-    let log_control = match start_logging(level, settings.log_format) {
+    let log_control = match start_logging(level, settings.log_format, settings.log_target) {
         Ok(control) => control,
         Err(error) => {
             eprintln!("sablebay: {error}");
             return ExitCode::FAILURE;
         }
     };
-    let node = match Node::start(settings, NodeMechanisms::default(), Some(log_control)).await {
+    let node = match Node::start(settings, NodeMechanisms::default(), Some(log_control.clone())).await {
         Ok(node) => node,
         Err(error) => {
             eprintln!("sablebay: {error}");
@@ -100,11 +112,13 @@
             return ExitCode::FAILURE;
         }
     };
-    if let Err(error) = announce(&node.addresses, ready_fd) {
+    let addresses =
+        Addresses { node: &node.addresses, gateway: gateway.as_ref().map(|gateway| &gateway.addresses) };
+    if let Err(error) = announce(&addresses, ready_fd) {
         eprintln!("sablebay: the bound addresses cannot be written: {error}");
         return ExitCode::FAILURE;
     }
-    wait_for_signal().await;
+    run_until_stopped(&node, gateway.as_ref(), &mut file, &log_control).await;
     log::info!("stop: the planned stop begins.");
     start_draining(&node.shared);
     let gateway_finished = match gateway {
@@ -112,6 +126,8 @@
         None => true,
     };
     let finished = node.stop().await && gateway_finished;
+    log::info!(whole = finished; "stop: the process ends.");
+    log::logger().flush();
     if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
@@ -124,7 +140,16 @@
     Gateway::start(node, settings, PlatformCallers, PlatformBackends, source).await.map(Some)
 }
 
-fn announce(addresses: &BoundAddresses, ready_fd: Option<u32>) -> std::io::Result<()> {
+/// The addresses of every listener, as they are announced.
+#[derive(Serialize)]
+struct Addresses<'a> {
+    #[serde(flatten)]
+    node: &'a BoundAddresses,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    gateway: Option<&'a GatewayAddresses>,
+}
+
+fn announce(addresses: &Addresses<'_>, ready_fd: Option<u32>) -> std::io::Result<()> {
     let line = serde_json::to_string(addresses)?;
     println!("{line}");
     std::io::stdout().flush()?;
@@ -136,19 +161,26 @@
     Ok(())
 }
 
-async fn wait_for_signal() {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    match (terminate, interrupt) {
-        (Ok(mut terminate), Ok(mut interrupt)) => {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
-        }
-        _ => {
-            log::error!("node: signals cannot be watched; the planned stop is not available.");
-            std::future::pending::<()>().await;
+/// Runs until SIGTERM or SIGINT; SIGHUP reads the settings again.
+async fn run_until_stopped(
+    node: &Node,
+    gateway: Option<&Gateway>,
+    file: &mut SettingsFile,
+    log_control: &LogControl,
+) {
+    let signals =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()));
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hang_up)) = signals else {
+        log::error!("node: signals cannot be watched; the planned stop is not available.");
+        return std::future::pending().await;
+    };
+    let mut look = tokio::time::interval(LOOK_PERIOD);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hang_up.recv() => file.reload(node, gateway, log_control, true),
+            _ = look.tick() => file.reload(node, gateway, log_control, false),
         }
     }
 }
--- /dev/null
+++ b/crates/sablebay/src/command/serve/reload.rs
@@ -0,0 +1,98 @@
+//! Takes changed settings into use while the node runs: after SIGHUP, and when the file is found
+//! changed. Addresses and names stay until the next start; a change of these is logged.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use sablebay_config::{ConfigurationError, NodeSettings};
+use sablebay_gateway::Gateway;
+use sablebay_node::{LogControl, Node};
+
+/// How often the settings file is looked at without a signal.
+pub const LOOK_PERIOD: Duration = Duration::from_secs(2);
+
+/// The settings file and what it held when it was last read.
+pub struct SettingsFile {
+    path: Option<PathBuf>,
+    overrides: Vec<(String, String)>,
+    text: String,
+    in_force: NodeSettings,
+}
+
+impl SettingsFile {
+    /// Settings that were read from `text`; without a path they never change.
+    pub fn new(
+        path: Option<PathBuf>,
+        overrides: Vec<(String, String)>,
+        text: String,
+        in_force: NodeSettings,
+    ) -> Self {
+        Self { path, overrides, text, in_force }
+    }
+
+    /// Reads the file again, and takes what changed into use. A file with mistakes changes nothing:
+    /// each finding is logged.
+    pub fn reload(&mut self, node: &Node, gateway: Option<&Gateway>, log_control: &LogControl, asked: bool) {
+        let Some(path) = self.path.clone() else {
+            return;
+        };
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!("settings: the file cannot be read; the settings stay: {error}.");
+                return;
+            }
+        };
+        if text == self.text {
+            if asked {
+                log::info!("settings: read again; nothing changed.");
+            }
+            return;
+        }
+        self.text = text;
+        match NodeSettings::parse_with_overrides(&path.to_string_lossy(), &self.text, &self.overrides) {
+            Ok(settings) => self.apply(settings, node, gateway, log_control),
+            Err(ConfigurationError::Invalid { findings }) => {
+                for finding in findings {
+                    log::warn!("settings: not taken: {finding}");
+                }
+            }
+            Err(error) => log::warn!("settings: not taken: {error}."),
+        }
+    }
+
+    fn apply(
+        &mut self,
+        settings: NodeSettings,
+        node: &Node,
+        gateway: Option<&Gateway>,
+        log_control: &LogControl,
+    ) {
+        let level: LevelFilter = settings.log_level.parse().unwrap_or(LevelFilter::Info);
+        if let Err(error) = log_control.set_level(level) {
+            log::warn!("settings: the log level stays: {error}.");
+        }
+        node.shared.fleet.lock().add_seeds(settings.peers.iter().copied());
+        if let (Some(gateway), Some(changed)) = (gateway, settings.gateway.clone()) {
+            gateway.reload(changed);
+        }
+        if addresses(&settings) != addresses(&self.in_force) {
+            log::warn!("settings: changed names and addresses are in force from the next start on.");
+        }
+        log::info!("settings: changed settings are in force.");
+        self.in_force = settings;
+    }
+}
+
+/// The settings that need a new start.
+fn addresses(settings: &NodeSettings) -> impl PartialEq {
+    let gateway = settings.gateway.as_ref();
+    (
+        settings.node.clone(),
+        settings.zone.clone(),
+        [settings.caller_address, settings.admin_address, settings.peer_address],
+        gateway.map(|gateway| [gateway.caller_address, gateway.readiness_address, gateway.catalogue_address]),
+    )
+}
