Stand-ins of the platform's store, back end and caller; the whole path tested with real processes

Change: platform/standin (store, leaf with 13 odd behaviours, caller), crates/sablebay/tests/platform (22 tests: quiet path, odd answers, at most once over 81 pairs of behaviours, store in five kinds of trouble, lost history, peers, planned stop, reload).

--- /dev/null
+++ b/crates/sablebay/tests/platform/at_most_once.rs
@@ -0,0 +1,45 @@
+//! Requests that may not be repeated.
+
+use http::Method;
+
+use sablebay_platform_standin::{CallerCall, LeafBehaviour};
+
+use crate::support::{Deployment, HOST, NodeProcess, UNSAFE_PATH};
+
+const BEHAVIOURS: [LeafBehaviour; 9] = [
+    LeafBehaviour::Answer,
+    LeafBehaviour::LoseAnswer,
+    LeafBehaviour::BreakOff,
+    LeafBehaviour::Foreign,
+    LeafBehaviour::Garbage,
+    LeafBehaviour::Shed,
+    LeafBehaviour::Misdirected,
+    LeafBehaviour::Fail,
+    LeafBehaviour::Extra,
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn it_runs_once_at_the_most_and_not_at_all_when_that_is_promised() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    for first in BEHAVIOURS {
+        for second in BEHAVIOURS {
+            deployment.singles[0].behave(first);
+            deployment.singles[1].behave(second);
+            for number in 0..2 {
+                let id = format!("r-{first:?}-{second:?}-{number}");
+                let call = CallerCall { method: Method::POST, ..CallerCall::get(HOST, UNSAFE_PATH, &id) };
+                let answer = node.caller.call(&call).await.expect("an answer");
+                let runs = deployment.runs_of(&id);
+                assert!(runs <= 1, "{id} ran {runs} times");
+                if answer.promises_not_run() {
+                    assert_eq!(runs, 0, "{id} was said not to have run");
+                }
+                if answer.status.is_success() {
+                    assert!(answer.stamp.is_some_and(|stamp| stamp.ends_with(&id)));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay/tests/platform/catalogue.rs
@@ -0,0 +1,142 @@
+//! What a node knows of routes and replicas while the store is in trouble.
+
+use std::time::Duration;
+
+use sablebay_catalogue::{Destination, ReplicaPhase, ServiceName, WeightedService};
+use sablebay_platform_standin::{LeafBehaviour, LeafStandIn, StoreMode};
+
+use crate::support::{
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, check_gathered, configuration, eventually,
+};
+
+const TROUBLES: [StoreMode; 5] = [
+    StoreMode::Refusing,
+    StoreMode::Throttling,
+    StoreMode::Silent,
+    StoreMode::Slow(Duration::from_millis(1_200)),
+    StoreMode::Garbling,
+];
+
+/// A configuration whose single service is another one.
+fn moved(version: u64, service: &ServiceName) -> sablebay_catalogue::RoutingConfiguration {
+    let mut configuration = configuration(version);
+    for route in &mut configuration.routes {
+        if let Destination::Services(parts) = &mut route.destination {
+            *parts = vec![WeightedService { service: service.clone(), weight: 1.0 }];
+        }
+    }
+    configuration
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_configuration_a_node_is_not_ready_and_refuses_without_a_404() {
+    let deployment = Deployment::start().await;
+    deployment.store.set_mode(StoreMode::Refusing);
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    assert!(!node.is_ready().await);
+    let answer = node.get(SAFE_PATH, "r-1").await;
+    assert_eq!(answer.status.as_u16(), 503);
+    assert!(answer.retry_after.is_some());
+    deployment.store.set_mode(StoreMode::Serving);
+    node.wait_ready().await;
+    assert_eq!(node.get(SAFE_PATH, "r-2").await.status.as_u16(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_while_the_store_is_down_learns_from_a_peer() {
+    let deployment = Deployment::start().await;
+    let first = NodeProcess::start("node-1", deployment.store.address, &[]);
+    first.wait_ready().await;
+    deployment.store.set_mode(StoreMode::Silent);
+    let second = NodeProcess::start("node-2", deployment.store.address, &[first.peers]);
+    second.wait_ready().await;
+    check_gathered(&second.get(GATHER_PATH, "r-1").await, "r-1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_in_any_trouble_changes_nothing_and_is_followed_again_afterwards() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    let mut moved_to = Vec::new();
+    for (number, trouble) in TROUBLES.into_iter().enumerate() {
+        let service = ServiceName::new(format!("moved-{number}"));
+        let leaf = LeafStandIn::start(&format!("i-moved-{number}"), &service, 100, "zone-a").await;
+        let leaf = leaf.expect("a back end");
+        deployment.store.set_mode(trouble);
+        assert_eq!(node.get(SAFE_PATH, &format!("before-{number}")).await.status.as_u16(), 200);
+        deployment.store.announce(&leaf.replica);
+        deployment.store.publish(&moved(10 + number as u64, &service));
+        deployment.store.set_mode(StoreMode::Serving);
+        eventually("the configuration is in force", || async {
+            node.get(SAFE_PATH, &format!("after-{number}")).await;
+            leaf.runs_of(&format!("after-{number}")) > 0
+        })
+        .await;
+        // Kept: it answers until the next configuration is in force.
+        moved_to.push(leaf);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_history_is_read_whole_and_draining_replicas_get_no_work() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.store.set_mode(StoreMode::Refusing);
+    // One leaves in the gap, one vanishes in it.
+    let mut draining = deployment.singles[0].replica.clone();
+    draining.phase = ReplicaPhase::Draining;
+    deployment.store.announce(&draining);
+    deployment.store.remove(&deployment.shards[0].replica.id);
+    deployment.store.forget_history();
+    deployment.store.set_mode(StoreMode::Serving);
+    let mut number = 0;
+    eventually("the replicas that left get no work", || {
+        number += 1;
+        let before = (deployment.singles[0].record().arrivals, deployment.shards[0].record().arrivals);
+        let (node, deployment) = (&node, &deployment);
+        async move {
+            for call in 0..10 {
+                node.get(SAFE_PATH, &format!("one-{number}-{call}")).await;
+                node.get(GATHER_PATH, &format!("all-{number}-{call}")).await;
+            }
+            before == (deployment.singles[0].record().arrivals, deployment.shards[0].record().arrivals)
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_configuration_is_never_taken() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    let service = ServiceName::new("moved");
+    let leaf = LeafStandIn::start("i-moved", &service, 100, "zone-a").await.expect("a back end");
+    deployment.store.announce(&leaf.replica);
+    deployment.store.publish(&moved(20, &service));
+    eventually("the newer one is in force", || async {
+        node.get(SAFE_PATH, "probe").await;
+        leaf.record().arrivals > 0
+    })
+    .await;
+    let reads = deployment.store.reads();
+    deployment.store.publish(&configuration(19));
+    eventually("the older one was read", || async { deployment.store.reads() > reads + 2 }).await;
+    assert_eq!(node.get(SAFE_PATH, "r-1").await.status.as_u16(), 200);
+    assert_eq!(leaf.runs_of("r-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_replica_under_a_known_address_runs_nothing_of_ours() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.singles[0].behave(LeafBehaviour::Misdirected);
+    for number in 0..10 {
+        let answer = node.get(SAFE_PATH, &format!("r-{number}")).await;
+        assert_eq!(answer.status.as_u16(), 200, "the other replica answers; {HOST}");
+    }
+    assert!(deployment.singles[0].record().runs.is_empty());
+}
--- /dev/null
+++ b/crates/sablebay/tests/platform/life.rs
@@ -0,0 +1,74 @@
+//! The life of a node process: settings that change, and the planned stop.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use sablebay_platform_standin::{CallerCall, LeafBehaviour};
+
+use crate::support::{Deployment, HOST, NodeProcess, SAFE_PATH, eventually};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_finishes_what_is_in_flight() {
+    let deployment = Deployment::start().await;
+    let mut node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    for leaf in &deployment.singles {
+        leaf.behave(LeafBehaviour::Slow(Duration::from_millis(1_500)));
+    }
+    let caller = node.caller;
+    let calls: Vec<_> = (0..4)
+        .map(|number| {
+            let call = CallerCall {
+                patience: Duration::from_secs(30),
+                ..CallerCall::get(HOST, SAFE_PATH, &format!("r-{number}"))
+            };
+            tokio::spawn(async move { caller.call(&call).await })
+        })
+        .collect();
+    eventually("the requests arrive", || async { (0..4).all(|n| deployment.runs_of(&format!("r-{n}")) > 0) })
+        .await;
+    node.signal(Signal::TERM);
+    for call in calls {
+        let answer = call.await.expect("the task ends").expect("an answer in full");
+        assert_eq!(answer.status.as_u16(), 200);
+    }
+    assert_eq!(node.exit_code().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_calls_itself_unready_and_still_serves_who_has_not_heard() {
+    let deployment = Deployment::start().await;
+    let mut node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.singles[0].behave(LeafBehaviour::Slow(Duration::from_millis(700)));
+    deployment.singles[1].behave(LeafBehaviour::Slow(Duration::from_millis(700)));
+    let caller = node.caller;
+    let long = tokio::spawn(async move { caller.call(&CallerCall::get(HOST, SAFE_PATH, "long")).await });
+    eventually("the request arrives", || async { deployment.runs_of("long") > 0 }).await;
+    node.signal(Signal::TERM);
+    eventually("the node is unready", || async { !node.is_ready().await }).await;
+    let late = node.caller.call(&CallerCall::get(HOST, SAFE_PATH, "late")).await;
+    // The listener may be closed by then; a request that is taken is served.
+    if let Ok(answer) = late {
+        assert_eq!(answer.status.as_u16(), 200);
+    }
+    assert_eq!(long.await.expect("the task ends").expect("an answer").status.as_u16(), 200);
+    assert_eq!(node.exit_code().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hang_up_reads_the_settings_again_and_mistakes_change_nothing() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    let text = std::fs::read_to_string(&node.settings_path).expect("the settings are there");
+    for changed in
+        [text.replace("retry_fixed = 1000", "retry_fixed = \"many\""), text.replace("1000", "1001")]
+    {
+        std::fs::write(&node.settings_path, changed).expect("the settings are written");
+        node.signal(Signal::HUP);
+        assert_eq!(node.get(SAFE_PATH, "r-1").await.status.as_u16(), 200);
+        assert!(node.is_ready().await);
+    }
+}
--- /dev/null
+++ b/crates/sablebay/tests/platform/main.rs
@@ -0,0 +1,9 @@
+//! The whole path on the users' platform: node processes between callers, back ends and the store,
+//! all stand-ins of `sablebay-platform-standin`, over loopback.
+
+mod at_most_once;
+mod catalogue;
+mod life;
+mod odd_answers;
+mod quiet_path;
+mod support;
--- /dev/null
+++ b/crates/sablebay/tests/platform/support.rs
@@ -0,0 +1,254 @@
+//! What the platform tests share: a store, back ends, and node processes in front of them.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use sablebay_catalogue::{
+    BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
+    ServiceName, WeightedService,
+};
+use sablebay_platform_standin::{
+    CallerAnswer, CallerCall, CallerStandIn, LeafStandIn, StoreStandIn, part_records,
+};
+
+/// How long an event may take before a test gives up on it.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// The host of every route.
+pub const HOST: &str = "desk.example";
+/// The path of the route over all shards.
+pub const GATHER_PATH: &str = "/all/1";
+/// The path of the route to one back end that may be repeated.
+pub const SAFE_PATH: &str = "/one/1";
+/// The path of the route to one back end that may not be repeated.
+pub const UNSAFE_PATH: &str = "/once/1";
+/// The number of shards.
+pub const SHARDS: u8 = 4;
+/// Records in a gathered answer.
+pub const TOP: usize = 10;
+
+/// Waits until something is so.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut check: impl FnMut() -> F) {
+    let waiting = async {
+        while !check().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("{what}: did not come about"));
+}
+
+/// The service of a shard.
+pub fn shard_service(shard: u8) -> ServiceName {
+    ServiceName::new(format!("shard-{shard}"))
+}
+
+/// The service of the routes to one back end.
+pub fn single_service() -> ServiceName {
+    ServiceName::new("single")
+}
+
+fn route(name: &str, prefix: &str, repeatability: Repeatability, destination: Destination) -> Route {
+    Route {
+        name: name.to_string(),
+        host: HOST.to_string(),
+        prefix: prefix.to_string(),
+        repeatability,
+        time_limit_ms: 20_000,
+        target_latency_ms: 15_000,
+        maximum_attempts: 2,
+        priority: 1,
+        destination,
+    }
+}
+
+/// Three routes: over all shards, to one back end, and to one back end at most once.
+pub fn configuration(version: u64) -> RoutingConfiguration {
+    let single = || Destination::Services(vec![WeightedService { service: single_service(), weight: 1.0 }]);
+    let gather = Gather { shards: (0..SHARDS).map(shard_service).collect(), top: TOP, minimum_share: 0.5 };
+    let services = (0..SHARDS).map(shard_service).chain([single_service()]);
+    RoutingConfiguration {
+        version,
+        routes: vec![
+            route("all", "/all/", Repeatability::Repeatable, Destination::Gather(gather)),
+            route("one", "/one/", Repeatability::Repeatable, single()),
+            route("once", "/once/", Repeatability::AtMostOnce, single()),
+        ],
+        services: services.map(|name| BackendService { name, maximum_connections: 64 }).collect(),
+        limits: CallerLimits { body_bytes: 4_096, ..CallerLimits::default() },
+    }
+}
+
+/// The records that an answer over these shards must hold.
+pub fn expected_records(shards: impl IntoIterator<Item = u8>) -> Vec<u8> {
+    let mut records: Vec<[u8; 16]> = shards.into_iter().flat_map(part_records).collect();
+    records.sort_by(|left, right| right.cmp(left));
+    records.truncate(TOP);
+    records.concat()
+}
+
+/// A store and two back ends of each service, announced.
+pub struct Deployment {
+    /// The store.
+    pub store: StoreStandIn,
+    /// Two back ends of each shard, in order.
+    pub shards: Vec<LeafStandIn>,
+    /// Two back ends of the single service.
+    pub singles: Vec<LeafStandIn>,
+}
+
+impl Deployment {
+    /// Starts and announces everything, and publishes the first configuration.
+    pub async fn start() -> Self {
+        let store = StoreStandIn::start().await.expect("a store");
+        let mut shards = Vec::new();
+        for shard in 0..SHARDS {
+            for copy in 0..2 {
+                let id = format!("i-{shard}-{copy}");
+                let leaf = LeafStandIn::start(&id, &shard_service(shard), shard, "zone-a").await;
+                shards.push(leaf.expect("a back end"));
+            }
+        }
+        let mut singles = Vec::new();
+        for copy in 0..2 {
+            let id = format!("i-single-{copy}");
+            let leaf = LeafStandIn::start(&id, &single_service(), 200 + copy, "zone-a").await;
+            singles.push(leaf.expect("a back end"));
+        }
+        let deployment = Self { store, shards, singles };
+        for leaf in deployment.leaves() {
+            deployment.store.announce(&leaf.replica);
+        }
+        deployment.store.publish(&configuration(1));
+        deployment
+    }
+
+    /// Every back end.
+    pub fn leaves(&self) -> impl Iterator<Item = &LeafStandIn> {
+        self.shards.iter().chain(&self.singles)
+    }
+
+    /// How often a request ran, over all back ends.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        self.leaves().map(|leaf| leaf.runs_of(id)).sum()
+    }
+}
+
+/// One node process.
+pub struct NodeProcess {
+    child: Child,
+    _settings: tempfile::TempDir,
+    /// Where its settings lie.
+    pub settings_path: std::path::PathBuf,
+    /// Where it takes requests.
+    pub caller: CallerStandIn,
+    /// Where it says whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // Only what this test started is ended; it may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The settings file of a node.
+pub fn settings_text(name: &str, store: SocketAddr, peers: &[SocketAddr]) -> String {
+    let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+    format!(
+        "node = \"{name}\"\nzone = \"zone-a\"\nprobe_period_ms = 100\nlog_level = \"warn\"\npeers = [{}]\n\n\
+         [gateway]\ncaller_address = \"127.0.0.1:0\"\nreadiness_address = \"127.0.0.1:0\"\n\
+         catalogue_address = \"{store}\"\nretry_ratio = 1.0\nretry_fixed = 1000\nassumed_nodes = 4\n\
+         stop_linger_ms = 300\nstop_timeout_ms = 20000\n",
+        peers.join(", ")
+    )
+}
+
+impl NodeProcess {
+    /// Starts a node and reads where it listens.
+    pub fn start(name: &str, store: SocketAddr, peers: &[SocketAddr]) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let settings_path = folder.path().join("node.toml");
+        std::fs::write(&settings_path, settings_text(name, store, peers)).expect("the settings are written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sablebay"))
+            .args(["serve", "--settings"])
+            .arg(&settings_path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let mut line = String::new();
+        let output = child.stdout.take().expect("its output is piped");
+        BufReader::new(output).read_line(&mut line).expect("the node prints its addresses");
+        let addresses: Value = serde_json::from_str(&line).expect("the addresses are JSON");
+        let address = |value: &Value| value.as_str().and_then(|text| text.parse().ok()).expect("an address");
+        Self {
+            child,
+            _settings: folder,
+            settings_path,
+            caller: CallerStandIn { address: address(&addresses["gateway"]["caller_address"]) },
+            readiness: address(&addresses["gateway"]["readiness_address"]),
+            peers: address(&addresses["peer_address"]),
+        }
+    }
+
+    /// Whether the node says that it can serve.
+    pub async fn is_ready(&self) -> bool {
+        let call = CallerCall { id: None, ..CallerCall::get("readiness", "/ready", "") };
+        let answer = CallerStandIn { address: self.readiness }.call(&call).await;
+        answer.is_ok_and(|answer| answer.status.as_u16() == 200)
+    }
+
+    /// Waits until the node says that it can serve.
+    pub async fn wait_ready(&self) {
+        eventually("the node is ready", || self.is_ready()).await;
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.child.id())
+            .ok()
+            .and_then(rustix::process::Pid::from_raw)
+            .expect("a process id");
+        rustix::process::kill_process(id, signal).expect("the process is there");
+    }
+
+    /// Waits for the process to end, and gives its exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let waiting = async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                    return status.code();
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, waiting).await.expect("the process ends")
+    }
+
+    /// Makes a call that must come back.
+    pub async fn get(&self, path: &str, id: &str) -> CallerAnswer {
+        self.caller.call(&CallerCall::get(HOST, path, id)).await.expect("an answer")
+    }
+}
+
+/// Checks a gathered answer against the records of the shards whose signatures it names.
+pub fn check_gathered(answer: &CallerAnswer, id: &str) {
+    assert_eq!(answer.status.as_u16(), 200);
+    let mut shards = BTreeSet::new();
+    for stamp in &answer.part_stamps {
+        let (leaf, request) = stamp.split_once('.').expect("a signature of the stand-in");
+        assert_eq!(request, id, "a part of another request");
+        let shard: u8 = leaf.split('-').nth(1).and_then(|shard| shard.parse().ok()).expect("a shard");
+        assert!(shards.insert(shard), "shard {shard} stands twice");
+    }
+    assert_eq!(shards.len() + answer.missing, usize::from(SHARDS), "the reported coverage is true");
+    assert_eq!(answer.body, expected_records(shards));
+}
