Two nodes read the store, the others learn from them

Change: the two first members in an order that is the same everywhere read; the others keep one long poll open to one of them, and read by themselves when nobody has confirmed the catalogue for 2.1 s.

--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -15,7 +15,9 @@
     BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
     WeightedService,
 };
-pub use reading::{LONGEST_UNAWARE, ReadFailure, ReadingPolicy, SourceRead};
+pub use reading::{
+    LONGEST_UNAWARE, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
+};
 pub use replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
--- a/crates/sablebay-catalogue/src/reading.rs
+++ b/crates/sablebay-catalogue/src/reading.rs
@@ -1,22 +1,34 @@
-//! When the source of the catalogue is read, and how long an answer is waited for.
+//! Who reads the source of the catalogue, when, and how long an answer is waited for.
 //!
-//! Invariant kept here: a source that answers again is read within [`LONGEST_UNAWARE`] of the moment
-//! when it fell silent on a wait for changes, so that a configuration that was accepted meanwhile is
-//! in force in time (must-hold 8). A wait may be lost without any sign; that is why it is short.
+//! Two nodes, the same in everybody's member list, wait for changes at the source; the others learn
+//! from these, and read by themselves only when nobody has confirmed the catalogue to them of late.
+//!
+//! Invariant kept here: a node that can reach the source reads it, or hears from one that did,
+//! within [`LONGEST_UNAWARE`], so that a configuration that was accepted meanwhile is in force in
+//! time (must-hold 8) and a leaving replica gets no new work (must-hold 6). A wait may be lost
+//! without any sign; that is why it is short.
 
 use std::time::Duration;
 
+/// Nodes that read the source for all.
+pub const READERS: usize = 2;
 /// How long one wait for changes lasts.
-const WAIT: Duration = Duration::from_millis(1_600);
+const WAIT: Duration = Duration::from_millis(900);
 /// How long an answer may take beyond what was asked for.
-const PATIENCE: Duration = Duration::from_millis(500);
+const PATIENCE: Duration = Duration::from_millis(400);
 /// The most that patience grows to while answers do not come.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(4_000);
 /// Changes come in groups: how long after some the next wait begins.
 const GROUP_PAUSE: Duration = Duration::from_millis(250);
-/// Bounds of the pause after a failure.
+/// Bounds of a reader's pause after a failure.
 const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(700));
-/// The longest time between the loss of a wait and the next question to the source.
+/// The pause of another node after a failure: readers try for it too.
+const BYSTANDER_PAUSE: Duration = Duration::from_millis(1_200);
+/// The age of a confirmation at which a node that is no reader reads by itself.
+const OLD_CONFIRMATION: Duration = Duration::from_millis(2_100);
+/// How often a node that waits looks again.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// The longest time between the last confirmation and the next question to the source.
 pub const LONGEST_UNAWARE: Duration = Duration::from_millis(2_300);
 
 /// What to ask the source.
@@ -38,6 +50,15 @@
     },
 }
 
+/// What a node does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceStep {
+    /// It asks the source.
+    Read(SourceRead),
+    /// It waits, and looks again.
+    Wait(Duration),
+}
+
 /// Why a read gave nothing, as far as it matters for the next one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadFailure {
@@ -49,22 +70,45 @@
     Refused,
 }
 
+/// What a node's next step depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadingInputs {
+    /// Whether the node is among the [`READERS`].
+    pub is_reader: bool,
+    /// Whether it has met other nodes.
+    pub has_peers: bool,
+    /// How long it has run.
+    pub running_for: Duration,
+    /// How long a starting node waits for others to tell it what there is. Nodes that all start at
+    /// one moment, with time to spare, need not all read; one that comes back is in a hurry.
+    pub starting_patience: Duration,
+    /// How long ago the catalogue was confirmed to it, by the source or by a peer; nothing before
+    /// the first time.
+    pub confirmed_ago: Option<Duration>,
+    /// The revision up to which it knows the catalogue; 0 when it knows nothing.
+    pub known_up_to: u64,
+}
+
 /// Decides about reads of the source.
 #[derive(Clone, Debug, Default)]
 pub struct ReadingPolicy {
-    position: Option<u64>,
+    must_read_all: bool,
     failures: u32,
     unanswered: u32,
 }
 
 impl ReadingPolicy {
-    /// What to ask next.
-    pub fn next(&self) -> SourceRead {
-        let patience = (PATIENCE * 2u32.pow(self.unanswered.min(4))).min(LONGEST_PATIENCE);
-        match self.position {
-            None => SourceRead::All { patience },
-            Some(after) => SourceRead::Changes { after, wait: WAIT, patience: WAIT + patience },
+    /// What to do next.
+    pub fn next(&self, inputs: &ReadingInputs) -> SourceStep {
+        if let Some(wait) = waits_for_others(inputs) {
+            return SourceStep::Wait(wait);
         }
+        let patience = (PATIENCE * 2u32.pow(self.unanswered.min(4))).min(LONGEST_PATIENCE);
+        SourceStep::Read(match inputs.known_up_to {
+            0 => SourceRead::All { patience },
+            _ if self.must_read_all => SourceRead::All { patience },
+            after => SourceRead::Changes { after, wait: WAIT, patience: WAIT + patience },
+        })
     }
 
     /// Whether the last read failed.
@@ -72,25 +116,41 @@
         self.failures > 0
     }
 
-    /// A read was answered as of a revision. Returns the pause before the next.
-    pub fn succeeded(&mut self, at: u64, changed: bool) -> Duration {
-        self.position = Some(self.position.map_or(at, |position| position.max(at)));
-        self.failures = 0;
-        self.unanswered = 0;
+    /// A read was answered. Returns the pause before the next.
+    pub fn succeeded(&mut self, changed: bool) -> Duration {
+        *self = Self::default();
         if changed { GROUP_PAUSE } else { Duration::ZERO }
     }
 
     /// A read failed. Returns the pause before the next; `jitter` (0 to 1) spreads nodes that fail
     /// at one moment.
-    pub fn failed(&mut self, failure: ReadFailure, jitter: f64) -> Duration {
+    pub fn failed(&mut self, failure: ReadFailure, is_reader: bool, jitter: f64) -> Duration {
         let (shortest, longest) = FAILURE_PAUSE;
-        let pause = (shortest * 2u32.pow(self.failures.min(4))).min(longest);
+        let pause = if is_reader {
+            (shortest * 2u32.pow(self.failures.min(4))).min(longest)
+        } else {
+            BYSTANDER_PAUSE
+        };
         self.failures += 1;
         match failure {
-            ReadFailure::MustReadAll => self.position = None,
+            ReadFailure::MustReadAll => self.must_read_all = true,
             ReadFailure::NoAnswer => self.unanswered += 1,
             ReadFailure::Refused => {}
         }
-        pause.mul_f64(0.7 + 0.6 * jitter)
+        let spread = if failure == ReadFailure::MustReadAll { 0.0 } else { jitter };
+        pause.mul_f64(0.7 + 0.6 * spread)
+    }
+}
+
+/// How long a node leaves the reading to others before it looks again; nothing when it reads.
+fn waits_for_others(inputs: &ReadingInputs) -> Option<Duration> {
+    let starting = inputs.running_for < inputs.starting_patience;
+    if inputs.is_reader && (inputs.has_peers || !starting) {
+        return None;
     }
+    let others_tell = match inputs.confirmed_ago {
+        None => starting,
+        Some(ago) => ago < OLD_CONFIRMATION,
+    };
+    others_tell.then_some(LOOK_PERIOD)
 }
--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -12,6 +12,8 @@
     pub configuration: Option<RoutingConfiguration>,
     /// The revision up to which the replicas are known; 0 when nothing is known.
     pub replicas_at: u64,
+    /// How long ago the sender's knowledge was confirmed, in milliseconds; nothing when it never was.
+    pub confirmed_ms_ago: Option<u64>,
     /// The replicas with the revisions of their entries, when the receiver knew less.
     pub replicas: Vec<(Replica, u64)>,
 }
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -185,6 +185,12 @@
         expiries.map(|at| at.plus(ABSENCE_PATIENCE)).filter(|at| *at > now).min()
     }
 
+    /// Whether a peer that has these revisions is missing something.
+    pub fn is_newer_than(&self, version: u64, replicas_at: u64) -> bool {
+        self.routes.as_ref().is_some_and(|routes| routes.version() > version)
+            || self.replicas_at > replicas_at
+    }
+
     /// What a peer that has these revisions is missing.
     pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
         let routes = self.routes.as_ref().filter(|routes| routes.version() > version);
@@ -195,6 +201,7 @@
         CatalogueSnapshot {
             configuration: routes.map(|routes| routes.configuration().clone()),
             replicas_at: self.replicas_at,
+            confirmed_ms_ago: None,
             replicas: if newer { replicas.collect() } else { Vec::new() },
         }
     }
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -9,14 +9,15 @@
 use rand::RngExt;
 
 use sablebay_catalogue::{
-    CatalogueView, ReadFailure, ReadingPolicy, RoutableReplica, ServiceName, SourceRead,
+    CatalogueView, ReadFailure, ReadingInputs, ReadingPolicy, RoutableReplica, ServiceName, SourceRead,
+    SourceStep,
 };
 use sablebay_model::Micros;
 
 use crate::context::{Context, RoutingView};
 use crate::edge::{BackendProtocol, CallerProtocol, CatalogueNews, CatalogueSource, SourceError};
 
-/// Follows the source until the node ends.
+/// Follows the source until the node ends: reads it when it is this node's turn.
 pub async fn follow_source<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
     context: Arc<Context<C, B>>,
     source: Arc<S>,
@@ -24,27 +25,49 @@
     let mut policy = ReadingPolicy::default();
     let mut answered_before = false;
     loop {
-        let outcome = match policy.next() {
+        let inputs = reading_inputs(&context);
+        let read = match policy.next(&inputs) {
+            SourceStep::Read(read) => read,
+            SourceStep::Wait(wait) => {
+                tokio::time::sleep(wait).await;
+                continue;
+            }
+        };
+        let outcome = match read {
             SourceRead::All { patience } => read_all(&context, &*source, patience).await,
             SourceRead::Changes { after, wait, patience } => {
                 read_changes(&context, &*source, after, wait, patience).await
             }
         };
         let pause = match outcome {
-            Ok((at, changed)) => {
+            Ok(changed) => {
                 note_success(&context, policy.is_failing() || !answered_before);
                 answered_before = true;
-                policy.succeeded(at, changed)
+                policy.succeeded(changed)
             }
             Err(error) => {
                 note_failure(&context, error, policy.is_failing());
-                policy.failed(failure_of(error), rand::rng().random())
+                policy.failed(failure_of(error), inputs.is_reader, rand::rng().random())
             }
         };
         tokio::time::sleep(pause).await;
     }
 }
 
+fn reading_inputs<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) -> ReadingInputs {
+    let now = context.clock().now();
+    let mut fleet = context.fleet.lock();
+    fleet.refresh(&context.node);
+    ReadingInputs {
+        is_reader: fleet.is_reader(),
+        has_peers: fleet.has_peers(),
+        running_for: context.clock().running_for(),
+        starting_patience: Duration::from_millis(context.settings.load().start_patience_ms),
+        confirmed_ago: context.node.catalogue.confirmed_ago(now).map(Micros::as_duration),
+        known_up_to: context.node.catalogue.read(CatalogueView::replicas_at),
+    }
+}
+
 fn failure_of(error: SourceError) -> ReadFailure {
     match error {
         SourceError::HistoryLost | SourceError::Malformed => ReadFailure::MustReadAll,
@@ -83,18 +106,16 @@
     context: &Context<C, B>,
     source: &S,
     patience: Duration,
-) -> Result<(u64, bool), SourceError> {
-    let asked_at = context.clock().now();
+) -> Result<bool, SourceError> {
     let read = source.list(patience).await?;
-    let at = read.listing.at;
     let now = context.clock().now();
     context.node.catalogue.update(|view| {
         let configured =
             read.configuration.is_some_and(|configuration| view.offer_configuration(configuration));
         view.replace(read.listing, now) || configured
     });
-    confirm(context, asked_at);
-    Ok((at, true))
+    context.node.catalogue.confirm(now);
+    Ok(true)
 }
 
 async fn read_changes<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
@@ -103,14 +124,12 @@
     after: u64,
     wait: Duration,
     patience: Duration,
-) -> Result<(u64, bool), SourceError> {
-    let asked_at = context.clock().now();
+) -> Result<bool, SourceError> {
     let news = source.watch(after, wait, patience).await?;
-    let at = news.at.max(after);
     let now = context.clock().now();
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
-    confirm(context, asked_at);
-    Ok((at, changed))
+    context.node.catalogue.confirm(now);
+    Ok(changed)
 }
 
 fn apply(view: &mut CatalogueView, news: CatalogueNews, now: Micros) -> bool {
@@ -122,11 +141,6 @@
     changed
 }
 
-/// Notes that the catalogue was as it is known at some moment after `at`.
-pub fn confirm<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, at: Micros) {
-    context.confirmed_at.fetch_max(at.0, Ordering::Relaxed);
-}
-
 /// Takes every change of the catalogue into use, until the node ends.
 pub async fn install_changes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut changes = context.node.catalogue.subscribe();
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -20,6 +20,7 @@
 
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
+use crate::fleet_view::FleetView;
 use crate::metrics::GatewayMetrics;
 
 /// The replicas that may get new work, at one moment.
@@ -67,10 +68,12 @@
     pub dispatch: Mutex<Dispatch>,
     /// Connections by replica.
     pub connections: Mutex<HashMap<ReplicaId, Arc<ReplicaConnections>>>,
+    /// The other nodes.
+    pub fleet: Mutex<FleetView>,
     /// Nodes that share budgets and connections.
     pub nodes: AtomicU64,
-    /// When the catalogue was last confirmed, in microseconds of the clock; 0 when never.
-    pub confirmed_at: AtomicU64,
+    /// This node's position among them.
+    pub node_position: AtomicU64,
     /// Whether the last read of the source failed.
     pub source_fails: AtomicBool,
     /// Counts and latencies.
@@ -88,11 +91,12 @@
             splits: HashMap::new(),
         };
         Self {
+            fleet: Mutex::new(FleetView::new(node.info.key.node.clone())),
             node,
             callers,
             back_ends,
             nodes: AtomicU64::new(u64::from(settings.assumed_nodes)),
-            confirmed_at: AtomicU64::new(0),
+            node_position: AtomicU64::new(0),
             source_fails: AtomicBool::new(false),
             settings: ArcSwap::from_pointee(settings),
             view: ArcSwap::from_pointee(RoutingView::default()),
@@ -108,9 +112,10 @@
         self.node.clock
     }
 
-    /// Since when the catalogue was not confirmed.
+    /// Since when the catalogue was not confirmed; since long before the start when it never was.
     pub fn catalogue_age(&self) -> Micros {
-        self.clock().now().since(Micros(self.confirmed_at.load(Ordering::Relaxed)))
+        let now = self.clock().now();
+        self.node.catalogue.confirmed_ago(now).unwrap_or(now)
     }
 
     /// Whether the configuration may well have been replaced without this node's knowing: the
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod driver;
 pub mod edge;
 mod error;
+mod fleet_view;
 mod gateway;
 mod ingress;
 mod metrics;
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -1,88 +1,87 @@
-//! Learns the catalogue from peers: at the start, when the source is out of reach, and when a wait
-//! for its changes has silently failed. Also keeps the number of nodes that share what is bounded
-//! for the fleet.
+//! Learns the catalogue from peers, all the time: most nodes never read its source.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
-
+use sablebay_model::Micros;
 use sablebay_node::Lane;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
 
-use crate::catalogue_reader::confirm;
 use crate::context::Context;
 use crate::edge::{BackendProtocol, CallerProtocol};
+use crate::fleet_view::FleetPeer;
 
-/// How often one peer is asked for what is new.
-const PERIOD: Duration = Duration::from_millis(500);
-/// How often peers are asked before anything is known.
-const STARTING_PERIOD: Duration = Duration::from_millis(100);
-/// How long a peer may take to answer.
-const PATIENCE: Duration = Duration::from_millis(450);
+/// How long a peer may wait until it has news.
+const WAIT: Duration = Duration::from_millis(700);
+/// How much longer its answer may take.
+const PATIENCE: Duration = Duration::from_millis(350);
+/// How often the members are looked at while nobody can be asked.
+const LONELY_PERIOD: Duration = Duration::from_millis(100);
+/// The pause after a peer that did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
 /// Asks peers until the node ends.
 pub async fn follow_peers<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
-    let mut most_nodes = 0;
+    let mut turn = 0;
+    let mut failures = 0;
     loop {
-        let known = context.node.catalogue.read(|view| view.routes().is_some());
-        tokio::time::sleep(if known { PERIOD } else { STARTING_PERIOD }).await;
+        note_nodes(&context);
         context.metrics.catalogue_age.set(context.catalogue_age().as_millis() as i64);
-        let peers = peer_addresses(&context);
-        most_nodes = note_nodes(&context, peers.len() + 1, most_nodes);
-        let asked = peers.choose(&mut rand::rng()).copied();
-        if let Some(address) = asked {
-            ask(&context, address).await;
+        let peer = context.fleet.lock().source_of_news(turn, failures).cloned();
+        let Some(peer) = peer else {
+            tokio::time::sleep(LONELY_PERIOD).await;
+            continue;
+        };
+        if ask(&context, &peer).await {
+            failures = 0;
+        } else {
+            failures += 1;
+            tokio::time::sleep(FAILURE_PAUSE).await;
         }
+        turn += 1;
     }
 }
 
-fn peer_addresses<C, B>(context: &Context<C, B>) -> Vec<SocketAddr> {
-    let fleet = context.node.fleet.lock();
-    let own = &context.node.info.key.node;
-    let others = fleet.members().present().filter(|member| member.info.key.node != *own);
-    others.map(|member| member.info.peer_address).collect()
-}
-
-/// Budgets and connections are shared by the highest number of nodes met in this life: a node that
-/// loses sight of others must not take their part, since they may be there for everybody else.
-fn note_nodes<C: CallerProtocol, B: BackendProtocol>(
-    context: &Context<C, B>,
-    present: usize,
-    most: usize,
-) -> usize {
-    let settings = context.settings.load();
-    let most = most.max(present);
-    let shared = if most == 1 { settings.assumed_nodes as usize } else { most };
+/// Budgets and connections are shared by the nodes met in this life: a node that loses sight of
+/// others must not take their part, since they may be there for everybody else.
+fn note_nodes<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
+    let mut fleet = context.fleet.lock();
+    fleet.refresh(&context.node);
+    let (met, position) = fleet.shares();
+    drop(fleet);
+    let assumed = context.settings.load().assumed_nodes as usize;
+    let shared = if met == 1 { assumed } else { met };
     let before = context.nodes.swap(shared as u64, Ordering::Relaxed);
-    if before != shared as u64 {
-        log::info!(nodes = shared, before = before; "gateway: budgets and connections are shared by {shared} nodes.");
+    let position_before = context.node_position.swap(position as u64, Ordering::Relaxed);
+    if before != shared as u64 || position_before != position as u64 {
+        log::info!(nodes = shared, before = before, position = position; "gateway: budgets and connections are shared by {shared} nodes.");
         context.refresh_connections();
     }
-    most
 }
 
-async fn ask<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, address: SocketAddr) {
-    let asked_at = context.clock().now();
+/// Asks one peer; false when it did not answer.
+async fn ask<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, peer: &FleetPeer) -> bool {
     let (version, replicas_at) = context
         .node
         .catalogue
         .read(|view| (view.routes().map_or(0, |routes| routes.version()), view.replicas_at()));
-    let request = PeerRequest::Catalogue { version, replicas_at };
-    let until = tokio::time::Instant::now() + PATIENCE;
-    let answer = context.node.peers.request(address, Lane::Control, request, until).await;
+    let request = PeerRequest::Catalogue { version, replicas_at, wait_ms: WAIT.as_millis() as u64 };
+    let until = tokio::time::Instant::now() + WAIT + PATIENCE;
+    let answer = context.node.peers.request(peer.address, Lane::Control, request, until).await;
     let Ok(PeerResponse::Catalogue(snapshot)) = answer else {
-        return;
+        return false;
     };
     let now = context.clock().now();
     let told =
         (snapshot.configuration.as_ref().map(|configuration| configuration.version), snapshot.replicas_at);
+    let confirmed_ago = snapshot.confirmed_ms_ago;
     if context.node.catalogue.update(|view| view.merge(*snapshot, now)) {
-        log::info!(peer = address.to_string().as_str(), version = told.0.unwrap_or(version), replicas_at = told.1, had = replicas_at; "catalogue: news from a peer.");
-        if version == 0 {
-            confirm(context, asked_at);
-        }
+        log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1, had = replicas_at, confirmed_ms_ago = confirmed_ago.unwrap_or(0); "catalogue: news from a peer.");
+    }
+    // The peer's word holds for what it knows; this node knows as much by now, or more.
+    if let Some(ago) = confirmed_ago {
+        context.node.catalogue.confirm(Micros(now.since(Micros::from_millis(ago)).0));
     }
+    true
 }
--- a/crates/sablebay-node/src/catalogue_store.rs
+++ b/crates/sablebay-node/src/catalogue_store.rs
@@ -1,19 +1,25 @@
 //! The catalogue as this node knows it, shared by whoever reads it, serves by it, and answers peers.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use sablebay_catalogue::{CatalogueSnapshot, CatalogueView};
+use sablebay_model::Micros;
 
 /// The catalogue as this node knows it.
 pub struct CatalogueStore {
     view: Mutex<CatalogueView>,
     changed: watch::Sender<u64>,
+    /// In microseconds of the node's clock; 0 when it never was.
+    confirmed_at: AtomicU64,
 }
 
 impl Default for CatalogueStore {
     fn default() -> Self {
-        Self { view: Mutex::default(), changed: watch::channel(0).0 }
+        Self { view: Mutex::default(), changed: watch::channel(0).0, confirmed_at: AtomicU64::new(0) }
     }
 }
 
@@ -37,8 +43,28 @@
         self.changed.subscribe()
     }
 
+    /// Notes that the catalogue was as it is known at some moment after `at`.
+    pub fn confirm(&self, at: Micros) {
+        self.confirmed_at.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// How long ago the catalogue was confirmed; nothing when it never was.
+    pub fn confirmed_ago(&self, now: Micros) -> Option<Micros> {
+        let at = Micros(self.confirmed_at.load(Ordering::Acquire));
+        (at.0 > 0).then(|| now.since(at))
+    }
+
+    /// Waits until there is something that a peer with these revisions is missing.
+    pub async fn wait_for_newer(&self, version: u64, replicas_at: u64, wait: Duration) {
+        let mut changes = self.subscribe();
+        let newer = changes.wait_for(|_| self.read(|view| view.is_newer_than(version, replicas_at)));
+        // What there is after the time is over is told all the same.
+        let _ = tokio::time::timeout(wait, newer).await;
+    }
+
     /// What a peer that has these revisions is missing.
-    pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
-        self.view.lock().snapshot(version, replicas_at)
+    pub fn snapshot(&self, version: u64, replicas_at: u64, now: Micros) -> CatalogueSnapshot {
+        let snapshot = self.view.lock().snapshot(version, replicas_at);
+        CatalogueSnapshot { confirmed_ms_ago: self.confirmed_ago(now).map(Micros::as_millis), ..snapshot }
     }
 }
--- a/crates/sablebay-node/src/clock.rs
+++ b/crates/sablebay-node/src/clock.rs
@@ -26,6 +26,11 @@
         START.plus(Micros::from(self.started.elapsed()))
     }
 
+    /// How long the clock has run: since the start of the node.
+    pub fn running_for(&self) -> std::time::Duration {
+        self.started.elapsed()
+    }
+
     /// Now, on the wall clock: its reading at the start, plus what the monotonic clock went on.
     ///
     /// Holders of claims rely on this not stepping back when somebody sets the clock.
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -84,6 +84,8 @@
 
 /// Incoming fleet messages that wait at the most.
 const FLEET_QUEUE: usize = 65_536;
+/// How long a peer may be kept waiting for news of the catalogue, in milliseconds.
+const LONGEST_CATALOGUE_WAIT_MS: u64 = 5_000;
 /// How long the listeners stay open after the last request, for callers that have not yet heard
 /// that the node is stopping.
 const LINGER: Duration = Duration::from_millis(300);
@@ -293,8 +295,11 @@
                 let answer = shared.claims.lock().question(&ticket, shared.clock.wall());
                 PeerResponse::Claim(answer)
             }
-            PeerRequest::Catalogue { version, replicas_at } => {
-                PeerResponse::Catalogue(Box::new(shared.catalogue.snapshot(version, replicas_at)))
+            PeerRequest::Catalogue { version, replicas_at, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms.min(LONGEST_CATALOGUE_WAIT_MS));
+                shared.catalogue.wait_for_newer(version, replicas_at, wait).await;
+                let snapshot = shared.catalogue.snapshot(version, replicas_at, shared.clock.now());
+                PeerResponse::Catalogue(Box::new(snapshot))
             }
             PeerRequest::Report => match serde_json::to_string(&short_report(shared)) {
                 Ok(text) => PeerResponse::Report(text),
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -81,6 +81,8 @@
         version: u64,
         /// The revision up to which the sender knows the replicas; 0 when none.
         replicas_at: u64,
+        /// How long the receiver may wait until it has something new, in milliseconds.
+        wait_ms: u64,
     },
 }
 
