--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -14,6 +14,8 @@
     pub replicas_at: u64,
     /// How long ago the sender's knowledge was confirmed, in milliseconds; nothing when it never was.
     pub confirmed_ms_ago: Option<u64>,
+    /// The number of nodes that the sender has met, when it has run for long enough to know.
+    pub nodes_met: Option<u64>,
     /// The replicas with the revisions of their entries, when the receiver knew less.
     pub replicas: Vec<(Replica, u64)>,
 }
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -48,6 +48,9 @@
     pub replica: Arc<Replica>,
     /// Whether it is to be used only when nothing else is left.
     pub last_resort: bool,
+    /// Whether this node keeps no connections to it, for want of room there: it is used when the
+    /// others are in trouble. Set by whoever shares connections out.
+    pub beyond_share: bool,
     /// Until when it is slow from its start.
     pub warm_at: Micros,
 }
@@ -170,6 +173,7 @@
             services.entry(replica.service.clone()).or_default().push(RoutableReplica {
                 replica: replica.clone(),
                 last_resort: vanished_for.is_some(),
+                beyond_share: false,
                 warm_at: entry.warm_at,
             });
         }
@@ -202,6 +206,7 @@
             configuration: routes.map(|routes| routes.configuration().clone()),
             replicas_at: self.replicas_at,
             confirmed_ms_ago: None,
+            nodes_met: None,
             replicas: if newer { replicas.collect() } else { Vec::new() },
         }
     }
--- a/crates/sablebay-config/src/gateway_settings.rs
+++ b/crates/sablebay-config/src/gateway_settings.rs
@@ -21,7 +21,7 @@
     pub retry_fixed: f64,
     /// The window of these, in milliseconds. Default 10,000.
     pub retry_window_ms: u64,
-    /// Nodes that are assumed to share budgets and connections before any was met. Default 12.
+    /// Nodes that are assumed to share budgets and connections before any was met. Default 64.
     pub assumed_nodes: u32,
     /// How long a starting node leaves the reading of the catalogue to others, in milliseconds.
     /// Default 0.
@@ -48,7 +48,7 @@
         retry_ratio: section.number("retry_ratio", 0.0..=10.0).unwrap_or(0.1),
         retry_fixed: section.number("retry_fixed", 0.0..=1_000_000.0).unwrap_or(10.0),
         retry_window_ms: section.integer("retry_window_ms", 100..=3_600_000).unwrap_or(10_000),
-        assumed_nodes: section.integer("assumed_nodes", 1..=100_000).unwrap_or(12) as u32,
+        assumed_nodes: section.integer("assumed_nodes", 1..=100_000).unwrap_or(64) as u32,
         start_patience_ms: section.integer("start_patience_ms", 0..=60_000).unwrap_or(0),
         partial_margin_ms: section.integer("partial_margin_ms", 0..=10_000).unwrap_or(13),
         stop_linger_ms: section.integer("stop_linger_ms", 0..=600_000).unwrap_or(2_300),
--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -180,11 +180,18 @@
     /// Replicas that the shard was sent to; those that could not be reached do not count.
     attempts: u32,
     open_calls: u32,
+    /// When the shard is hedged, or tried anew when no call is open.
     hedge_at: Micros,
+    /// Times that none of its replicas could be reached.
+    rounds: u32,
 }
 
 /// Replicas without a connection that one shard is tried at.
 const MAXIMUM_UNREACHABLE: usize = 3;
+/// Times that a shard is tried anew after none of its replicas could be reached.
+const MAXIMUM_ROUNDS: u32 = 3;
+/// The pause before the first of these; doubles with each.
+const ROUND_PAUSE: Micros = Micros::from_millis(30);
 /// How soon a hedge that was not possible is looked at again.
 const HEDGE_RECHECK: Micros = Micros::from_millis(15);
 
@@ -210,6 +217,7 @@
             attempts: 0,
             open_calls: 0,
             hedge_at: Micros::MAX,
+            rounds: 0,
         };
         Self {
             shards: vec![shard; targets.len()],
@@ -324,7 +332,25 @@
         if self.may_send_again(shard, execution, turn) && self.send(shard, turn) {
             return;
         }
-        self.close(shard);
+        if !self.plan_round(shard, execution, turn.now) {
+            self.close(shard);
+        }
+    }
+
+    /// Puts a shard off that reached no replica at all: nothing was sent, and connections that are
+    /// refused now may be taken in a moment. Not past the target latency: then the answer is due.
+    fn plan_round(&mut self, shard: usize, execution: Execution, now: Micros) -> bool {
+        let progress = &mut self.shards[shard];
+        let again_at = now.plus(Micros(ROUND_PAUSE.0 << progress.rounds));
+        let unreached = execution == Execution::NotSent && progress.attempts == 0;
+        let in_time = again_at < self.settings.partial_at.min(self.settings.deadline);
+        if !unreached || !in_time || progress.rounds >= MAXIMUM_ROUNDS {
+            return false;
+        }
+        progress.rounds += 1;
+        progress.tried.clear();
+        progress.hedge_at = again_at;
+        true
     }
 
     fn may_send_again<R: Rng>(
@@ -358,8 +384,14 @@
         }
         if turn.now < self.settings.deadline {
             for shard in 0..self.shards.len() {
-                if self.shards[shard].state == ShardState::Open && turn.now >= self.shards[shard].hedge_at {
+                let progress = &self.shards[shard];
+                if progress.state != ShardState::Open || turn.now < progress.hedge_at {
+                    continue;
+                }
+                if progress.open_calls > 0 {
                     self.hedge(shard, turn);
+                } else if !self.send(shard, turn) {
+                    self.close(shard);
                 }
             }
         }
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -24,6 +24,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fitness {
     Fit,
+    BeyondShare,
     Silent,
     LastResort,
     Paused,
@@ -123,7 +124,7 @@
     /// Whether one of the replicas not in `tried` would likely answer in good time.
     pub fn has_fit(&self, candidates: &[RoutableReplica], tried: &[ReplicaId], now: Micros) -> bool {
         let untried = candidates.iter().filter(|candidate| !tried.contains(&candidate.replica.id));
-        untried.into_iter().any(|candidate| self.fitness(candidate, now) == Fitness::Fit)
+        untried.into_iter().any(|candidate| self.fitness(candidate, now) <= Fitness::BeyondShare)
     }
 
     fn fitness(&self, candidate: &RoutableReplica, now: Micros) -> Fitness {
@@ -137,6 +138,9 @@
         if health.is_some_and(|health| health.is_silent(now)) {
             return Fitness::Silent;
         }
+        if candidate.beyond_share {
+            return Fitness::BeyondShare;
+        }
         Fitness::Fit
     }
 
--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -31,6 +31,7 @@
             warm_up_left_ms: 0,
         }),
         last_resort: false,
+        beyond_share: false,
         warm_at: Micros(0),
     };
     let shard = |shard: usize| ShardTargets {
@@ -174,7 +175,28 @@
     harness.fail(CallNumber(0), CallFailure::NoConnection);
     assert_eq!(harness.sent.len(), 2);
     harness.fail(CallNumber(1), CallFailure::NoConnection);
+    assert_eq!(harness.fanout.outcome(), None, "a replica may take a connection in a moment");
+    for call in 2.. {
+        if harness.fanout.outcome().is_some() {
+            break;
+        }
+        if !harness.sent.contains_key(&CallNumber(call)) {
+            harness.wait(harness.fanout.next_wake());
+        }
+        harness.fail(CallNumber(call), CallFailure::NoConnection);
+    }
     assert_eq!(harness.fanout.outcome(), Some(FanoutOutcome::NotRun));
+    assert!(harness.now < PARTIAL_AT, "it is not held back");
+}
+
+/// Seen on a recorded day (inc-89a1): after all nodes had lost power the replicas refused their
+/// connections for a moment, and requests with 2 s to wait failed after 10 ms.
+#[test]
+fn a_shard_that_reached_no_replica_is_tried_anew() {
+    let mut harness = Harness::new(settings(Repeatability::AtMostOnce, 1), targets(1, 1), 0.0);
+    harness.fail(CallNumber(0), CallFailure::NoConnection);
+    harness.wait(harness.fanout.next_wake());
+    assert_eq!(harness.answer(CallNumber(1)), Some(0));
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -24,6 +24,7 @@
             warm_up_left_ms: 0,
         }),
         last_resort: false,
+        beyond_share: false,
         warm_at: Micros(0),
     }
 }
@@ -96,6 +97,19 @@
     assert_eq!(draws(&table, &candidates, START.plus(USUAL)).0, 0);
 }
 
+#[test]
+fn a_replica_beyond_the_share_is_used_when_the_own_ones_stand_still() {
+    let mut distant = replica("c");
+    distant.beyond_share = true;
+    let candidates = [replica("a"), distant];
+    let mut table = table();
+    assert_eq!(draws(&table, &candidates, START).1, 0);
+    table.sent(&candidates[0].replica.id, CallKey(1), USUAL, START);
+    let silent = START.plus(Micros::from_millis(70));
+    assert_eq!(draws(&table, &candidates, silent).0, 0);
+    assert!(table.has_fit(&candidates, &[], silent));
+}
+
 #[test]
 fn a_last_resort_is_used_when_nothing_else_is_left() {
     let mut vanished = replica("a");
--- a/crates/sablebay-dispatch/tests/shares.rs
+++ b/crates/sablebay-dispatch/tests/shares.rs
@@ -4,7 +4,9 @@
 use proptest::test_runner::{Config, RngSeed};
 
 use sablebay_catalogue::{ServiceName, WeightedService};
-use sablebay_dispatch::{RetryAllowance, RetryWindow, WeightedChoice, connection_share};
+use sablebay_dispatch::{
+    FleetSize, RetryAllowance, RetryWindow, SETTLING_TIME, WeightedChoice, connection_share, own_replicas,
+};
 use sablebay_model::Micros;
 
 const WINDOW: Micros = Micros::from_secs(10);
@@ -65,6 +67,25 @@
         prop_assert!(share == 1 || share * nodes <= maximum as usize);
     }
 
+    /// Nodes that keep to their own replicas never exceed what a replica takes; every node has a
+    /// replica, and every replica about as many nodes as any other.
+    #[test]
+    fn own_replicas_fit_and_are_balanced(maximum in 1u32..200, nodes in 1usize..400, replicas in 1usize..8) {
+        let mut of_replica = vec![0usize; replicas];
+        for position in 0..nodes {
+            let own = own_replicas(maximum, nodes, position, replicas);
+            prop_assert!(own.iter().any(|own| *own));
+            for (count, own) in of_replica.iter_mut().zip(&own) {
+                *count += usize::from(*own);
+            }
+        }
+        let most = of_replica.iter().max().copied().unwrap_or(0);
+        let least = of_replica.iter().min().copied().unwrap_or(0);
+        prop_assert!(most - least <= replicas);
+        let enough_room = nodes.div_ceil(replicas) as f64 <= 0.85 * f64::from(maximum);
+        prop_assert!(!enough_room || most <= maximum as usize + replicas, "{most} of {maximum}");
+    }
+
     /// Over any run the shares are off by less than one request a part.
     #[test]
     fn weights_are_kept_over_short_runs(
@@ -92,6 +113,20 @@
     }
 }
 
+/// Seen on a recorded day (inc-89a1): all nodes lost power; each took the share of two or three that
+/// it had met, eleven connections of 26, and the replicas reset what was too many.
+#[test]
+fn a_node_that_has_just_started_takes_no_more_than_it_must() {
+    let just_started = FleetSize { met: 2, told: None, running_for: Micros::from_millis(300) };
+    assert_eq!(connection_share(26, just_started.sharing(64)), 1);
+    let told = FleetSize { told: Some(8), ..just_started };
+    assert_eq!(told.sharing(64), 8, "a peer that knows the fleet is believed");
+    let settled = FleetSize { met: 8, told: None, running_for: SETTLING_TIME };
+    assert_eq!(settled.sharing(64), 8);
+    let alone = FleetSize { met: 1, told: None, running_for: SETTLING_TIME };
+    assert_eq!(alone.sharing(64), 64, "a lone node may have been cut off from many");
+}
+
 #[test]
 fn a_part_without_weight_gets_nothing() {
     let part = |name: &str, weight| WeightedService { service: ServiceName::new(name), weight };
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -180,7 +180,12 @@
     if let Some(idle) = keep_alive(&head.headers) {
         lease.keep_for(idle);
     }
-    connections.give_back(lease);
+    // Where this node has no share, the connection makes room again at once.
+    if replica.beyond_share {
+        drop(lease);
+    } else {
+        connections.give_back(lease);
+    }
     let headers = end_to_end_headers(head.headers);
     let answer = WholeAnswer { status: head.status, headers, body: collected.to_bytes() };
     let result = match read.verdict {
--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -119,6 +119,11 @@
         idle.pop()
     }
 
+    /// Closes the connections that are not in use.
+    pub fn close_idle(&self) {
+        self.idle.lock().clear();
+    }
+
     /// Gives back a connection whose answer was read to its end.
     pub fn give_back(&self, lease: Lease) {
         if !lease.connection.sender.is_closed() {
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -13,7 +13,7 @@
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
     CallKey, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, WeightedChoice,
-    connection_share,
+    connection_share, own_replicas,
 };
 use sablebay_model::Micros;
 use sablebay_node::{Clock, Shared};
@@ -40,6 +40,14 @@
     }
 }
 
+/// The connections that a replica of a service takes from all nodes together.
+fn maximum_connections(routes: Option<&RouteTable>, service: &ServiceName) -> u32 {
+    /// Assumed of a service that the configuration does not name.
+    const UNKNOWN_MAXIMUM: u32 = 16;
+    let known = routes.and_then(|routes| routes.service(service));
+    known.map_or(UNKNOWN_MAXIMUM, |service| service.maximum_connections)
+}
+
 /// The machines of `sablebay-dispatch`, behind one lock.
 pub struct Dispatch {
     /// What is known of the replicas.
@@ -155,16 +163,31 @@
     }
 
     fn connection_limit(&self, service: &ServiceName) -> usize {
-        /// Assumed of a service that the configuration does not name.
-        const UNKNOWN_MAXIMUM: u32 = 16;
-        let view = self.view.load();
-        let known = view.routes.as_ref().and_then(|routes| routes.service(service));
-        let maximum = known.map_or(UNKNOWN_MAXIMUM, |service| service.maximum_connections);
+        let maximum = maximum_connections(self.view.load().routes.as_deref(), service);
         connection_share(maximum, self.nodes.load(Ordering::Relaxed) as usize)
     }
 
+    /// Marks the replicas that have no room for a connection of this node.
+    fn keep_to_share(&self, maximum: u32, replicas: &mut Arc<[RoutableReplica]>) {
+        let nodes = self.nodes.load(Ordering::Relaxed) as usize;
+        let position = self.node_position.load(Ordering::Relaxed) as usize;
+        let own = own_replicas(maximum, nodes, position, replicas.len());
+        if own.iter().all(|own| *own) {
+            return;
+        }
+        let marked = replicas
+            .iter()
+            .zip(own)
+            .map(|(replica, own)| RoutableReplica { beyond_share: !own, ..replica.clone() });
+        *replicas = marked.collect();
+    }
+
     /// Takes a new view of routes and replicas into use.
-    pub fn install(&self, view: RoutingView) {
+    pub fn install(&self, mut view: RoutingView) {
+        for (service, replicas) in &mut view.replicas {
+            let maximum = maximum_connections(view.routes.as_deref(), service);
+            self.keep_to_share(maximum, replicas);
+        }
         self.view.store(Arc::new(view));
         self.refresh_connections();
         let view = self.view.load();
@@ -185,17 +208,21 @@
     pub fn refresh_connections(&self) {
         let view = self.view.load();
         let mut connections = self.connections.lock();
-        let mut limits: HashMap<&ReplicaId, usize> = HashMap::new();
+        let mut limits: HashMap<&ReplicaId, (usize, bool)> = HashMap::new();
         for (service, replicas) in &view.replicas {
             let limit = self.connection_limit(service);
-            limits.extend(replicas.iter().map(|replica| (&replica.replica.id, limit)));
+            limits
+                .extend(replicas.iter().map(|replica| (&replica.replica.id, (limit, replica.beyond_share))));
         }
         connections.retain(|id, known| {
-            let limit = limits.get(id);
-            if let Some(limit) = limit {
-                known.set_limit(*limit);
+            let Some((limit, beyond_share)) = limits.get(id) else {
+                return false;
+            };
+            known.set_limit(*limit);
+            if *beyond_share {
+                known.close_idle();
             }
-            limit.is_some()
+            true
         });
     }
 
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -7,7 +7,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use sablebay_catalogue::READERS;
-use sablebay_model::NodeId;
+use sablebay_dispatch::FleetSize;
+use sablebay_model::{Micros, NodeId};
 use sablebay_node::Shared;
 
 /// A node as the gateway sees it.
@@ -28,6 +29,7 @@
     /// Present peers in an order that is the same on every node.
     ranked: Vec<FleetPeer>,
     own_rank: usize,
+    told: Option<usize>,
 }
 
 /// Orders nodes alike everywhere, and unlike their names, which follow the zones.
@@ -38,7 +40,7 @@
 impl FleetView {
     /// A view without peers.
     pub fn new(own: NodeId) -> Self {
-        Self { met: BTreeSet::from([own.clone()]), own, ranked: Vec::new(), own_rank: 0 }
+        Self { met: BTreeSet::from([own.clone()]), own, ranked: Vec::new(), own_rank: 0, told: None }
     }
 
     /// Brings the view up to date. Returns whether the nodes met have changed.
@@ -78,9 +80,15 @@
         Some(&self.ranked[(turn + failures) % among])
     }
 
-    /// The number of nodes met in this life, and this node's position among their sorted names.
-    pub fn shares(&self) -> (usize, usize) {
+    /// Notes the number of nodes that a peer told.
+    pub fn note_told(&mut self, nodes: Option<u64>) {
+        let nodes = nodes.map(|nodes| nodes as usize);
+        self.told = self.told.max(nodes);
+    }
+
+    /// How many share what is bounded, and this node's position among the sorted names met.
+    pub fn size(&self, running_for: Micros) -> (FleetSize, usize) {
         let position = self.met.iter().take_while(|node| **node != self.own).count();
-        (self.met.len(), position)
+        (FleetSize { met: self.met.len(), told: self.told, running_for }, position)
     }
 }
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use sablebay_dispatch::SETTLING_TIME;
 use sablebay_model::Micros;
 use sablebay_node::Lane;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
@@ -48,15 +49,18 @@
 fn note_nodes<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
     let mut fleet = context.fleet.lock();
     fleet.refresh(&context.node);
-    let (met, position) = fleet.shares();
+    let (size, position) = fleet.size(Micros::from(context.clock().running_for()));
     drop(fleet);
-    let assumed = context.settings.load().assumed_nodes as usize;
-    let shared = if met == 1 { assumed } else { met };
+    if size.running_for >= SETTLING_TIME {
+        context.node.catalogue.tell_nodes_met(size.met);
+    }
+    let shared = size.sharing(context.settings.load().assumed_nodes as usize);
     let before = context.nodes.swap(shared as u64, Ordering::Relaxed);
     let position_before = context.node_position.swap(position as u64, Ordering::Relaxed);
     if before != shared as u64 || position_before != position as u64 {
-        log::info!(nodes = shared, before = before, position = position; "gateway: budgets and connections are shared by {shared} nodes.");
-        context.refresh_connections();
+        log::info!(nodes = shared, before = before, met = size.met, position = position; "gateway: budgets and connections are shared by {shared} nodes.");
+        // The replicas are shared out anew.
+        context.node.catalogue.update(|_| true);
     }
 }
 
@@ -76,6 +80,7 @@
     let told =
         (snapshot.configuration.as_ref().map(|configuration| configuration.version), snapshot.replicas_at);
     let confirmed_ago = snapshot.confirmed_ms_ago;
+    context.fleet.lock().note_told(snapshot.nodes_met);
     if context.node.catalogue.update(|view| view.merge(*snapshot, now)) {
         log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1, had = replicas_at, confirmed_ms_ago = confirmed_ago.unwrap_or(0); "catalogue: news from a peer.");
     }
--- a/crates/sablebay-node/src/catalogue_store.rs
+++ b/crates/sablebay-node/src/catalogue_store.rs
@@ -15,11 +15,18 @@
     changed: watch::Sender<u64>,
     /// In microseconds of the node's clock; 0 when it never was.
     confirmed_at: AtomicU64,
+    /// The number of nodes met, once it can be told to others; 0 before.
+    nodes_met: AtomicU64,
 }
 
 impl Default for CatalogueStore {
     fn default() -> Self {
-        Self { view: Mutex::default(), changed: watch::channel(0).0, confirmed_at: AtomicU64::new(0) }
+        Self {
+            view: Mutex::default(),
+            changed: watch::channel(0).0,
+            confirmed_at: AtomicU64::new(0),
+            nodes_met: AtomicU64::new(0),
+        }
     }
 }
 
@@ -54,6 +61,11 @@
         (at.0 > 0).then(|| now.since(at))
     }
 
+    /// Sets the number of nodes that peers are told of.
+    pub fn tell_nodes_met(&self, nodes: usize) {
+        self.nodes_met.store(nodes as u64, Ordering::Relaxed);
+    }
+
     /// Waits until there is something that a peer with these revisions is missing.
     pub async fn wait_for_newer(&self, version: u64, replicas_at: u64, wait: Duration) {
         let mut changes = self.subscribe();
@@ -65,6 +77,11 @@
     /// What a peer that has these revisions is missing.
     pub fn snapshot(&self, version: u64, replicas_at: u64, now: Micros) -> CatalogueSnapshot {
         let snapshot = self.view.lock().snapshot(version, replicas_at);
-        CatalogueSnapshot { confirmed_ms_ago: self.confirmed_ago(now).map(Micros::as_millis), ..snapshot }
+        let nodes_met = self.nodes_met.load(Ordering::Relaxed);
+        CatalogueSnapshot {
+            confirmed_ms_ago: self.confirmed_ago(now).map(Micros::as_millis),
+            nodes_met: (nodes_met > 0).then_some(nodes_met),
+            ..snapshot
+        }
     }
 }
