--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -3,7 +3,7 @@
 use musli::{Decode, Encode};
 
 use crate::configuration::RoutingConfiguration;
-use crate::replica::Replica;
+use crate::replica::{Replica, ReplicaId};
 
 /// What one node knows, with the revisions that order it.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -16,6 +16,12 @@
     pub confirmed_ms_ago: Option<u64>,
     /// The number of nodes that the sender has met, when it has run for long enough to know.
     pub nodes_met: Option<u64>,
-    /// The replicas with the revisions of their entries, when the receiver knew less.
+    /// Whether `replicas` are all that there are; otherwise they are those that changed since the
+    /// revision that the receiver knew.
+    pub whole: bool,
+    /// The replicas with the revisions of their entries.
     pub replicas: Vec<(Replica, u64)>,
+    /// The replicas whose entries went since the revision that the receiver knew, with the
+    /// revisions at which they went.
+    pub gone: Vec<(ReplicaId, u64)>,
 }
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -69,6 +69,10 @@
     routes: Option<Arc<RouteTable>>,
     entries: HashMap<ReplicaId, Entry>,
     replicas_at: u64,
+    /// The highest revision of an entry that vanished and was forgotten.
+    forgotten_up_to: u64,
+    /// Whether leaving replicas get work; in the soak alone.
+    keeps_leaving: bool,
 }
 
 impl CatalogueView {
@@ -82,6 +86,11 @@
         self.replicas_at
     }
 
+    /// Gives leaving replicas work like others, which the soak must notice.
+    pub fn keep_leaving(&mut self) {
+        self.keeps_leaving = true;
+    }
+
     /// Takes a configuration into force if it is newer. Returns whether it was.
     pub fn offer_configuration(&mut self, configuration: RoutingConfiguration) -> bool {
         let newer = self.routes.as_ref().is_none_or(|routes| configuration.version > routes.version());
@@ -153,17 +162,25 @@
 
     /// Forgets what vanished long ago.
     pub fn expire(&mut self, now: Micros) {
+        let mut forgotten = self.forgotten_up_to;
         self.entries.retain(|_, entry| {
-            entry.vanished_at.is_none_or(|vanished_at| now.since(vanished_at) < TOMBSTONE_LIFETIME)
+            let kept =
+                entry.vanished_at.is_none_or(|vanished_at| now.since(vanished_at) < TOMBSTONE_LIFETIME);
+            if !kept {
+                forgotten = forgotten.max(entry.revision);
+            }
+            kept
         });
+        self.forgotten_up_to = forgotten;
     }
 
     /// The replicas that may get new work, by service.
     pub fn routable(&self, now: Micros) -> HashMap<ServiceName, Vec<RoutableReplica>> {
         let mut services: HashMap<ServiceName, Vec<RoutableReplica>> = HashMap::new();
         for entry in self.entries.values() {
-            let Some(replica) = entry.replica.as_ref().filter(|replica| replica.phase == ReplicaPhase::Ready)
-            else {
+            let takes_work =
+                |replica: &&Arc<Replica>| self.keeps_leaving || replica.phase == ReplicaPhase::Ready;
+            let Some(replica) = entry.replica.as_ref().filter(takes_work) else {
                 continue;
             };
             let vanished_for = entry.vanished_at.map(|vanished_at| now.since(vanished_at));
@@ -195,20 +212,28 @@
             || self.replicas_at > replicas_at
     }
 
-    /// What a peer that has these revisions is missing.
+    /// What a peer that has these revisions is missing. A peer that knew the catalogue at a moment
+    /// whose vanished entries are forgotten here is told everything.
     pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
         let routes = self.routes.as_ref().filter(|routes| routes.version() > version);
-        let newer = self.replicas_at > replicas_at;
-        let present = self.entries.values().filter(|entry| entry.vanished_at.is_none());
-        let replicas =
-            present.filter_map(|entry| Some(((**entry.replica.as_ref()?).clone(), entry.revision)));
-        CatalogueSnapshot {
+        let whole = replicas_at == 0 || replicas_at < self.forgotten_up_to;
+        let known_from = if whole { 0 } else { replicas_at };
+        let mut snapshot = CatalogueSnapshot {
             configuration: routes.map(|routes| routes.configuration().clone()),
             replicas_at: self.replicas_at,
-            confirmed_ms_ago: None,
-            nodes_met: None,
-            replicas: if newer { replicas.collect() } else { Vec::new() },
+            whole,
+            ..CatalogueSnapshot::default()
+        };
+        if self.replicas_at <= replicas_at {
+            return snapshot;
         }
+        for (id, entry) in self.entries.iter().filter(|(_, entry)| entry.revision > known_from) {
+            match (&entry.replica, entry.vanished_at) {
+                (Some(replica), None) => snapshot.replicas.push(((**replica).clone(), entry.revision)),
+                _ => snapshot.gone.push((id.clone(), entry.revision)),
+            }
+        }
+        snapshot
     }
 
     /// Takes what a peer knows. Returns whether it changed anything.
@@ -218,10 +243,20 @@
     pub fn merge(&mut self, snapshot: CatalogueSnapshot, now: Micros) -> bool {
         let mut changed =
             snapshot.configuration.is_some_and(|configuration| self.offer_configuration(configuration));
-        if snapshot.replicas_at > self.replicas_at {
-            let listing = Listing { at: snapshot.replicas_at, replicas: snapshot.replicas };
-            changed |= self.replace(listing, now);
+        if snapshot.replicas_at <= self.replicas_at {
+            return changed;
+        }
+        for (id, revision) in snapshot.gone {
+            changed |= self.vanish(&id, revision, now);
         }
+        let listing = Listing { at: snapshot.replicas_at, replicas: snapshot.replicas };
+        if snapshot.whole {
+            return self.replace(listing, now) || changed;
+        }
+        for (replica, revision) in listing.replicas {
+            changed |= self.write(replica, revision, now);
+        }
+        self.advance(listing.at);
         changed
     }
 }
--- a/crates/sablebay-catalogue/tests/view.rs
+++ b/crates/sablebay-catalogue/tests/view.rs
@@ -98,6 +98,27 @@
     assert_eq!(older.routes().map(|routes| routes.version()), Some(4));
 }
 
+/// Seen on a recorded day (inc-f69a): each change of one replica carried the whole list to every
+/// node.
+#[test]
+fn a_peer_is_told_what_changed_and_no_more() {
+    let mut view = CatalogueView::default();
+    for number in 0..50u64 {
+        let written = ReplicaChange::Written(replica(&format!("r{number}"), ReplicaPhase::Ready));
+        view.apply(written, number + 1, START);
+    }
+    view.advance(50);
+    view.apply(ReplicaChange::Written(replica("r7", ReplicaPhase::Draining)), 51, START);
+    view.apply(ReplicaChange::Gone(ReplicaId::new("r8")), 52, START);
+    view.advance(52);
+    let told = view.snapshot(0, 50);
+    assert_eq!((told.replicas.len(), told.gone.len(), told.whole), (1, 1, false));
+    assert_eq!(view.snapshot(0, 0).replicas.len(), 49, "who knows nothing is told all");
+    view.expire(START.plus(Micros::from_secs(120)));
+    assert!(view.snapshot(0, 50).whole, "what went is forgotten here, and can only be told by the whole");
+    assert!(!view.snapshot(0, 52).whole);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Write(u8, bool),
@@ -143,4 +164,31 @@
         let later = START.plus(Micros::from_secs(2));
         prop_assert_eq!(routable(&ordered, later), routable(&shuffled, later));
     }
+
+    /// A peer that follows by what it is told, whenever it asks, ends with what there is; also when
+    /// vanished entries are forgotten in between.
+    #[test]
+    fn a_peer_that_follows_ends_with_the_same(
+        steps in proptest::collection::vec((step(), any::<bool>(), any::<bool>()), 1..30),
+    ) {
+        let mut source = CatalogueView::default();
+        let mut follower = CatalogueView::default();
+        let mut now = START;
+        for (revision, (step, asks, forgets)) in steps.iter().enumerate() {
+            now = now.plus(Micros::from_millis(10));
+            source.apply(change(step), revision as u64 + 1, now);
+            source.advance(revision as u64 + 1);
+            if *forgets {
+                now = now.plus(Micros::from_secs(100));
+                source.expire(now);
+            }
+            if *asks {
+                follower.merge(source.snapshot(0, follower.replicas_at()), now);
+            }
+        }
+        follower.merge(source.snapshot(0, follower.replicas_at()), now);
+        let later = now.plus(Micros::from_secs(2));
+        prop_assert_eq!(routable(&source, later), routable(&follower, later));
+        prop_assert_eq!(source.replicas_at(), follower.replicas_at());
+    }
 }
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -169,8 +169,13 @@
         return (CallResult::Failure(CallFailure::Broken, None), None);
     };
     let (head, body) = response.into_parts();
-    let read = context.back_ends.read(&request.id, head.status, &head.headers);
-    if matches!(read.verdict, AnswerVerdict::Mismatched) {
+    let mut read = context.back_ends.read(&request.id, head.status, &head.headers);
+    if let (false, AnswerVerdict::Mismatched { receipt: Some(receipt) }) =
+        (context.mechanisms.correlation, &read.verdict)
+    {
+        read.verdict = AnswerVerdict::Success { receipt: receipt.clone() };
+    }
+    if matches!(read.verdict, AnswerVerdict::Mismatched { .. }) {
         // What else comes on this connection cannot be told apart either: it is closed.
         return (CallResult::Failure(CallFailure::Mismatched, None), None);
     }
@@ -193,7 +198,7 @@
         AnswerVerdict::Failure => CallResult::Failure(CallFailure::Failed, Some(answer)),
         AnswerVerdict::NotRun => CallResult::Failure(CallFailure::Rejected, None),
         AnswerVerdict::WrongInstance => CallResult::Failure(CallFailure::WrongInstance, None),
-        AnswerVerdict::Mismatched => CallResult::Failure(CallFailure::Mismatched, None),
+        AnswerVerdict::Mismatched { .. } => CallResult::Failure(CallFailure::Mismatched, None),
     };
     (result, read.load)
 }
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -145,12 +145,19 @@
 pub async fn install_changes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut changes = context.node.catalogue.subscribe();
     let mut version = 0;
+    if !context.mechanisms.leaving {
+        context.node.catalogue.update(|view| {
+            view.keep_leaving();
+            false
+        });
+    }
     loop {
         let now = context.clock().now();
-        let (view, next_expiry) = context
-            .node
-            .catalogue
-            .read(|catalogue| (routing_view(catalogue, now), catalogue.next_expiry(now)));
+        let read = |catalogue: &CatalogueView| (routing_view(catalogue, now), catalogue.next_expiry(now));
+        let (mut view, next_expiry) = context.node.catalogue.read(read);
+        if !context.mechanisms.configuration && version > 0 {
+            view.routes = context.view.load().routes.clone();
+        }
         let routes = view.routes.as_ref().map_or(0, |routes| routes.version());
         if routes != version {
             let services = view.replicas.len();
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -21,6 +21,7 @@
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
 use crate::fleet_view::FleetView;
+use crate::mechanisms::GatewayMechanisms;
 use crate::metrics::GatewayMetrics;
 
 /// The replicas that may get new work, at one moment.
@@ -70,8 +71,12 @@
     pub back_ends: B,
     /// The settings.
     pub settings: ArcSwap<GatewaySettings>,
+    /// Mechanisms that are on.
+    pub mechanisms: GatewayMechanisms,
     /// Routes and replicas.
     pub view: ArcSwap<RoutingView>,
+    /// The view whose configuration was replaced last, for the soak that mixes them.
+    replaced: ArcSwap<RoutingView>,
     /// Decisions.
     pub dispatch: Mutex<Dispatch>,
     /// Connections by replica.
@@ -91,7 +96,13 @@
 
 impl<C: CallerProtocol, B: BackendProtocol> Context<C, B> {
     /// A context without routes.
-    pub fn new(node: Arc<Shared>, callers: C, back_ends: B, settings: GatewaySettings) -> Self {
+    pub fn new(
+        node: Arc<Shared>,
+        callers: C,
+        back_ends: B,
+        settings: GatewaySettings,
+        mechanisms: GatewayMechanisms,
+    ) -> Self {
         let dispatch = Dispatch {
             table: ReplicaTable::new(node.settings.zone.clone()),
             budgets: RetryBudgets::default(),
@@ -107,7 +118,9 @@
             node_position: AtomicU64::new(0),
             source_fails: AtomicBool::new(false),
             settings: ArcSwap::from_pointee(settings),
+            mechanisms,
             view: ArcSwap::from_pointee(RoutingView::default()),
+            replaced: ArcSwap::from_pointee(RoutingView::default()),
             dispatch: Mutex::new(dispatch),
             connections: Mutex::default(),
             metrics: GatewayMetrics::default(),
@@ -188,7 +201,11 @@
             let maximum = maximum_connections(view.routes.as_deref(), service);
             self.keep_to_share(maximum, replicas);
         }
-        self.view.store(Arc::new(view));
+        let before = self.view.swap(Arc::new(view));
+        let version = |view: &RoutingView| view.routes.as_ref().map_or(0, |routes| routes.version());
+        if version(&before) != version(&self.view.load()) {
+            self.replaced.store(before);
+        }
         self.refresh_connections();
         let view = self.view.load();
         let known =
@@ -229,7 +246,14 @@
     /// The shards that a request on a route goes to, and whether their answers are merged.
     pub fn targets_of(&self, view: &RoutingView, route: &Route) -> Vec<ShardTargets> {
         match &route.destination {
-            Destination::Gather(gather) => gather.shards.iter().map(|shard| view.targets(shard)).collect(),
+            Destination::Gather(gather) => {
+                let mut targets: Vec<ShardTargets> =
+                    gather.shards.iter().map(|shard| view.targets(shard)).collect();
+                if !self.mechanisms.pinning {
+                    self.mix_with_replaced(route, &mut targets);
+                }
+                targets
+            }
             Destination::Services(parts) => {
                 let chosen = self.choose_part(route, parts);
                 chosen.iter().map(|service| view.targets(service)).collect()
@@ -237,6 +261,20 @@
         }
     }
 
+    /// Takes every other shard from the configuration before; for the soak alone.
+    fn mix_with_replaced(&self, route: &Route, targets: &mut [ShardTargets]) {
+        let replaced = self.replaced.load();
+        let Some(routes) = replaced.routes.as_ref() else {
+            return;
+        };
+        let known = routes.configuration().routes.iter().find(|known| known.name == route.name);
+        if let Some(Destination::Gather(gather)) = known.map(|known| &known.destination) {
+            for (target, shard) in targets.iter_mut().zip(&gather.shards).step_by(2) {
+                *target = replaced.targets(shard);
+            }
+        }
+    }
+
     fn choose_part(&self, route: &Route, parts: &[WeightedService]) -> Option<ServiceName> {
         if let [only] = parts {
             return Some(only.service.clone());
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -150,8 +150,12 @@
         0 => bounds.deadline,
         _ => bounds.received_at.plus(target.since(margin)),
     };
+    let repeatability = match context.mechanisms.at_most_once {
+        true => route.repeatability,
+        false => Repeatability::Repeatable,
+    };
     FanoutSettings {
-        repeatability: route.repeatability,
+        repeatability,
         maximum_attempts: route.maximum_attempts.max(1),
         minimum_shards,
         deadline: bounds.deadline,
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -96,7 +96,10 @@
     /// Another replica has the address; it did not run.
     WrongInstance,
     /// It is the answer to another request, or names none.
-    Mismatched,
+    Mismatched {
+        /// The receipt that it carries, if any.
+        receipt: Option<HeaderValue>,
+    },
 }
 
 /// What the gateway needs to know of an answer's head.
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::edge::{BackendProtocol, CallerProtocol, CatalogueSource};
 use crate::error::GatewayError;
 use crate::ingress::caller_routes;
+use crate::mechanisms::GatewayMechanisms;
 use crate::peer_catalogue::follow_peers;
 use crate::readiness::readiness_routes;
 
@@ -37,6 +38,7 @@
     /// The addresses of its listeners.
     pub addresses: GatewayAddresses,
     settings: GatewaySettings,
+    mechanisms: GatewayMechanisms,
     reload: Box<dyn Fn(GatewaySettings) + Send + Sync>,
     tasks: Vec<JoinHandle<()>>,
     callers: Option<JoinHandle<()>>,
@@ -74,11 +76,13 @@
         callers: C,
         back_ends: B,
         source: S,
+        mechanisms: GatewayMechanisms,
     ) -> Result<Gateway, GatewayError> {
         let (caller_listener, caller_address) =
             listen(settings.caller_address, "callers of the gateway").await?;
         let (readiness_listener, readiness_address) = listen(settings.readiness_address, "readiness").await?;
-        let context = Arc::new(Context::new(node.shared.clone(), callers, back_ends, settings.clone()));
+        let context =
+            Arc::new(Context::new(node.shared.clone(), callers, back_ends, settings.clone(), mechanisms));
         node.shared.metrics.extend(|registry| context.metrics.register(registry));
         let (phase, phases) = watch::channel(ListenerPhase::Open);
         let (_always_open, always_open) = watch::channel(ListenerPhase::Open);
@@ -93,7 +97,16 @@
         let callers = tokio::spawn(serve_http(caller_listener, caller_routes(context), phases));
         log::info!("gateway: listens for callers on {caller_address}, for readiness on {readiness_address}.");
         let addresses = GatewayAddresses { caller_address, readiness_address };
-        Ok(Gateway { addresses, settings, reload, tasks, callers: Some(callers), phase, _always_open })
+        Ok(Gateway {
+            addresses,
+            settings,
+            mechanisms,
+            reload,
+            tasks,
+            callers: Some(callers),
+            phase,
+            _always_open,
+        })
     }
 
     /// Takes changed settings into use: budgets and margins at once, addresses with the next start.
@@ -109,6 +122,10 @@
         let Some(callers) = self.callers.take() else {
             return true;
         };
+        if !self.mechanisms.planned_stop {
+            callers.abort();
+            return false;
+        }
         let mut callers = std::pin::pin!(callers);
         let limit = Duration::from_millis(self.settings.stop_timeout_ms);
         let linger = Duration::from_millis(self.settings.stop_linger_ms).min(limit);
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -147,9 +147,13 @@
         FanoutOutcome::Answered { missing } => {
             request_log::answered(context, &record, missing, &work);
             context.metrics.answered(context.clock().now().since(record.received_at), missing);
-            return merge(context, route, answers, missing);
+            let told = if context.mechanisms.coverage { missing } else { 0 };
+            return merge(context, route, answers, told);
         }
         FanoutOutcome::NotRun => Refusal::NotRun { retry_after: REJECTED_RETRY },
+        FanoutOutcome::Unknown if !context.mechanisms.not_run => {
+            Refusal::NotRun { retry_after: REJECTED_RETRY }
+        }
         FanoutOutcome::Unknown => Refusal::Unknown,
         FanoutOutcome::Expired { may_have_run: true } => Refusal::Expired,
         FanoutOutcome::Expired { may_have_run: false } => Refusal::NotRun { retry_after: REJECTED_RETRY },
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod fleet_view;
 mod gateway;
 mod ingress;
+mod mechanisms;
 mod metrics;
 mod peer_catalogue;
 mod readiness;
@@ -22,3 +23,4 @@
 
 pub use error::GatewayError;
 pub use gateway::{Gateway, GatewayAddresses};
+pub use mechanisms::GatewayMechanisms;
--- /dev/null
+++ b/crates/sablebay-gateway/src/mechanisms.rs
@@ -0,0 +1,70 @@
+//! Mechanisms that the soak can turn off, to show that its checker notices.
+
+/// Which mechanisms are on.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayMechanisms {
+    /// Turning away answers to other requests. Off: they are taken.
+    pub correlation: bool,
+    /// Saying how many shards are left out. Off: none, always.
+    pub coverage: bool,
+    /// Never repeating what may not be repeated. Off: everything may.
+    pub at_most_once: bool,
+    /// Saying "not run" only when that is known. Off: it is said of every failure.
+    pub not_run: bool,
+    /// Giving leaving replicas no work. Off: they get it like others.
+    pub leaving: bool,
+    /// Taking all shards of an answer from one configuration. Off: every other one from the one
+    /// before.
+    pub pinning: bool,
+    /// Taking new configurations into force. Off: the first one stays.
+    pub configuration: bool,
+    /// Finishing what is in flight at a planned stop. Off: it is cut.
+    pub planned_stop: bool,
+}
+
+impl Default for GatewayMechanisms {
+    fn default() -> Self {
+        Self {
+            correlation: true,
+            coverage: true,
+            at_most_once: true,
+            not_run: true,
+            leaving: true,
+            pinning: true,
+            configuration: true,
+            planned_stop: true,
+        }
+    }
+}
+
+impl GatewayMechanisms {
+    /// The names of the mechanisms.
+    pub const NAMES: [&'static str; 8] = [
+        "correlation",
+        "coverage",
+        "at-most-once",
+        "not-run",
+        "leaving",
+        "pinning",
+        "configuration",
+        "planned-stop",
+    ];
+
+    /// All but the one named; nothing when there is none of that name.
+    pub fn without(name: &str) -> Option<Self> {
+        let mut mechanisms = Self::default();
+        let mechanism = match name {
+            "correlation" => &mut mechanisms.correlation,
+            "coverage" => &mut mechanisms.coverage,
+            "at-most-once" => &mut mechanisms.at_most_once,
+            "not-run" => &mut mechanisms.not_run,
+            "leaving" => &mut mechanisms.leaving,
+            "pinning" => &mut mechanisms.pinning,
+            "configuration" => &mut mechanisms.configuration,
+            "planned-stop" => &mut mechanisms.planned_stop,
+            _ => return None,
+        };
+        *mechanism = false;
+        Some(mechanisms)
+    }
+}
--- a/crates/sablebay/src/command/serve.rs
+++ b/crates/sablebay/src/command/serve.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use sablebay_config::{ConfigurationError, NodeSettings, node_flags, overrides_of};
-use sablebay_gateway::{Gateway, GatewayAddresses};
+use sablebay_gateway::{Gateway, GatewayAddresses, GatewayMechanisms};
 use sablebay_node::{BoundAddresses, LogControl, Node, NodeMechanisms, start_draining, start_logging};
 
 use sablebay_platform::{PlatformBackends, PlatformCallers, StoreCatalogue};
@@ -137,7 +137,9 @@
         return Ok(None);
     };
     let source = StoreCatalogue::new(settings.catalogue_address);
-    Gateway::start(node, settings, PlatformCallers, PlatformBackends, source).await.map(Some)
+    Gateway::start(node, settings, PlatformCallers, PlatformBackends, source, GatewayMechanisms::default())
+        .await
+        .map(Some)
 }
 
 /// The addresses of every listener, as they are announced.
