A fault soak of the real programs on the users' platform

Change: sablebay-bench soak: three node processes between stand-ins, a fault-injecting proxy on every way, storms drawn from the seed, and calm spells in which a new configuration, a leaving back end or a planned stop is watched. The checker knows callers, back ends and the operator alone.

--- a/crates/sablebay-bench/src/cli.rs
+++ b/crates/sablebay-bench/src/cli.rs
@@ -10,11 +10,14 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use lexopt::prelude::*;
 use parking_lot::Mutex;
+use serde_json::json;
 use tokio::net::TcpListener;
 
 use sablebay_config::{LeafSettings, NodeSettings, overrides_of};
+use sablebay_gateway::{Gateway, GatewayMechanisms};
 use sablebay_model::{LeafId, PartitionSet, SnapshotVersion};
-use sablebay_node::{Node, NodeMechanisms};
+use sablebay_node::{Node, NodeMechanisms, start_draining};
+use sablebay_platform::{PlatformBackends, PlatformCallers, StoreCatalogue};
 use sablebay_standin::{
     CORPUS, Corpus, Deployment, Leaf, LeafOptions, LoadOptions, Platform, ServiceTime, WeightedService,
     run_load,
@@ -25,6 +28,7 @@
 use crate::error::BenchError;
 use crate::experiment::{EXPERIMENTS, RunOptions, run_experiment};
 use crate::report::write_report;
+use crate::soak::{SoakOptions, run_soak};
 
 const USAGE: &str = "\
 sablebay-bench: the emulator of what sablebay serves, and its experiments
@@ -35,6 +39,8 @@
       run an experiment; the last line on standard output is one JSON object
   list
       list the experiments, with the mechanisms that each can turn off
+  soak [--seed N] [--minutes X | --replay SEED [--minutes X]] [--break MECHANISM] [--logs DIR]
+      a randomized fault soak of node processes on the users' platform; the last line is JSON
   capacity [--json]
       measure the slopes behind docs/CAPACITY.md, and compute its table
   compare A B
@@ -159,6 +165,7 @@
         "version" => println!("sablebay-bench {}", env!("CARGO_PKG_VERSION")),
         "list" => list(),
         "run" => return run_one(arguments).await,
+        "soak" => return soak(arguments).await,
         "capacity" => capacity(arguments).await?,
         "compare" => compare_two(arguments)?,
         "platform" => platform(arguments).await?,
@@ -318,8 +325,36 @@
     wait_for_end().await
 }
 
+/// Runs the soak; a broken promise, or one that was to be broken and was not noticed, is a failure.
+async fn soak(arguments: &Arguments) -> Result<ExitCode, Failure> {
+    const DEFAULT_MINUTES: f64 = 1.0;
+    let seed = match arguments.parsed("replay")? {
+        Some(seed) => seed,
+        None => arguments.parsed("seed")?.unwrap_or_else(rand::random),
+    };
+    let minutes: f64 = arguments.parsed("minutes")?.unwrap_or(DEFAULT_MINUTES);
+    let broken = arguments.text("break").map(str::to_string);
+    if let Some(name) = broken.as_deref().filter(|name| GatewayMechanisms::without(name).is_none()) {
+        let known = GatewayMechanisms::NAMES.join(", ");
+        return Err(UsageError(format!("--break cannot be `{name}`; there are {known}")).into());
+    }
+    let default_logs = std::env::temp_dir().join(format!("sablebay-soak-{seed}-{}", std::process::id()));
+    let logs = arguments.text("logs").map_or(default_logs, std::path::PathBuf::from);
+    let length = Duration::from_secs_f64(minutes * 60.0);
+    let report = run_soak(&SoakOptions { seed, length, broken, logs: logs.clone() }).await?;
+    println!("{}", serde_json::to_string(&report)?);
+    let as_expected = report.break_caught.unwrap_or(report.violations.is_empty());
+    if !report.violations.is_empty() {
+        eprintln!("sablebay-bench: seed {seed}; the logs of the nodes are in {}", logs.display());
+    }
+    Ok(if as_expected { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// A node with one mechanism off, for the experiments that need processes.
 async fn node(arguments: &Arguments) -> Result<(), Failure> {
+    if let Some(path) = arguments.text("settings") {
+        return node_with_gateway(path, arguments).await;
+    }
     let mut mechanisms = NodeMechanisms::default();
     match arguments.text("break") {
         Some("write-once") => mechanisms.claims = false,
@@ -337,6 +372,30 @@
     Ok(())
 }
 
+/// A node whose gateway has one mechanism off, for the soak.
+async fn node_with_gateway(path: &str, arguments: &Arguments) -> Result<(), Failure> {
+    let name = arguments.text("break").unwrap_or_default();
+    let mechanisms = GatewayMechanisms::without(name)
+        .ok_or_else(|| UsageError(format!("--break cannot be `{name}` with --settings")))?;
+    let settings = NodeSettings::parse(path, &std::fs::read_to_string(path)?)?;
+    let gateway_settings =
+        settings.gateway.clone().ok_or_else(|| UsageError(format!("{path} has no [gateway]")))?;
+    let node = Node::start(settings, NodeMechanisms::default(), None).await?;
+    let source = StoreCatalogue::new(gateway_settings.catalogue_address);
+    let gateway =
+        Gateway::start(&node, gateway_settings, PlatformCallers, PlatformBackends, source, mechanisms)
+            .await?;
+    println!("{}", json!({ "peer_address": node.addresses.peer_address, "gateway": gateway.addresses }));
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    terminate.recv().await;
+    start_draining(&node.shared);
+    gateway.stop().await;
+    if mechanisms.planned_stop {
+        node.stop().await;
+    }
+    Ok(())
+}
+
 async fn load(arguments: &Arguments) -> Result<ExitCode, Failure> {
     let list = |name: &str| -> Result<Vec<String>, UsageError> {
         let text: String = arguments.required(name)?;
--- a/crates/sablebay-bench/src/error.rs
+++ b/crates/sablebay-bench/src/error.rs
@@ -8,6 +8,12 @@
     /// A stand-in did not start.
     #[display("a stand-in failed: {_0}")]
     StandIn(sablebay_standin::StandInError),
+    /// A stand-in of the users' platform did not start.
+    #[display("a stand-in of the platform failed: {_0}")]
+    PlatformStandIn(sablebay_platform_standin::StandInError),
+    /// A gateway did not start.
+    #[display("a gateway failed: {_0}")]
+    Gateway(sablebay_gateway::GatewayError),
     /// A node did not start.
     #[display("a node failed: {_0}")]
     Node(sablebay_node::NodeError),
--- a/crates/sablebay-bench/src/lib.rs
+++ b/crates/sablebay-bench/src/lib.rs
@@ -16,6 +16,7 @@
 mod processes;
 mod report;
 mod result;
+mod soak;
 mod usage;
 
 pub use allocation::{Allocated, CountingAllocator, count_allocations};
@@ -27,3 +28,4 @@
 pub use hollow::{HollowFleet, HollowOptions, HollowReport};
 pub use processes::{NodeCommand, NodeProcess, ProcessCluster};
 pub use result::{ExperimentResult, Series};
+pub use soak::{Promise, SoakOptions, SoakReport, Violation, run_soak};
--- a/crates/sablebay-bench/src/processes.rs
+++ b/crates/sablebay-bench/src/processes.rs
@@ -55,7 +55,8 @@
         }
     }
 
-    fn command(&self) -> Result<Command, BenchError> {
+    /// The command that starts a node.
+    pub(crate) fn command(&self) -> Result<Command, BenchError> {
         match self {
             NodeCommand::Product(binary) => {
                 let mut command = Command::new(binary);
--- /dev/null
+++ b/crates/sablebay-bench/src/soak/checker.rs
@@ -0,0 +1,212 @@
+//! Holds what callers, back ends and the operator see against the promises. It knows nothing of the
+//! nodes' insides.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+use derive_more::Display;
+use parking_lot::Mutex;
+use serde::Serialize;
+
+use sablebay_platform_standin::{CallerAnswer, LeafRecord};
+
+use super::deployment::{SHARDS, ShardIdentity, TOP_RECORDS, expected_records};
+
+/// A promise to callers, back ends and operators.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Promise {
+    /// An answer comes from one configuration's shards.
+    OneSnapshot,
+    /// Its reported coverage is true.
+    TrueCoverage,
+    /// Each caller gets the whole answer to its own request.
+    OwnAnswer,
+    /// "Not run" means that it did not run.
+    NotRun,
+    /// A request that may not be repeated runs at most once.
+    AtMostOnce,
+    /// A leaving back end gets no new work.
+    Leaving,
+    /// A planned stop cuts no request in flight.
+    PlannedStop,
+    /// An accepted configuration is in force everywhere, and never reverts.
+    Configuration,
+}
+
+/// A promise that was not kept.
+#[derive(Clone, Debug, Serialize)]
+pub struct Violation {
+    /// The promise.
+    pub promise: Promise,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Counts of what callers saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Requests sent.
+    pub requests: u64,
+    /// Answered with success.
+    pub answered: u64,
+    /// Of these, with shards left out.
+    pub incomplete: u64,
+    /// Promised not to have run.
+    pub promised_not_run: u64,
+    /// Without an answer.
+    pub unanswered: u64,
+}
+
+/// Violations kept of each promise; one is enough to fail.
+const KEPT: usize = 5;
+
+#[derive(Default)]
+struct State {
+    counts: Counts,
+    violations: Vec<Violation>,
+    /// Requests that may run once at the most.
+    once: HashSet<String>,
+    not_run: HashSet<String>,
+    /// The highest version whose effect each life of a node has shown.
+    highest_seen: HashMap<(usize, u64), u64>,
+}
+
+/// The checker of one soak.
+#[derive(Default)]
+pub struct Checker {
+    state: Mutex<State>,
+}
+
+impl Checker {
+    /// Notes a broken promise.
+    pub fn violated(&self, promise: Promise, seen: String) {
+        let mut state = self.state.lock();
+        if state.violations.iter().filter(|violation| violation.promise == promise).count() < KEPT {
+            state.violations.push(Violation { promise, seen });
+        }
+    }
+
+    /// A request is sent; `once` when it may run once at the most.
+    pub fn sent(&self, id: &str, once: bool) {
+        let mut state = self.state.lock();
+        state.counts.requests += 1;
+        if once {
+            state.once.insert(id.to_string());
+        }
+    }
+
+    /// A request got no answer.
+    pub fn unanswered(&self) {
+        self.state.lock().counts.unanswered += 1;
+    }
+
+    /// A request was answered.
+    pub fn answered(&self, id: &str, gathered: bool, answer: &CallerAnswer) {
+        {
+            let mut state = self.state.lock();
+            if answer.promises_not_run() {
+                state.counts.promised_not_run += 1;
+                state.not_run.insert(id.to_string());
+            }
+            if !answer.status.is_success() {
+                return;
+            }
+            state.counts.answered += 1;
+            state.counts.incomplete += u64::from(answer.missing > 0);
+        }
+        if gathered { self.check_gathered(id, answer) } else { self.check_single(id, answer) }
+    }
+
+    fn check_single(&self, id: &str, answer: &CallerAnswer) {
+        let stamp = answer.stamp.as_deref().unwrap_or_default();
+        if !stamp.ends_with(&format!(".{id}")) {
+            self.violated(Promise::OwnAnswer, format!("{id} got the answer signed {stamp}"));
+        }
+    }
+
+    fn check_gathered(&self, id: &str, answer: &CallerAnswer) {
+        let mut shards = BTreeSet::new();
+        let mut sets = BTreeSet::new();
+        for stamp in &answer.part_stamps {
+            let named = stamp
+                .rsplit_once('.')
+                .and_then(|(leaf, request)| Some((ShardIdentity::parse(leaf)?, request)));
+            let Some((identity, request)) = named else {
+                self.violated(Promise::OwnAnswer, format!("{id} got a part signed {stamp}"));
+                return;
+            };
+            if request != id {
+                self.violated(Promise::OwnAnswer, format!("{id} got a part of {request}"));
+                return;
+            }
+            sets.insert(identity.set);
+            if !shards.insert((identity.set, identity.shard)) {
+                self.violated(Promise::TrueCoverage, format!("{id}: shard {} stands twice", identity.shard));
+            }
+        }
+        if sets.len() > 1 {
+            self.violated(Promise::OneSnapshot, format!("{id} mixes the sets {sets:?}"));
+        }
+        if shards.len() + answer.missing != usize::from(SHARDS) {
+            let told = format!("{id}: {} shards in, {} said to be missing", shards.len(), answer.missing);
+            self.violated(Promise::TrueCoverage, told);
+        }
+        let expected = expected_records(shards);
+        if answer.body != expected {
+            let seen = format!(
+                "{id}: {} bytes, not the greatest {TOP_RECORDS} records of its parts",
+                answer.body.len()
+            );
+            self.violated(Promise::OwnAnswer, seen);
+        }
+    }
+
+    /// The highest version whose effect a life of a node has shown so far.
+    pub fn highest_seen(&self, node: usize, life: u64) -> u64 {
+        self.state.lock().highest_seen.get(&(node, life)).copied().unwrap_or(0)
+    }
+
+    /// A life of a node showed the effect of a version, in a request sent when `highest_before` had
+    /// been seen already.
+    pub fn version_seen(&self, node: usize, life: u64, version: u64, highest_before: u64) {
+        if version < highest_before {
+            let seen = format!("node {node} went from version {highest_before} back to {version}");
+            self.violated(Promise::Configuration, seen);
+        }
+        let mut state = self.state.lock();
+        let highest = state.highest_seen.entry((node, life)).or_default();
+        *highest = (*highest).max(version);
+    }
+
+    /// Holds the back ends' records against what callers were promised.
+    pub fn judge_runs(&self, records: &[LeafRecord]) {
+        let mut runs: HashMap<&str, u32> = HashMap::new();
+        for record in records {
+            for (id, count) in &record.runs {
+                *runs.entry(id).or_default() += count;
+            }
+        }
+        let (once, not_run) = {
+            let state = self.state.lock();
+            (state.once.clone(), state.not_run.clone())
+        };
+        for (id, count) in runs {
+            if once.contains(id) && count > 1 {
+                self.violated(Promise::AtMostOnce, format!("{id} ran {count} times"));
+            }
+            if not_run.contains(id) {
+                self.violated(Promise::NotRun, format!("{id} was said not to have run, and ran"));
+            }
+        }
+    }
+
+    /// What callers saw so far.
+    pub fn counts(&self) -> Counts {
+        self.state.lock().counts
+    }
+
+    /// The broken promises so far.
+    pub fn violations(&self) -> Vec<Violation> {
+        self.state.lock().violations.clone()
+    }
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/soak/deployment.rs
@@ -0,0 +1,511 @@
+//! What surrounds the nodes in a soak: store, back ends, and a proxy on every way.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use sablebay_catalogue::{
+    BackendService, CallerLimits, Destination, Gather, Repeatability, Replica, ReplicaPhase, Route,
+    RoutingConfiguration, ServiceName, WeightedService,
+};
+use sablebay_platform_standin::{
+    CallerCall, CallerStandIn, LeafBehaviour, LeafRecord, LeafStandIn, StoreMode, StoreStandIn, part_records,
+};
+use sablebay_standin::{Faults, Proxy};
+
+use super::SoakOptions;
+use super::checker::Checker;
+use super::node::{NodePlan, SoakNode};
+use super::schedule::Fault;
+use crate::error::BenchError;
+use crate::processes::NodeCommand;
+
+/// Nodes of a soak.
+pub const NODES: usize = 3;
+/// Shards of each set.
+pub const SHARDS: u8 = 4;
+/// Records of a gathered answer.
+pub const TOP_RECORDS: usize = 12;
+/// The host of every route.
+pub const HOST: &str = "soak.example";
+/// Sets of shards: the index is cut into one or the other.
+const SETS: u8 = 2;
+/// Replicas of each shard, and of the service of single requests.
+const COPIES: u8 = 2;
+/// All back ends.
+pub const LEAVES: usize = (SETS * SHARDS * COPIES + COPIES) as usize;
+/// What the records of single requests are made from; unlike every shard's.
+const SINGLE_SEED: u8 = 250;
+/// Connections that a back end takes.
+const MAXIMUM_CONNECTIONS: u32 = 40;
+/// How long a process may take to end, or to become ready.
+const PROCESS_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Which shard a back end holds, as its id says: `SET-SHARD-COPY-LIFE`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShardIdentity {
+    /// The set.
+    pub set: u8,
+    /// The shard within it.
+    pub shard: u8,
+}
+
+impl ShardIdentity {
+    /// Reads it out of a back end's id.
+    pub fn parse(id: &str) -> Option<Self> {
+        let mut parts = id.split('-');
+        let set = parts.next()?.parse().ok()?;
+        let shard = parts.next()?.parse().ok()?;
+        Some(Self { set, shard })
+    }
+
+    /// What its records are made from.
+    fn seed(self) -> u8 {
+        self.set * SHARDS + self.shard
+    }
+}
+
+/// The records that an answer over these shards must hold.
+pub fn expected_records(shards: impl IntoIterator<Item = (u8, u8)>) -> Vec<u8> {
+    let seeds = shards.into_iter().map(|(set, shard)| ShardIdentity { set, shard }.seed());
+    let mut records: Vec<[u8; 16]> = seeds.flat_map(part_records).collect();
+    records.sort_by(|left, right| right.cmp(left));
+    records.truncate(TOP_RECORDS);
+    records.concat()
+}
+
+/// A way between two parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From callers to a node.
+    Callers(usize),
+    /// From a node to the store.
+    Store(usize),
+    /// From other nodes to a node.
+    Peers(usize),
+    /// From all nodes to a back end.
+    Leaf(usize),
+}
+
+/// A back end with the proxy before it.
+struct SoakLeaf {
+    leaf: LeafStandIn,
+    proxy: Proxy,
+    /// As announced: with the proxy's address.
+    announced: Replica,
+}
+
+/// One place for a node, with the proxies around it. The process in it comes and goes.
+struct NodePlace {
+    plan: NodePlan,
+    callers: Proxy,
+    store: Proxy,
+    peers: Proxy,
+    process: Option<SoakNode>,
+    /// Counts the lives of the place.
+    life: u64,
+}
+
+/// What ends at a time.
+enum Ending {
+    Resume(usize),
+    Start(usize),
+    Heal(Way),
+    Store,
+    Leaf(usize),
+}
+
+/// Everything that surrounds the nodes, and the nodes.
+pub struct SoakDeployment {
+    command: NodeCommand,
+    store: StoreStandIn,
+    leaves: Vec<SoakLeaf>,
+    /// Records of back ends that left.
+    retired: Vec<LeafRecord>,
+    places: Vec<NodePlace>,
+    endings: Vec<(Instant, Ending)>,
+    version: u64,
+    set: u8,
+    lives: u32,
+    seed: u64,
+    /// Holds what is seen against the promises.
+    pub checker: Arc<Checker>,
+}
+
+fn shard_service(set: u8, shard: u8) -> ServiceName {
+    ServiceName::new(format!("set-{set}-shard-{shard}"))
+}
+
+fn single_service() -> ServiceName {
+    ServiceName::new("single")
+}
+
+/// The path of the route that only one version has.
+pub fn marker_path(version: u64) -> String {
+    format!("/version-{version}/")
+}
+
+fn route(name: &str, prefix: &str, repeatability: Repeatability, destination: Destination) -> Route {
+    Route {
+        name: name.to_string(),
+        host: HOST.to_string(),
+        prefix: prefix.to_string(),
+        repeatability,
+        time_limit_ms: 2_000,
+        target_latency_ms: 400,
+        maximum_attempts: 2,
+        priority: 1,
+        destination,
+    }
+}
+
+fn configuration(version: u64, set: u8) -> RoutingConfiguration {
+    let single = || Destination::Services(vec![WeightedService { service: single_service(), weight: 1.0 }]);
+    let gather = Gather {
+        shards: (0..SHARDS).map(|shard| shard_service(set, shard)).collect(),
+        top: TOP_RECORDS,
+        minimum_share: 0.5,
+    };
+    let all_services = (0..SETS).flat_map(|set| (0..SHARDS).map(move |shard| shard_service(set, shard)));
+    let service = |name| BackendService { name, maximum_connections: MAXIMUM_CONNECTIONS };
+    RoutingConfiguration {
+        version,
+        routes: vec![
+            route("all", "/all/", Repeatability::Repeatable, Destination::Gather(gather)),
+            route("one", "/one/", Repeatability::Repeatable, single()),
+            route("once", "/once/", Repeatability::AtMostOnce, single()),
+            route("marker", &marker_path(version), Repeatability::Repeatable, single()),
+        ],
+        services: all_services.chain([single_service()]).map(service).collect(),
+        limits: CallerLimits::default(),
+    }
+}
+
+impl SoakDeployment {
+    /// Starts everything.
+    ///
+    /// # Errors
+    /// When a stand-in or a node does not start.
+    pub async fn start(options: &SoakOptions, checker: Arc<Checker>) -> Result<Self, BenchError> {
+        let mut deployment = Self {
+            command: NodeCommand::with_break(options.broken.as_deref())?,
+            store: StoreStandIn::start().await?,
+            leaves: Vec::new(),
+            retired: Vec::new(),
+            places: Vec::new(),
+            endings: Vec::new(),
+            version: 0,
+            set: 0,
+            lives: 0,
+            seed: options.seed,
+            checker,
+        };
+        for set in 0..SETS {
+            for shard in 0..SHARDS {
+                for copy in 0..COPIES {
+                    let leaf = deployment.start_leaf(&shard_service(set, shard), set, shard, copy).await?;
+                    deployment.leaves.push(leaf);
+                }
+            }
+        }
+        for copy in 0..COPIES {
+            let leaf = deployment.start_leaf(&single_service(), SETS, 0, copy).await?;
+            deployment.leaves.push(leaf);
+        }
+        deployment.publish();
+        deployment.start_places(options.logs.clone()).await?;
+        Ok(deployment)
+    }
+
+    async fn start_leaf(
+        &mut self,
+        service: &ServiceName,
+        set: u8,
+        shard: u8,
+        copy: u8,
+    ) -> Result<SoakLeaf, BenchError> {
+        self.lives += 1;
+        let id = format!("{set}-{shard}-{copy}-{}", self.lives);
+        let seed = if set < SETS { ShardIdentity { set, shard }.seed() } else { SINGLE_SEED + copy };
+        let leaf = LeafStandIn::start(&id, service, seed, "zone-a").await?;
+        let proxy = Proxy::start(leaf.address(), self.seed.wrapping_add(u64::from(self.lives))).await?;
+        let announced = Replica { address: proxy.address, ..leaf.replica.clone() };
+        self.store.announce(&announced);
+        Ok(SoakLeaf { leaf, proxy, announced })
+    }
+
+    async fn start_places(&mut self, folder: PathBuf) -> Result<(), BenchError> {
+        for position in 0..NODES {
+            let seed = self.seed.wrapping_add(1_000 + position as u64);
+            let callers = Proxy::start_without_target(seed).await?;
+            let store = Proxy::start(self.store.address, seed).await?;
+            let peers = Proxy::start_without_target(seed).await?;
+            let plan = NodePlan {
+                name: format!("node-{position}"),
+                advertised: peers.address,
+                store: store.address,
+                peers: Vec::new(),
+                folder: folder.clone(),
+            };
+            self.places.push(NodePlace { plan, callers, store, peers, process: None, life: 0 });
+        }
+        let addresses: Vec<SocketAddr> = self.places.iter().map(|place| place.peers.address).collect();
+        for position in 0..NODES {
+            self.places[position].plan.peers = addresses.clone();
+            self.start_node(position)?;
+        }
+        Ok(())
+    }
+
+    fn start_node(&mut self, position: usize) -> Result<(), BenchError> {
+        let place = &mut self.places[position];
+        place.process = None;
+        place.life += 1;
+        let node = SoakNode::start(&self.command, &place.plan)?;
+        place.callers.set_target(node.callers);
+        place.peers.set_target(node.peers);
+        place.process = Some(node);
+        Ok(())
+    }
+
+    /// The callers' way into a node, and the life of the process behind it.
+    pub fn way_in(&self, position: usize) -> (CallerStandIn, u64) {
+        let place = &self.places[position];
+        (CallerStandIn { address: place.callers.address }, place.life)
+    }
+
+    /// The callers' ways into all nodes; they stay the same over all lives.
+    pub fn ways_in(&self) -> Vec<CallerStandIn> {
+        (0..NODES).map(|position| self.way_in(position).0).collect()
+    }
+
+    /// The newest version published.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The operator publishes the next configuration.
+    pub fn publish(&mut self) {
+        self.version += 1;
+        self.store.publish(&configuration(self.version, self.set));
+    }
+
+    async fn is_ready(&self, position: usize) -> bool {
+        let Some(node) = &self.places[position].process else {
+            return false;
+        };
+        let call = CallerCall { id: None, ..CallerCall::get("readiness", "/ready", "") };
+        let answer = CallerStandIn { address: node.readiness }.call(&call).await;
+        answer.is_ok_and(|answer| answer.status.as_u16() == 200)
+    }
+
+    /// Waits until every node says that it can serve.
+    ///
+    /// # Errors
+    /// When one does not in time.
+    pub async fn wait_ready(&self) -> Result<(), BenchError> {
+        const LOOK: Duration = Duration::from_millis(50);
+        let end = Instant::now() + PROCESS_PATIENCE;
+        for position in 0..NODES {
+            while !self.is_ready(position).await {
+                if Instant::now() > end {
+                    let what = format!("node {position} becoming ready");
+                    return Err(BenchError::NotInTime { what, seconds: PROCESS_PATIENCE.as_secs() });
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn proxy(&self, way: Way) -> &Proxy {
+        match way {
+            Way::Callers(position) => &self.places[position].callers,
+            Way::Store(position) => &self.places[position].store,
+            Way::Peers(position) => &self.places[position].peers,
+            Way::Leaf(position) => &self.leaves[position % self.leaves.len()].proxy,
+        }
+    }
+
+    fn ends_after(&mut self, time: Duration, ending: Ending) {
+        self.endings.push((Instant::now() + time, ending));
+    }
+
+    /// Injects a fault.
+    ///
+    /// # Errors
+    /// When a node does not start.
+    pub async fn inject(&mut self, fault: &Fault) -> Result<(), BenchError> {
+        match fault {
+            Fault::Pause(position, time) => {
+                if let Some(node) = &self.places[*position].process {
+                    node.pause();
+                }
+                self.ends_after(*time, Ending::Resume(*position));
+            }
+            Fault::Kill(position, time) => {
+                self.places[*position].process = None;
+                self.ends_after(*time, Ending::Start(*position));
+            }
+            Fault::Terminate(position, time) => {
+                if let Some(node) = &self.places[*position].process {
+                    node.resume();
+                    node.terminate();
+                }
+                self.ends_after(*time, Ending::Start(*position));
+            }
+            Fault::Disturb(way, faults, time) => {
+                self.proxy(*way).set(faults.clone());
+                self.ends_after(*time, Ending::Heal(*way));
+            }
+            Fault::Reset(way) => self.proxy(*way).reset_connections(),
+            Fault::Store(mode, time) => {
+                self.store.set_mode(*mode);
+                self.ends_after(*time, Ending::Store);
+            }
+            Fault::ForgetHistory => self.store.forget_history(),
+            Fault::Leaf(position, behaviour, time) => {
+                let position = position % self.leaves.len();
+                self.leaves[position].leaf.behave(*behaviour);
+                self.ends_after(*time, Ending::Leaf(position));
+            }
+            Fault::Service(shard, behaviour, time) => {
+                let service = shard.map_or_else(single_service, |shard| shard_service(self.set, shard));
+                let of_shard =
+                    (0..self.leaves.len()).filter(|at| self.leaves[*at].announced.service == service);
+                for position in of_shard.collect::<Vec<usize>>() {
+                    self.leaves[position].leaf.behave(*behaviour);
+                    self.ends_after(*time, Ending::Leaf(position));
+                }
+            }
+            Fault::Publish => self.publish(),
+            Fault::Reshard => {
+                self.set = (self.set + 1) % SETS;
+                self.publish();
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the faults whose time is over.
+    ///
+    /// # Errors
+    /// When a node does not start.
+    pub async fn end_what_is_over(&mut self) -> Result<(), BenchError> {
+        let now = Instant::now();
+        let (over, on): (Vec<_>, Vec<_>) = self.endings.drain(..).partition(|(at, _)| *at <= now);
+        self.endings = on;
+        for (_, ending) in over {
+            self.end(ending).await?;
+        }
+        Ok(())
+    }
+
+    async fn end(&mut self, ending: Ending) -> Result<(), BenchError> {
+        match ending {
+            Ending::Resume(position) => {
+                if let Some(node) = &self.places[position].process {
+                    node.resume();
+                }
+            }
+            Ending::Start(position) => {
+                if let Some(node) = &mut self.places[position].process {
+                    node.wait_ended(PROCESS_PATIENCE).await;
+                }
+                self.start_node(position)?;
+            }
+            Ending::Heal(way) => self.proxy(way).set(Faults::default()),
+            Ending::Store => self.store.set_mode(StoreMode::Serving),
+            Ending::Leaf(position) => self.leaves[position].leaf.behave(LeafBehaviour::Answer),
+        }
+        Ok(())
+    }
+
+    /// Ends every fault.
+    ///
+    /// # Errors
+    /// When a node does not start, or does not become ready.
+    pub async fn heal(&mut self) -> Result<(), BenchError> {
+        for (_, ending) in std::mem::take(&mut self.endings) {
+            self.end(ending).await?;
+        }
+        self.wait_ready().await
+    }
+
+    /// A back end of the set of shards in force leaves: it says so, and another takes its place.
+    /// Returns its position among those that left.
+    ///
+    /// # Errors
+    /// When the other does not start.
+    pub async fn drain_leaf(&mut self, shard: u8) -> Result<LeavingLeaf, BenchError> {
+        let set = self.set;
+        let service = shard_service(set, shard % SHARDS);
+        let position = self.leaves.iter().position(|known| known.announced.service == service);
+        let position = position.expect("every shard has back ends");
+        let fresh = self.start_leaf(&service, set, shard % SHARDS, 0).await?;
+        let leaving = std::mem::replace(&mut self.leaves[position], fresh);
+        let draining = Replica { phase: ReplicaPhase::Draining, ..leaving.announced.clone() };
+        self.store.announce(&draining);
+        Ok(LeavingLeaf { leaf: leaving })
+    }
+
+    /// A back end that left ends.
+    pub fn retire(&mut self, leaving: LeavingLeaf) {
+        self.store.remove(&leaving.leaf.announced.id);
+        self.retired.push(leaving.leaf.leaf.record());
+    }
+
+    /// Stops a node as planned while `meanwhile` runs, and starts it again.
+    ///
+    /// # Errors
+    /// When it does not start again.
+    pub async fn stop_as_planned(&mut self, position: usize) -> Result<bool, BenchError> {
+        let mut ended = false;
+        if let Some(node) = &mut self.places[position].process {
+            node.terminate();
+            ended = node.wait_ended(PROCESS_PATIENCE).await;
+        }
+        self.start_node(position)?;
+        self.wait_ready().await?;
+        Ok(ended)
+    }
+
+    /// Lets the back ends of single requests take this long.
+    pub fn slow_singles(&self, work: Option<Duration>) {
+        let behaviour = work.map_or(LeafBehaviour::Answer, LeafBehaviour::Slow);
+        for known in self.leaves.iter().filter(|known| known.announced.service == single_service()) {
+            known.leaf.behave(behaviour);
+        }
+    }
+
+    /// How often a request ran at the back ends that are there.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        self.leaves.iter().map(|known| known.leaf.runs_of(id)).sum()
+    }
+
+    /// The records of all back ends, those that left among them.
+    pub fn records(&self) -> Vec<LeafRecord> {
+        let present = self.leaves.iter().map(|known| known.leaf.record());
+        present.chain(self.retired.iter().cloned()).collect()
+    }
+}
+
+/// A back end that said that it leaves, and still serves.
+pub struct LeavingLeaf {
+    leaf: SoakLeaf,
+}
+
+impl LeavingLeaf {
+    /// Requests that arrived there so far.
+    pub fn arrivals(&self) -> u64 {
+        self.leaf.leaf.record().arrivals
+    }
+
+    /// Its id.
+    pub fn id(&self) -> String {
+        self.leaf.announced.id.to_string()
+    }
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/soak/node.rs
@@ -0,0 +1,151 @@
+//! One node process of the soak, with a settings file of its own.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Deserialize;
+
+use crate::error::BenchError;
+use crate::processes::NodeCommand;
+
+#[derive(Deserialize)]
+struct GatewayAddresses {
+    caller_address: SocketAddr,
+    readiness_address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Addresses {
+    peer_address: SocketAddr,
+    gateway: GatewayAddresses,
+}
+
+/// What a node is started with.
+#[derive(Clone, Debug)]
+pub struct NodePlan {
+    /// Its name.
+    pub name: String,
+    /// Where peers are told to connect.
+    pub advertised: SocketAddr,
+    /// Where it reads the catalogue.
+    pub store: SocketAddr,
+    /// Peers to start from.
+    pub peers: Vec<SocketAddr>,
+    /// Where its settings and logs lie.
+    pub folder: PathBuf,
+}
+
+/// One running node process; killed when dropped.
+pub struct SoakNode {
+    child: Child,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+}
+
+impl Drop for SoakNode {
+    fn drop(&mut self) {
+        // Only this child is ended; it may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn write_settings(plan: &NodePlan) -> Result<PathBuf, BenchError> {
+    let peers: Vec<String> = plan.peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+    let path = plan.folder.join(format!("{}.toml", plan.name));
+    let mut file = File::create(&path)?;
+    writeln!(
+        file,
+        "node = \"{}\"\nzone = \"zone-a\"\nprobe_period_ms = 200\nlog_format = \"json\"\npeers = [{}]\n\
+         advertised_peer_address = \"{}\"\n\n[gateway]\ncaller_address = \"127.0.0.1:0\"\n\
+         readiness_address = \"127.0.0.1:0\"\ncatalogue_address = \"{}\"\nretry_ratio = 0.2\nretry_fixed = 56\n\
+         assumed_nodes = 8\nstop_linger_ms = 500\nstop_timeout_ms = 5000",
+        plan.name,
+        peers.join(", "),
+        plan.advertised,
+        plan.store,
+    )?;
+    Ok(path)
+}
+
+fn log_file(folder: &Path, name: &str) -> Result<File, BenchError> {
+    let path = folder.join(format!("{name}.log"));
+    Ok(File::options().create(true).append(true).open(path)?)
+}
+
+impl SoakNode {
+    /// Starts a process, and reads where it listens.
+    ///
+    /// # Errors
+    /// When it does not start or prints no addresses.
+    pub fn start(command: &NodeCommand, plan: &NodePlan) -> Result<Self, BenchError> {
+        let settings = write_settings(plan)?;
+        let mut child = command
+            .command()?
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log_file(&plan.folder, &plan.name)?)
+            .spawn()?;
+        let mut line = String::new();
+        if let Some(output) = child.stdout.take() {
+            BufReader::new(output).read_line(&mut line)?;
+        }
+        let addresses: Addresses = serde_json::from_str(&line)?;
+        Ok(Self {
+            child,
+            callers: addresses.gateway.caller_address,
+            readiness: addresses.gateway.readiness_address,
+            peers: addresses.peer_address,
+        })
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(id) = id {
+            // The child was not waited for, so that the id is still its own; it may have ended.
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Lets the process stand still.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for the planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Waits for the process to end; false when it did not within the limit.
+    pub async fn wait_ended(&mut self, limit: Duration) -> bool {
+        const LOOK: Duration = Duration::from_millis(20);
+        let waiting = async {
+            while !self.has_ended() {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        tokio::time::timeout(limit, waiting).await.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/soak/operations.rs
@@ -0,0 +1,141 @@
+//! Operations that are watched closely in calm spells.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use sablebay_platform_standin::CallerCall;
+
+use super::checker::{Checker, Promise};
+use super::deployment::{HOST, NODES, SHARDS, SoakDeployment, marker_path};
+use crate::error::BenchError;
+
+/// How long a configuration may take to be in force, and a leaving back end may get new work.
+const BOUND: Duration = Duration::from_secs(3);
+/// What the soak's own machine may add to that.
+const MACHINE_SLACK: Duration = Duration::from_secs(1);
+/// How long it is watched afterwards.
+const WATCHED: Duration = Duration::from_millis(1_500);
+/// How often a node is asked for its version.
+const LOOK: Duration = Duration::from_millis(50);
+/// Requests in flight at a planned stop.
+const IN_FLIGHT: u64 = 6;
+/// How long these take.
+const WORK: Duration = Duration::from_millis(1_200);
+
+/// Does one operation, drawn from the seed, and watches it.
+///
+/// # Errors
+/// When a node or a stand-in does not start.
+pub async fn watch_one(
+    deployment: &mut SoakDeployment,
+    checker: &Checker,
+    random: &mut impl Rng,
+) -> Result<(), BenchError> {
+    match random.random_range(0..3) {
+        0 => watch_configuration(deployment, checker).await,
+        1 => watch_leaving(deployment, checker, random.random_range(0..SHARDS)).await,
+        _ => watch_planned_stop(deployment, checker, random.random_range(0..NODES)).await,
+    }
+}
+
+/// Whether a node serves the route that only this version has.
+async fn shows(deployment: &SoakDeployment, node: usize, version: u64, number: u64) -> bool {
+    let (way, life) = deployment.way_in(node);
+    let before = deployment.checker.highest_seen(node, life);
+    let id = format!("m{version}-{node}-{number}");
+    let answer = way.call(&CallerCall::get(HOST, &marker_path(version), &id)).await;
+    let serves = answer.is_ok_and(|answer| answer.status.is_success());
+    if serves {
+        deployment.checker.version_seen(node, life, version, before);
+    }
+    serves
+}
+
+async fn watch_configuration(deployment: &mut SoakDeployment, checker: &Checker) -> Result<(), BenchError> {
+    deployment.publish();
+    let version = deployment.version();
+    let accepted = Instant::now();
+    let mut number = 0;
+    for node in 0..NODES {
+        while !shows(deployment, node, version, number).await {
+            number += 1;
+            if accepted.elapsed() > BOUND + MACHINE_SLACK {
+                let seen = format!(
+                    "version {version} is not in force at node {node} after {:?}",
+                    accepted.elapsed()
+                );
+                checker.violated(Promise::Configuration, seen);
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+    let watched = Instant::now();
+    while watched.elapsed() < WATCHED {
+        for node in 0..NODES {
+            number += 1;
+            if shows(deployment, node, version - 1, number).await {
+                checker.violated(
+                    Promise::Configuration,
+                    format!("node {node} went back to version {}", version - 1),
+                );
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(())
+}
+
+async fn watch_leaving(
+    deployment: &mut SoakDeployment,
+    checker: &Checker,
+    shard: u8,
+) -> Result<(), BenchError> {
+    let leaving = deployment.drain_leaf(shard).await?;
+    tokio::time::sleep(BOUND + MACHINE_SLACK).await;
+    let before = leaving.arrivals();
+    tokio::time::sleep(WATCHED).await;
+    let after = leaving.arrivals();
+    if after > before {
+        let seen = format!("back end {} got {} requests after it had left", leaving.id(), after - before);
+        checker.violated(Promise::Leaving, seen);
+    }
+    deployment.retire(leaving);
+    Ok(())
+}
+
+async fn watch_planned_stop(
+    deployment: &mut SoakDeployment,
+    checker: &Checker,
+    node: usize,
+) -> Result<(), BenchError> {
+    deployment.slow_singles(Some(WORK));
+    let (way, life) = deployment.way_in(node);
+    let ids: Vec<String> = (0..IN_FLIGHT).map(|number| format!("stop{node}-{life}-{number}")).collect();
+    let mut calls = JoinSet::new();
+    for id in &ids {
+        checker.sent(id, false);
+        let call = CallerCall::get(HOST, "/one/1", id);
+        calls.spawn(async move { (call.id.clone(), way.call(&call).await) });
+    }
+    let begun = Instant::now();
+    while !ids.iter().all(|id| deployment.runs_of(id) > 0) && begun.elapsed() < WORK / 2 {
+        tokio::time::sleep(LOOK / 5).await;
+    }
+    let ended = deployment.stop_as_planned(node).await?;
+    deployment.slow_singles(None);
+    if !ended {
+        checker.violated(Promise::PlannedStop, format!("node {node} did not end"));
+    }
+    for (id, answer) in calls.join_all().await {
+        let id = id.unwrap_or_default();
+        match answer {
+            Ok(answer) => checker.answered(&id, false, &answer),
+            Err(error) => checker.violated(Promise::PlannedStop, format!("{id} was cut: {error}")),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sablebay-bench/src/soak/schedule.rs
@@ -0,0 +1,156 @@
+//! The faults of a storm, drawn from the seed, and how they are played.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use sablebay_platform_standin::{LeafBehaviour, StoreMode};
+use sablebay_standin::Faults;
+
+use super::deployment::{LEAVES, NODES, SHARDS, SoakDeployment, Way};
+use crate::error::BenchError;
+
+/// One fault.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// A process stands still for a time.
+    Pause(usize, Duration),
+    /// A process is killed, and started again after a time.
+    Kill(usize, Duration),
+    /// A process is stopped as planned, and started again after a time.
+    Terminate(usize, Duration),
+    /// A way between two parts is disturbed for a time.
+    Disturb(Way, Faults, Duration),
+    /// Every connection on a way is reset.
+    Reset(Way),
+    /// The store behaves oddly for a time.
+    Store(StoreMode, Duration),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// A back end answers oddly for a time.
+    Leaf(usize, LeafBehaviour, Duration),
+    /// All back ends of a shard answer oddly for a time; nothing stands for those of the requests to
+    /// one back end.
+    Service(Option<u8>, LeafBehaviour, Duration),
+    /// The operator publishes a configuration.
+    Publish,
+    /// The operator publishes one that names the other set of shards.
+    Reshard,
+}
+
+/// Faults with the time that each begins at, from the start of the storm.
+#[derive(Clone, Debug)]
+pub struct Storm {
+    /// The faults in order.
+    pub faults: Vec<(Duration, Fault)>,
+}
+
+/// How long faults go on beginning.
+const STORM: Duration = Duration::from_secs(6);
+/// Bounds of the pause between two faults, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 100..600;
+
+fn milliseconds(random: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(range))
+}
+
+fn pick<T: Clone>(random: &mut impl Rng, choices: &[T]) -> T {
+    choices[random.random_range(0..choices.len())].clone()
+}
+
+fn draw_way(random: &mut impl Rng) -> Way {
+    let node = random.random_range(0..NODES);
+    match random.random_range(0..4) {
+        0 => Way::Callers(node),
+        1 => Way::Store(node),
+        2 => Way::Peers(node),
+        _ => Way::Leaf(random.random_range(0..LEAVES)),
+    }
+}
+
+fn draw_disturbance(random: &mut impl Rng) -> Faults {
+    match random.random_range(0..5) {
+        0 => Faults {
+            delay: milliseconds(random, 5..120),
+            jitter: milliseconds(random, 0..60),
+            ..Faults::default()
+        },
+        1 => Faults { refuse: true, ..Faults::default() },
+        2 => Faults { black_hole_forward: true, ..Faults::default() },
+        3 => Faults { black_hole_back: true, ..Faults::default() },
+        _ => Faults::cut(),
+    }
+}
+
+fn draw_store_mode(random: &mut impl Rng) -> StoreMode {
+    let slow = StoreMode::Slow(milliseconds(random, 100..900));
+    let modes = [StoreMode::Refusing, StoreMode::Throttling, StoreMode::Silent, StoreMode::Garbling, slow];
+    pick(random, &modes)
+}
+
+fn draw_behaviour(random: &mut impl Rng) -> LeafBehaviour {
+    let slow = LeafBehaviour::Slow(milliseconds(random, 20..600));
+    let behaviours = [
+        slow,
+        LeafBehaviour::Silent,
+        LeafBehaviour::LoseAnswer,
+        LeafBehaviour::BreakOff,
+        LeafBehaviour::Unframed,
+        LeafBehaviour::Extra,
+        LeafBehaviour::Foreign,
+        LeafBehaviour::Garbage,
+        LeafBehaviour::Shed,
+        LeafBehaviour::Misdirected,
+        LeafBehaviour::Fail,
+        LeafBehaviour::CloseAfter,
+    ];
+    pick(random, &behaviours)
+}
+
+fn draw_fault(random: &mut impl Rng) -> Fault {
+    let node = random.random_range(0..NODES);
+    match random.random_range(0..20) {
+        0 => Fault::Pause(node, milliseconds(random, 100..1_500)),
+        1 => Fault::Kill(node, milliseconds(random, 50..800)),
+        2 => Fault::Terminate(node, milliseconds(random, 50..400)),
+        3..=5 => Fault::Disturb(draw_way(random), draw_disturbance(random), milliseconds(random, 200..2_500)),
+        6 => Fault::Reset(draw_way(random)),
+        7..=9 => Fault::Store(draw_store_mode(random), milliseconds(random, 200..3_000)),
+        10 => Fault::ForgetHistory,
+        11..=12 => {
+            let behaviour = draw_behaviour(random);
+            let shard = random.random_range(0..SHARDS * 2);
+            Fault::Service((shard < SHARDS).then_some(shard), behaviour, milliseconds(random, 200..2_000))
+        }
+        13..=16 => {
+            let behaviour = draw_behaviour(random);
+            Fault::Leaf(random.random_range(0..LEAVES), behaviour, milliseconds(random, 200..2_000))
+        }
+        17..=18 => Fault::Publish,
+        _ => Fault::Reshard,
+    }
+}
+
+impl Storm {
+    /// Draws a storm.
+    pub fn draw(random: &mut impl Rng) -> Self {
+        let mut faults = Vec::new();
+        let mut at = Duration::ZERO;
+        while at < STORM {
+            faults.push((at, draw_fault(random)));
+            at += milliseconds(random, GAP_MS);
+        }
+        Self { faults }
+    }
+}
+
+/// Plays a storm; what it disturbs heals by [`SoakDeployment::heal`] at the latest.
+pub async fn play(storm: &Storm, deployment: &mut SoakDeployment) -> Result<(), BenchError> {
+    let begun = tokio::time::Instant::now();
+    for (at, fault) in &storm.faults {
+        tokio::time::sleep_until(begun + *at).await;
+        deployment.end_what_is_over().await?;
+        deployment.inject(fault).await?;
+    }
+    Ok(())
+}
