--- a/crates/sablebay-bench/src/cli.rs
+++ b/crates/sablebay-bench/src/cli.rs
@@ -27,6 +27,7 @@
 use crate::compare::{compare, read_result};
 use crate::error::BenchError;
 use crate::experiment::{EXPERIMENTS, RunOptions, run_experiment};
+use crate::gateway_cost::measure_gateway_cost;
 use crate::report::write_report;
 use crate::soak::{SoakOptions, run_soak};
 
@@ -41,6 +42,8 @@
       list the experiments, with the mechanisms that each can turn off
   soak [--seed N] [--minutes X | --replay SEED [--minutes X]] [--break MECHANISM] [--logs DIR]
       a randomized fault soak of node processes on the users' platform; the last line is JSON
+  gateway-cost [--shards N] [--requests N]
+      processor time of a node for one gathered request on the users' platform, as JSON
   capacity [--json]
       measure the slopes behind docs/CAPACITY.md, and compute its table
   compare A B
@@ -166,6 +169,7 @@
         "list" => list(),
         "run" => return run_one(arguments).await,
         "soak" => return soak(arguments).await,
+        "gateway-cost" => gateway_cost(arguments).await?,
         "capacity" => capacity(arguments).await?,
         "compare" => compare_two(arguments)?,
         "platform" => platform(arguments).await?,
@@ -325,6 +329,15 @@
     wait_for_end().await
 }
 
+/// Measures what a gathered request costs a node.
+async fn gateway_cost(arguments: &Arguments) -> Result<(), Failure> {
+    let shards = arguments.parsed("shards")?.unwrap_or(90);
+    let requests = arguments.parsed("requests")?.unwrap_or(300);
+    let cost = measure_gateway_cost(shards, requests).await?;
+    println!("{}", serde_json::to_string(&cost)?);
+    Ok(())
+}
+
 /// Runs the soak; a broken promise, or one that was to be broken and was not noticed, is a failure.
 async fn soak(arguments: &Arguments) -> Result<ExitCode, Failure> {
     const DEFAULT_MINUTES: f64 = 1.0;
--- a/crates/sablebay-bench/src/processes.rs
+++ b/crates/sablebay-bench/src/processes.rs
@@ -72,6 +72,25 @@
     }
 }
 
+/// Processor time that the process has used so far.
+pub(crate) fn cpu_time_of(process: u32) -> Duration {
+    const TICKS_PER_SECOND: u64 = 100;
+    const USER_TIME_FIELD: usize = 11;
+    let text = std::fs::read_to_string(format!("/proc/{}/stat", process)).unwrap_or_default();
+    // The second field is the program's name in parentheses, which may hold spaces.
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<u64> = after_name.split_whitespace().map(|field| field.parse().unwrap_or(0)).collect();
+    let ticks: u64 = fields.iter().skip(USER_TIME_FIELD).take(2).sum();
+    Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND)
+}
+
+/// Bytes of memory that the process holds at present.
+pub(crate) fn resident_bytes_of(process: u32) -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let text = std::fs::read_to_string(format!("/proc/{}/statm", process)).unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
 /// One node as a process. Killed when dropped.
 pub struct NodeProcess {
     child: Child,
@@ -153,22 +172,12 @@
 
     /// Processor time that the process has used so far.
     pub fn cpu_time(&self) -> Duration {
-        const TICKS_PER_SECOND: u64 = 100;
-        const USER_TIME_FIELD: usize = 11;
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
-        // The second field is the program's name in parentheses, which may hold spaces.
-        let after_name = text.rsplit(')').next().unwrap_or_default();
-        let fields: Vec<u64> =
-            after_name.split_whitespace().map(|field| field.parse().unwrap_or(0)).collect();
-        let ticks: u64 = fields.iter().skip(USER_TIME_FIELD).take(2).sum();
-        Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND)
+        cpu_time_of(self.child.id())
     }
 
     /// Bytes of memory that the process holds at present.
     pub fn resident_bytes(&self) -> u64 {
-        const PAGE_BYTES: u64 = 4_096;
-        let text = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id())).unwrap_or_default();
-        text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0) * PAGE_BYTES
+        resident_bytes_of(self.child.id())
     }
 
     /// A caller's client of it.
--- a/crates/sablebay-bench/src/soak.rs
+++ b/crates/sablebay-bench/src/soak.rs
@@ -25,6 +25,7 @@
 use crate::error::BenchError;
 
 pub use checker::{Promise, Violation};
+pub use node::{NodePlan, SoakNode};
 pub use schedule::Storm;
 
 use checker::Checker;
--- a/crates/sablebay-bench/src/soak/node.rs
+++ b/crates/sablebay-bench/src/soak/node.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 
 use crate::error::BenchError;
-use crate::processes::NodeCommand;
+use crate::processes::{NodeCommand, cpu_time_of, resident_bytes_of};
 
 #[derive(Deserialize)]
 struct GatewayAddresses {
@@ -138,6 +138,16 @@
         self.child.try_wait().is_ok_and(|status| status.is_some())
     }
 
+    /// Processor time that the process has used so far.
+    pub fn cpu_time(&self) -> Duration {
+        cpu_time_of(self.child.id())
+    }
+
+    /// Bytes of memory that the process holds at present.
+    pub fn resident_bytes(&self) -> u64 {
+        resident_bytes_of(self.child.id())
+    }
+
     /// Waits for the process to end; false when it did not within the limit.
     pub async fn wait_ended(&mut self, limit: Duration) -> bool {
         const LOOK: Duration = Duration::from_millis(20);
