--- a/crates/sablebay-bench/src/gateway_cost.rs
+++ b/crates/sablebay-bench/src/gateway_cost.rs
@@ -87,15 +87,15 @@
     wait_ready(&node).await?;
     let caller = CallerStandIn { address: node.callers };
     send(&caller, "warm", WARM_UP).await?;
-    let before = node.cpu_time();
+    let before = node.process.cpu_time();
     send(&caller, "measured", requests).await?;
-    let used = (node.cpu_time() - before).as_secs_f64() * 1e6;
+    let used = (node.process.cpu_time() - before).as_secs_f64() * 1e6;
     Ok(GatewayCost {
         shards,
         requests,
         request_us: used / requests as f64,
         call_us: used / (requests * shards) as f64,
-        resident_mb: node.resident_bytes() as f64 / 1e6,
+        resident_mb: node.process.resident_bytes() as f64 / 1e6,
     })
 }
 
--- a/crates/sablebay-bench/src/lib.rs
+++ b/crates/sablebay-bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod allocation;
 mod capacity;
+mod child_process;
 mod cli;
 mod cluster;
 mod compare;
@@ -21,6 +22,7 @@
 mod usage;
 
 pub use allocation::{Allocated, CountingAllocator, count_allocations};
+pub use child_process::ChildProcess;
 pub use cli::run_command_line;
 pub use cluster::{Cluster, ClusterOptions};
 pub use configuration_cost::{ConfigurationSize, configuration_text};
--- a/crates/sablebay-bench/src/processes.rs
+++ b/crates/sablebay-bench/src/processes.rs
@@ -2,16 +2,17 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use bytes::Bytes;
-use rustix::process::{Pid, Signal, kill_process};
 use serde::Deserialize;
 
 use sablebay_standin::{CallerClient, Deployment, Platform, Proxy, RunningLeaves};
 
+use crate::child_process::ChildProcess;
 use crate::cluster::unique_fleet_name;
 use crate::error::BenchError;
 
@@ -72,28 +73,9 @@
     }
 }
 
-/// Processor time that the process has used so far.
-pub(crate) fn cpu_time_of(process: u32) -> Duration {
-    const TICKS_PER_SECOND: u64 = 100;
-    const USER_TIME_FIELD: usize = 11;
-    let text = std::fs::read_to_string(format!("/proc/{}/stat", process)).unwrap_or_default();
-    // The second field is the program's name in parentheses, which may hold spaces.
-    let after_name = text.rsplit(')').next().unwrap_or_default();
-    let fields: Vec<u64> = after_name.split_whitespace().map(|field| field.parse().unwrap_or(0)).collect();
-    let ticks: u64 = fields.iter().skip(USER_TIME_FIELD).take(2).sum();
-    Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND)
-}
-
-/// Bytes of memory that the process holds at present.
-pub(crate) fn resident_bytes_of(process: u32) -> u64 {
-    const PAGE_BYTES: u64 = 4_096;
-    let text = std::fs::read_to_string(format!("/proc/{}/statm", process)).unwrap_or_default();
-    text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0) * PAGE_BYTES
-}
-
 /// One node as a process. Killed when dropped.
 pub struct NodeProcess {
-    child: Child,
+    process: ChildProcess,
     /// The node's name.
     pub name: String,
     /// Where callers connect.
@@ -122,7 +104,7 @@
         BufReader::new(stdout).read_line(&mut line)?;
         let announced: Announced = serde_json::from_str(&line)?;
         Ok(Self {
-            child,
+            process: child.into(),
             name: name.to_string(),
             caller_address: announced.caller_address,
             admin_address: announced.admin_address,
@@ -130,66 +112,23 @@
         })
     }
 
-    fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            // A process that has ended needs no signal.
-            let _ = kill_process(pid, signal);
-        }
-    }
-
-    /// Freezes the process.
-    pub fn pause(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Lets it go on.
-    pub fn resume(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Ends it without warning.
-    pub fn kill(&mut self) {
-        self.signal(Signal::KILL);
-        // The child is gone either way.
-        let _ = self.child.wait();
-    }
-
-    /// Ends it without warning, and without waiting until it is gone.
-    pub fn kill_at_once(&self) {
-        self.signal(Signal::KILL);
-    }
-
-    /// Asks it for a planned stop.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// How it ended, once it has.
-    pub fn exited(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().ok().flatten()
-    }
-
-    /// Processor time that the process has used so far.
-    pub fn cpu_time(&self) -> Duration {
-        cpu_time_of(self.child.id())
-    }
-
-    /// Bytes of memory that the process holds at present.
-    pub fn resident_bytes(&self) -> u64 {
-        resident_bytes_of(self.child.id())
-    }
-
     /// A caller's client of it.
     pub fn client(&self) -> CallerClient {
         CallerClient::new(self.caller_address)
     }
 }
 
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        self.signal(Signal::KILL);
-        let _ = self.child.wait();
+impl Deref for NodeProcess {
+    type Target = ChildProcess;
+
+    fn deref(&self) -> &ChildProcess {
+        &self.process
+    }
+}
+
+impl DerefMut for NodeProcess {
+    fn deref_mut(&mut self) -> &mut ChildProcess {
+        &mut self.process
     }
 }
 
--- a/crates/sablebay-bench/src/soak.rs
+++ b/crates/sablebay-bench/src/soak.rs
@@ -11,6 +11,7 @@
 mod load;
 mod node;
 mod operations;
+mod routes;
 mod schedule;
 
 use std::path::PathBuf;
--- a/crates/sablebay-bench/src/soak/checker.rs
+++ b/crates/sablebay-bench/src/soak/checker.rs
@@ -9,7 +9,7 @@
 
 use sablebay_platform_standin::{CallerAnswer, LeafRecord};
 
-use super::deployment::{SHARDS, ShardIdentity, TOP_RECORDS, expected_records};
+use super::routes::{SHARDS, ShardIdentity, TOP_RECORDS, expected_records};
 
 /// A promise to callers, back ends and operators.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize)]
--- a/crates/sablebay-bench/src/soak/deployment.rs
+++ b/crates/sablebay-bench/src/soak/deployment.rs
@@ -7,76 +7,31 @@
 
 use tokio::time::Instant;
 
-use sablebay_catalogue::{
-    BackendService, CallerLimits, Destination, Gather, Repeatability, Replica, ReplicaPhase, Route,
-    RoutingConfiguration, ServiceName, WeightedService,
-};
+use sablebay_catalogue::{Replica, ReplicaPhase, ServiceName};
 use sablebay_platform_standin::{
-    CallerCall, CallerStandIn, LeafBehaviour, LeafRecord, LeafStandIn, StoreMode, StoreStandIn, part_records,
+    CallerCall, CallerStandIn, LeafBehaviour, LeafRecord, LeafStandIn, StoreMode, StoreStandIn,
 };
 use sablebay_standin::{Faults, Proxy};
 
 use super::SoakOptions;
 use super::checker::Checker;
 use super::node::{NodePlan, SoakNode};
+use super::routes::{SETS, SHARDS, ShardIdentity, configuration, shard_service, single_service};
 use super::schedule::Fault;
 use crate::error::BenchError;
 use crate::processes::NodeCommand;
 
 /// Nodes of a soak.
 pub const NODES: usize = 3;
-/// Shards of each set.
-pub const SHARDS: u8 = 4;
-/// Records of a gathered answer.
-pub const TOP_RECORDS: usize = 12;
-/// The host of every route.
-pub const HOST: &str = "soak.example";
-/// Sets of shards: the index is cut into one or the other.
-const SETS: u8 = 2;
 /// Replicas of each shard, and of the service of single requests.
 const COPIES: u8 = 2;
 /// All back ends.
 pub const LEAVES: usize = (SETS * SHARDS * COPIES + COPIES) as usize;
 /// What the records of single requests are made from; unlike every shard's.
 const SINGLE_SEED: u8 = 250;
-/// Connections that a back end takes.
-const MAXIMUM_CONNECTIONS: u32 = 40;
 /// How long a process may take to end, or to become ready.
 const PROCESS_PATIENCE: Duration = Duration::from_secs(30);
 
-/// Which shard a back end holds, as its id says: `SET-SHARD-COPY-LIFE`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ShardIdentity {
-    /// The set.
-    pub set: u8,
-    /// The shard within it.
-    pub shard: u8,
-}
-
-impl ShardIdentity {
-    /// Reads it out of a back end's id.
-    pub fn parse(id: &str) -> Option<Self> {
-        let mut parts = id.split('-');
-        let set = parts.next()?.parse().ok()?;
-        let shard = parts.next()?.parse().ok()?;
-        Some(Self { set, shard })
-    }
-
-    /// What its records are made from.
-    fn seed(self) -> u8 {
-        self.set * SHARDS + self.shard
-    }
-}
-
-/// The records that an answer over these shards must hold.
-pub fn expected_records(shards: impl IntoIterator<Item = (u8, u8)>) -> Vec<u8> {
-    let seeds = shards.into_iter().map(|(set, shard)| ShardIdentity { set, shard }.seed());
-    let mut records: Vec<[u8; 16]> = seeds.flat_map(part_records).collect();
-    records.sort_by(|left, right| right.cmp(left));
-    records.truncate(TOP_RECORDS);
-    records.concat()
-}
-
 /// A way between two parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -135,55 +90,6 @@
     pub checker: Arc<Checker>,
 }
 
-fn shard_service(set: u8, shard: u8) -> ServiceName {
-    ServiceName::new(format!("set-{set}-shard-{shard}"))
-}
-
-fn single_service() -> ServiceName {
-    ServiceName::new("single")
-}
-
-/// The path of the route that only one version has.
-pub fn marker_path(version: u64) -> String {
-    format!("/version-{version}/")
-}
-
-fn route(name: &str, prefix: &str, repeatability: Repeatability, destination: Destination) -> Route {
-    Route {
-        name: name.to_string(),
-        host: HOST.to_string(),
-        prefix: prefix.to_string(),
-        repeatability,
-        time_limit_ms: 2_000,
-        target_latency_ms: 400,
-        maximum_attempts: 2,
-        priority: 1,
-        destination,
-    }
-}
-
-fn configuration(version: u64, set: u8) -> RoutingConfiguration {
-    let single = || Destination::Services(vec![WeightedService { service: single_service(), weight: 1.0 }]);
-    let gather = Gather {
-        shards: (0..SHARDS).map(|shard| shard_service(set, shard)).collect(),
-        top: TOP_RECORDS,
-        minimum_share: 0.5,
-    };
-    let all_services = (0..SETS).flat_map(|set| (0..SHARDS).map(move |shard| shard_service(set, shard)));
-    let service = |name| BackendService { name, maximum_connections: MAXIMUM_CONNECTIONS };
-    RoutingConfiguration {
-        version,
-        routes: vec![
-            route("all", "/all/", Repeatability::Repeatable, Destination::Gather(gather)),
-            route("one", "/one/", Repeatability::Repeatable, single()),
-            route("once", "/once/", Repeatability::AtMostOnce, single()),
-            route("marker", &marker_path(version), Repeatability::Repeatable, single()),
-        ],
-        services: all_services.chain([single_service()]).map(service).collect(),
-        limits: CallerLimits::default(),
-    }
-}
-
 impl SoakDeployment {
     /// Starts everything.
     ///
@@ -342,7 +248,7 @@
         match fault {
             Fault::Pause(position, time) => {
                 if let Some(node) = &self.places[*position].process {
-                    node.pause();
+                    node.process.pause();
                 }
                 self.ends_after(*time, Ending::Resume(*position));
             }
@@ -352,8 +258,8 @@
             }
             Fault::Terminate(position, time) => {
                 if let Some(node) = &self.places[*position].process {
-                    node.resume();
-                    node.terminate();
+                    node.process.resume();
+                    node.process.terminate();
                 }
                 self.ends_after(*time, Ending::Start(*position));
             }
@@ -408,12 +314,12 @@
         match ending {
             Ending::Resume(position) => {
                 if let Some(node) = &self.places[position].process {
-                    node.resume();
+                    node.process.resume();
                 }
             }
             Ending::Start(position) => {
                 if let Some(node) = &mut self.places[position].process {
-                    node.wait_ended(PROCESS_PATIENCE).await;
+                    node.process.wait_ended(PROCESS_PATIENCE).await;
                 }
                 self.start_node(position)?;
             }
@@ -465,8 +371,8 @@
     pub async fn stop_as_planned(&mut self, position: usize) -> Result<bool, BenchError> {
         let mut ended = false;
         if let Some(node) = &mut self.places[position].process {
-            node.terminate();
-            ended = node.wait_ended(PROCESS_PATIENCE).await;
+            node.process.terminate();
+            ended = node.process.wait_ended(PROCESS_PATIENCE).await;
         }
         self.start_node(position)?;
         self.wait_ready().await?;
--- a/crates/sablebay-bench/src/soak/load.rs
+++ b/crates/sablebay-bench/src/soak/load.rs
@@ -10,7 +10,8 @@
 use sablebay_platform_standin::{CallerCall, CallerStandIn};
 
 use super::checker::Checker;
-use super::deployment::{HOST, SoakDeployment};
+use super::deployment::SoakDeployment;
+use super::routes::HOST;
 
 /// Callers of each node.
 const CALLERS: u64 = 3;
--- a/crates/sablebay-bench/src/soak/node.rs
+++ b/crates/sablebay-bench/src/soak/node.rs
@@ -4,14 +4,13 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Stdio};
-use std::time::Duration;
+use std::process::Stdio;
 
-use rustix::process::{Pid, Signal, kill_process};
 use serde::Deserialize;
 
+use crate::child_process::ChildProcess;
 use crate::error::BenchError;
-use crate::processes::{NodeCommand, cpu_time_of, resident_bytes_of};
+use crate::processes::NodeCommand;
 
 #[derive(Deserialize)]
 struct GatewayAddresses {
@@ -42,7 +41,8 @@
 
 /// One running node process; killed when dropped.
 pub struct SoakNode {
-    child: Child,
+    /// The process.
+    pub process: ChildProcess,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where it says whether it is ready.
@@ -51,14 +51,6 @@
     pub peers: SocketAddr,
 }
 
-impl Drop for SoakNode {
-    fn drop(&mut self) {
-        // Only this child is ended; it may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn write_settings(plan: &NodePlan) -> Result<PathBuf, BenchError> {
     let peers: Vec<String> = plan.peers.iter().map(|peer| format!("\"{peer}\"")).collect();
     let path = plan.folder.join(format!("{}.toml", plan.name));
@@ -103,59 +95,10 @@
         }
         let addresses: Addresses = serde_json::from_str(&line)?;
         Ok(Self {
-            child,
+            process: child.into(),
             callers: addresses.gateway.caller_address,
             readiness: addresses.gateway.readiness_address,
             peers: addresses.peer_address,
         })
     }
-
-    fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        if let Some(id) = id {
-            // The child was not waited for, so that the id is still its own; it may have ended.
-            let _ = kill_process(id, signal);
-        }
-    }
-
-    /// Lets the process stand still.
-    pub fn pause(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Lets it go on.
-    pub fn resume(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Asks for the planned stop.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
-    /// Processor time that the process has used so far.
-    pub fn cpu_time(&self) -> Duration {
-        cpu_time_of(self.child.id())
-    }
-
-    /// Bytes of memory that the process holds at present.
-    pub fn resident_bytes(&self) -> u64 {
-        resident_bytes_of(self.child.id())
-    }
-
-    /// Waits for the process to end; false when it did not within the limit.
-    pub async fn wait_ended(&mut self, limit: Duration) -> bool {
-        const LOOK: Duration = Duration::from_millis(20);
-        let waiting = async {
-            while !self.has_ended() {
-                tokio::time::sleep(LOOK).await;
-            }
-        };
-        tokio::time::timeout(limit, waiting).await.is_ok()
-    }
 }
--- a/crates/sablebay-bench/src/soak/operations.rs
+++ b/crates/sablebay-bench/src/soak/operations.rs
@@ -9,7 +9,8 @@
 use sablebay_platform_standin::CallerCall;
 
 use super::checker::{Checker, Promise};
-use super::deployment::{HOST, NODES, SHARDS, SoakDeployment, marker_path};
+use super::deployment::{NODES, SoakDeployment};
+use super::routes::{HOST, SHARDS, marker_path};
 use crate::error::BenchError;
 
 /// How long a configuration may take to be in force, and a leaving back end may get new work.
--- a/crates/sablebay-bench/src/soak/schedule.rs
+++ b/crates/sablebay-bench/src/soak/schedule.rs
@@ -7,7 +7,8 @@
 use sablebay_platform_standin::{LeafBehaviour, StoreMode};
 use sablebay_standin::Faults;
 
-use super::deployment::{LEAVES, NODES, SHARDS, SoakDeployment, Way};
+use super::deployment::{LEAVES, NODES, SoakDeployment, Way};
+use super::routes::SHARDS;
 use crate::error::BenchError;
 
 /// One fault.
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -14,7 +14,7 @@
 pub struct CallKey(pub u64);
 
 /// What one more call to a replica in another zone costs, against one in the same.
-const OTHER_ZONE_COST: f64 = 1.15;
+const OTHER_ZONE_COST: f64 = 1.5;
 /// What one more call to a replica that is slow from its start costs.
 const COLD_COST: f64 = 1.6;
 /// Costs are spread by up to this part, so that nodes that see the same do not choose alike.
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -108,6 +108,7 @@
     patience: Duration,
 ) -> Result<bool, SourceError> {
     let read = source.list(patience).await?;
+    note_rejected(&read.rejected);
     let now = context.clock().now();
     context.node.catalogue.update(|view| {
         let configured =
@@ -126,12 +127,20 @@
     patience: Duration,
 ) -> Result<bool, SourceError> {
     let news = source.watch(after, wait, patience).await?;
+    note_rejected(&news.rejected);
     let now = context.clock().now();
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
     context.node.catalogue.confirm(now);
     Ok(changed)
 }
 
+/// What cannot be read is left out; what is known of it stays, and everything else is taken.
+fn note_rejected(rejected: &[String]) {
+    for finding in rejected {
+        log::error!(finding = finding.as_str(); "catalogue: an item is rejected; what is in force stays.");
+    }
+}
+
 fn apply(view: &mut CatalogueView, news: CatalogueNews, now: Micros) -> bool {
     let mut changed = news.configuration.is_some_and(|configuration| view.offer_configuration(configuration));
     for (change, revision) in news.replicas {
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -143,6 +143,8 @@
     pub configuration: Option<RoutingConfiguration>,
     /// The replicas, and the revision that the listing was begun at.
     pub listing: Listing,
+    /// What could not be read and was left out, one sentence each.
+    pub rejected: Vec<String>,
 }
 
 /// What changed after a revision.
@@ -152,6 +154,8 @@
     pub configuration: Option<RoutingConfiguration>,
     /// Changes of replicas with their revisions, in order.
     pub replicas: Vec<(ReplicaChange, u64)>,
+    /// What could not be read and was left out, one sentence each.
+    pub rejected: Vec<String>,
     /// The revision to go on from.
     pub at: u64,
 }
--- a/crates/sablebay/src/command/check.rs
+++ b/crates/sablebay/src/command/check.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use sablebay_platform::check_configuration;
+
 use sablebay_config::{Configuration, ConfigurationError, Finding, NodeSettings, ServiceSettings};
 
 use crate::CommandResult;
@@ -13,9 +15,10 @@
 const HELP: &str = "\
 Validates configuration files, offline, and prints every finding with its place.
 
-Usage: sablebay check [--settings] [--render] [--json] FILE ...
+Usage: sablebay check [--settings | --routing] [--render] [--json] FILE ...
 
   --settings  the files are nodes' settings, not configurations
+  --routing   the files are routing configurations of the users' platform, as JSON
   --render    print each service as it will be in force
   --json      print one JSON object a file
 
@@ -33,8 +36,12 @@
 
 /// Runs the command.
 pub fn run(parser: lexopt::Parser) -> CommandResult {
-    let accepted =
-        Accepted { help: HELP, options: &[], switches: &["settings", "render", "json"], words: true };
+    let accepted = Accepted {
+        help: HELP,
+        options: &[],
+        switches: &["settings", "routing", "render", "json"],
+        words: true,
+    };
     let Some(arguments) = Arguments::read(parser, &accepted)? else {
         return Ok(ExitCode::SUCCESS);
     };
@@ -52,7 +59,24 @@
     Ok(if all_valid { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+fn check_routing(file: &str, text: &str) -> FileResult {
+    // A finding of a document is placed by the name of its route or service.
+    let finding = |message| Finding {
+        file: file.to_string(),
+        line: 1,
+        column: 1,
+        message,
+        expected: String::new(),
+        nearest: None,
+    };
+    let findings: Vec<Finding> = check_configuration(text.as_bytes()).into_iter().map(finding).collect();
+    FileResult { file: file.to_string(), valid: findings.is_empty(), findings, services: None }
+}
+
 fn check_file(file: &str, text: &str, arguments: &Arguments) -> FileResult {
+    if arguments.has("routing") {
+        return check_routing(file, text);
+    }
     let checked = if arguments.has("settings") {
         NodeSettings::parse(file, text).map(|_| None)
     } else {
--- a/crates/sablebay/tests/platform/catalogue.rs
+++ b/crates/sablebay/tests/platform/catalogue.rs
@@ -128,6 +128,31 @@
     assert_eq!(leaf.runs_of("r-1"), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_be_read_holds_nothing_else_up() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.store.write_garbage("op/config");
+    deployment.store.write_garbage("servers/i-odd");
+    let mut draining = deployment.singles[0].replica.clone();
+    draining.phase = ReplicaPhase::Draining;
+    deployment.store.announce(&draining);
+    let mut number = 0;
+    eventually("the replica that left gets no work", || {
+        number += 1;
+        let before = deployment.singles[0].record().arrivals;
+        let (node, deployment) = (&node, &deployment);
+        async move {
+            for call in 0..10 {
+                assert_eq!(node.get(SAFE_PATH, &format!("one-{number}-{call}")).await.status.as_u16(), 200);
+            }
+            before == deployment.singles[0].record().arrivals
+        }
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_replica_under_a_known_address_runs_nothing_of_ours() {
     let deployment = Deployment::start().await;
