--- a/crates/sablebay-dispatch/src/connection_share.rs
+++ b/crates/sablebay-dispatch/src/connection_share.rs
@@ -43,17 +43,82 @@
     (share as usize).max(1)
 }
 
-/// Which of a service's `replicas` the node at `position` among all `nodes` keeps connections to.
+/// A zone as far as it matters for sharing the replicas of one service out.
+#[derive(Clone, Copy, Debug)]
+pub struct ZoneNodes {
+    /// Nodes in the zone.
+    pub nodes: usize,
+    /// Whether the service has a replica in it.
+    pub has_replica: bool,
+}
+
+/// What a node knows when it decides which replicas of a service are its own.
+#[derive(Clone, Debug)]
+pub struct ReplicaShareInputs<'a> {
+    /// Connections that a replica takes from all nodes together.
+    pub maximum: u32,
+    /// All nodes.
+    pub nodes: usize,
+    /// This node's position among them.
+    pub position: usize,
+    /// For each replica, whether it is in this node's zone.
+    pub local: &'a [bool],
+    /// The nodes of this node's zone.
+    pub own_zone_nodes: usize,
+    /// The other zones.
+    pub other_zones: &'a [ZoneNodes],
+}
+
+impl ReplicaShareInputs<'_> {
+    fn room(&self) -> f64 {
+        f64::from(self.maximum) * GIVEN_OUT
+    }
+
+    /// How many replicas each node has room for.
+    fn own_count(&self) -> usize {
+        let replicas = self.local.len();
+        ((replicas as f64 * self.room() / self.nodes.max(1) as f64) as usize).clamp(1, replicas.max(1))
+    }
+
+    /// Whether the replica of this node's zone has room for all nodes of the zone, beside the nodes
+    /// of other zones that come to it.
+    fn has_room_for_zone(&self, own: usize) -> bool {
+        let replicas = self.local.len() as f64;
+        let own = own as f64;
+        let from_others = self.other_zones.iter().map(|zone| {
+            let part =
+                if zone.has_replica { (own - 1.0) / (replicas - 1.0).max(1.0) } else { own / replicas };
+            zone.nodes as f64 * part
+        });
+        self.own_zone_nodes as f64 + from_others.sum::<f64>() <= self.room()
+    }
+}
+
+/// Which of a service's replicas a node keeps connections to.
 ///
 /// Every replica as long as each node can have a connection to it. Beyond that, each node keeps to
-/// as many replicas as there is room for, one after the other from its position on, so that each
-/// replica gets its part of the nodes, and a replica that comes or goes moves few connections.
-pub fn own_replicas(maximum: u32, nodes: usize, position: usize, replicas: usize) -> Vec<bool> {
-    let room = f64::from(maximum) * GIVEN_OUT;
-    if room >= nodes as f64 {
+/// as many replicas as there is room for: the one in its own zone if all nodes of the zone fit there,
+/// and others one after the other from its position on, so that each replica gets its part of the
+/// nodes, and a replica that comes or goes moves few connections.
+pub fn own_replicas(inputs: &ReplicaShareInputs<'_>) -> Vec<bool> {
+    let replicas = inputs.local.len();
+    if inputs.room() >= inputs.nodes as f64 || replicas == 0 {
         return vec![true; replicas];
     }
-    let own = ((replicas as f64 * room / nodes as f64) as usize).max(1);
-    let distance = |replica: usize| (replica + replicas - position % replicas) % replicas;
-    (0..replicas).map(|replica| distance(replica) < own).collect()
+    let wanted = inputs.own_count();
+    let mut own = vec![false; replicas];
+    let one_local = inputs.local.iter().filter(|local| **local).count() == 1;
+    if one_local && inputs.has_room_for_zone(wanted) {
+        own.clone_from_slice(inputs.local);
+    }
+    let mut left = wanted - own.iter().filter(|own| **own).count();
+    let others: Vec<usize> = (0..replicas).filter(|replica| !own[*replica]).collect();
+    for step in 0..others.len() {
+        if left == 0 {
+            break;
+        }
+        own[others[(inputs.position + step) % others.len()]] = true;
+        left -= 1;
+    }
+    own
 }
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -15,7 +15,9 @@
 mod route_latency;
 mod weighted_choice;
 
-pub use connection_share::{FleetSize, SETTLING_TIME, connection_share, own_replicas};
+pub use connection_share::{
+    FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, own_replicas,
+};
 pub use fanout::{
     CallFailure, CallNumber, Execution, Fanout, FanoutAction, FanoutOutcome, FanoutSettings, FanoutTurn,
     ShardTargets,
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -12,8 +12,8 @@
 };
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
-    CallKey, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, WeightedChoice,
-    connection_share, own_replicas,
+    CallKey, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets,
+    WeightedChoice, connection_share, own_replicas,
 };
 use sablebay_model::Micros;
 use sablebay_node::{Clock, Shared};
@@ -110,7 +110,7 @@
             splits: HashMap::new(),
         };
         Self {
-            fleet: Mutex::new(FleetView::new(node.info.key.node.clone())),
+            fleet: Mutex::new(FleetView::new(node.info.key.node.clone(), node.settings.zone.clone())),
             node,
             callers,
             back_ends,
@@ -182,9 +182,17 @@
 
     /// Marks the replicas that have no room for a connection of this node.
     fn keep_to_share(&self, maximum: u32, replicas: &mut Arc<[RoutableReplica]>) {
-        let nodes = self.nodes.load(Ordering::Relaxed) as usize;
-        let position = self.node_position.load(Ordering::Relaxed) as usize;
-        let own = own_replicas(maximum, nodes, position, replicas.len());
+        let own_zone = &self.node.settings.zone;
+        let local: Vec<bool> = replicas.iter().map(|known| known.replica.zone == *own_zone).collect();
+        let (own_zone_nodes, other_zones) = self.fleet.lock().zones(own_zone, replicas);
+        let own = own_replicas(&ReplicaShareInputs {
+            maximum,
+            nodes: self.nodes.load(Ordering::Relaxed) as usize,
+            position: self.node_position.load(Ordering::Relaxed) as usize,
+            local: &local,
+            own_zone_nodes,
+            other_zones: &other_zones,
+        });
         if own.iter().all(|own| *own) {
             return;
         }
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -1,14 +1,14 @@
 //! What the gateway needs to know of the other nodes: where they are, which of them read the
 //! source of the catalogue, and how many share what is bounded for the fleet.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use sablebay_catalogue::READERS;
-use sablebay_dispatch::FleetSize;
-use sablebay_model::{Micros, NodeId};
+use sablebay_catalogue::{READERS, RoutableReplica};
+use sablebay_dispatch::{FleetSize, ZoneNodes};
+use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::Shared;
 
 /// A node as the gateway sees it.
@@ -24,8 +24,9 @@
 #[derive(Debug)]
 pub struct FleetView {
     own: NodeId,
-    /// Every name met in this life, this node's among them. Names come back after a restart.
-    met: BTreeSet<NodeId>,
+    /// Every node met in this life with its zone, this one among them. Names come back after a
+    /// restart.
+    met: BTreeMap<NodeId, ZoneName>,
     /// Present peers in an order that is the same on every node.
     ranked: Vec<FleetPeer>,
     own_rank: usize,
@@ -39,15 +40,18 @@
 
 impl FleetView {
     /// A view without peers.
-    pub fn new(own: NodeId) -> Self {
-        Self { met: BTreeSet::from([own.clone()]), own, ranked: Vec::new(), own_rank: 0, told: None }
+    pub fn new(own: NodeId, zone: ZoneName) -> Self {
+        Self { met: BTreeMap::from([(own.clone(), zone)]), own, ranked: Vec::new(), own_rank: 0, told: None }
     }
 
-    /// Brings the view up to date. Returns whether the nodes met have changed.
-    pub fn refresh(&mut self, node: &Shared) -> bool {
+    /// Brings the view up to date.
+    pub fn refresh(&mut self, node: &Shared) {
         let fleet = node.fleet.lock();
         let present = fleet.members().present().filter(|member| member.info.key.node != self.own);
         let mut ranked: Vec<FleetPeer> = present
+            .inspect(|member| {
+                self.met.insert(member.info.key.node.clone(), member.info.zone.clone());
+            })
             .map(|member| FleetPeer { node: member.info.key.node.clone(), address: member.info.peer_address })
             .collect();
         drop(fleet);
@@ -55,10 +59,7 @@
         let own_key = (rank_key(&self.own), self.own.clone());
         self.own_rank =
             ranked.iter().filter(|peer| (rank_key(&peer.node), peer.node.clone()) < own_key).count();
-        let before = self.met.len();
-        self.met.extend(ranked.iter().map(|peer| peer.node.clone()));
         self.ranked = ranked;
-        self.met.len() != before
     }
 
     /// Whether this node reads the source for all.
@@ -80,6 +81,17 @@
         Some(&self.ranked[(turn + failures) % among])
     }
 
+    /// The nodes of a zone, and the other zones with whether one of the replicas is there.
+    pub fn zones(&self, own: &ZoneName, replicas: &[RoutableReplica]) -> (usize, Vec<ZoneNodes>) {
+        let nodes_in = |zone: &ZoneName| self.met.values().filter(|other| *other == zone).count();
+        let others: BTreeSet<&ZoneName> = self.met.values().filter(|zone| *zone != own).collect();
+        let zone_nodes = |zone: &ZoneName| ZoneNodes {
+            nodes: nodes_in(zone),
+            has_replica: replicas.iter().any(|known| known.replica.zone == *zone),
+        };
+        (nodes_in(own), others.into_iter().map(zone_nodes).collect())
+    }
+
     /// Notes the number of nodes that a peer told.
     pub fn note_told(&mut self, nodes: Option<u64>) {
         let nodes = nodes.map(|nodes| nodes as usize);
@@ -88,7 +100,7 @@
 
     /// How many share what is bounded, and this node's position among the sorted names met.
     pub fn size(&self, running_for: Micros) -> (FleetSize, usize) {
-        let position = self.met.iter().take_while(|node| **node != self.own).count();
+        let position = self.met.keys().take_while(|node| **node != self.own).count();
         (FleetSize { met: self.met.len(), told: self.told, running_for }, position)
     }
 }
