Hedges go to the last shards of a request alone

Change: a shard is hedged only when at most 0.3 of the request's shards (two at least) are still open. Red before: a_request_that_is_slow_everywhere_is_not_hedged (40 calls sent instead of 20).

--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -194,6 +194,11 @@
 const ROUND_PAUSE: Micros = Micros::from_millis(30);
 /// How soon a hedge that was not possible is looked at again.
 const HEDGE_RECHECK: Micros = Micros::from_millis(15);
+/// The part of a request's shards that may be slow for hedging to help. Where more are, the load is
+/// everywhere: second calls find the same queues and make them longer.
+const STRAGGLING_PART: f64 = 0.3;
+/// Shards that may always be hedged, so that small requests are.
+const STRAGGLING_FLOOR: usize = 2;
 
 /// One request in progress.
 #[derive(Debug)]
@@ -383,13 +388,18 @@
             return;
         }
         if turn.now < self.settings.deadline {
+            let hedging = self.is_down_to_stragglers();
             for shard in 0..self.shards.len() {
                 let progress = &self.shards[shard];
                 if progress.state != ShardState::Open || turn.now < progress.hedge_at {
                     continue;
                 }
                 if progress.open_calls > 0 {
-                    self.hedge(shard, turn);
+                    if hedging {
+                        self.hedge(shard, turn);
+                    } else {
+                        self.shards[shard].hedge_at = turn.now.plus(HEDGE_RECHECK);
+                    }
                 } else if !self.send(shard, turn) {
                     self.close(shard);
                 }
@@ -398,6 +408,12 @@
         self.settle(turn);
     }
 
+    /// Whether only the slowest shards are still open.
+    fn is_down_to_stragglers(&self) -> bool {
+        let most = (self.shards.len() as f64 * STRAGGLING_PART).ceil() as usize;
+        self.open <= most.max(STRAGGLING_FLOOR)
+    }
+
     fn hedge<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) {
         let replicas = &self.targets[shard].replicas;
         let tried = &self.shards[shard].tried;
--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -291,3 +291,32 @@
         prop_assert!(harness.open.is_empty(), "and abandons what is open");
     }
 }
+
+/// Answers the open calls of all shards from `first_open` on.
+fn answer_all_but(harness: &mut Harness, first_open: usize) {
+    for call in harness.open.clone() {
+        if harness.sent[&call].0 >= first_open {
+            harness.open.retain(|open| *open != call);
+            harness.step(|fanout, turn| fanout.on_answer(call, turn));
+        }
+    }
+}
+
+#[test]
+fn a_request_that_is_slow_everywhere_is_not_hedged() {
+    let mut harness = Harness::new(settings(Repeatability::Repeatable, 18), targets(20, 2), 1_000.0);
+    for _ in 0..10 {
+        harness.now = harness.fanout.next_wake();
+        harness.step(|fanout, turn| fanout.on_wake(turn));
+    }
+    assert_eq!(harness.sent.len(), 20, "the load is everywhere: a second call finds the same queues");
+}
+
+#[test]
+fn the_last_shards_of_a_request_are_hedged() {
+    let mut harness = Harness::new(settings(Repeatability::Repeatable, 18), targets(20, 2), 1_000.0);
+    answer_all_but(&mut harness, 5);
+    harness.now = harness.fanout.next_wake();
+    harness.step(|fanout, turn| fanout.on_wake(turn));
+    assert_eq!(harness.sent.len(), 25);
+}
