An abandoned call ends at once where work queues

Cause: the loser of a hedge ran on for up to 350 ms. Change: ReplicaTable::abandoned_patience: 350 ms only while the replica told of a free slot or of nothing, and is not silent; otherwise the connection is closed at once. Test: an_abandoned_call_goes_on_only_where_it_takes_nothing_from_others (the patience was a constant of the shell before, so that the test did not compile).

--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -150,6 +150,12 @@
         self.silence(now) >= SILENT_RATIO
     }
 
+    /// Whether one more call would wait for a slot, as far as the replica told of late.
+    pub fn is_full(&self, now: Micros) -> bool {
+        let hint = self.hint.filter(|(_, at)| now.since(*at) <= HINT_LIFETIME);
+        hint.is_some_and(|(hint, _)| hint.waiting > 0 || hint.running >= hint.slots.max(1))
+    }
+
     /// Whether the replica is left alone after failures.
     pub fn is_paused(&self, now: Micros) -> bool {
         self.paused_until > now
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -17,6 +17,8 @@
 const OTHER_ZONE_COST: f64 = 1.5;
 /// What one more call to a replica that is slow from its start costs.
 const COLD_COST: f64 = 1.6;
+/// How long an abandoned call may go on at a replica that has slots to spare.
+const ABANDONED_PATIENCE: Micros = Micros::from_millis(350);
 /// Costs are spread by up to this part, so that nodes that see the same do not choose alike.
 const SPREAD: f64 = 0.25;
 
@@ -96,6 +98,17 @@
         self.health(replica).timed_out(key, now);
     }
 
+    /// How long a call goes on that nobody waits for any more.
+    ///
+    /// Most end soon, and their connection is kept. Where work queues, or nothing has come for long,
+    /// the call takes a slot from those that are waited for: its connection is closed at once, which
+    /// cancels it.
+    pub fn abandoned_patience(&self, replica: &ReplicaId, now: Micros) -> Micros {
+        let health = self.health.get(replica);
+        let wanted_by_others = health.is_some_and(|health| health.is_full(now) || health.is_silent(now));
+        if wanted_by_others { Micros(0) } else { ABANDONED_PATIENCE }
+    }
+
     /// The replica for the next call, of those not in `tried`.
     pub fn choose<R: Rng>(
         &self,
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -121,3 +121,22 @@
     let tried = [ReplicaId::new("b")];
     assert_eq!(table.choose(&candidates, &tried, START, &mut random), Some(0));
 }
+
+#[test]
+fn an_abandoned_call_goes_on_only_where_it_takes_nothing_from_others() {
+    let candidate = replica("a");
+    let id = &candidate.replica.id;
+    let mut table = table();
+    let told = |running, waiting| Some(LoadHint { running, waiting, slots: 2 });
+    table.sent(id, CallKey(1), USUAL, START);
+    table.answered(id, CallKey(1), told(1, 0), START);
+    assert!(table.abandoned_patience(id, START) > Micros(0), "a slot is free");
+    table.sent(id, CallKey(2), USUAL, START);
+    table.answered(id, CallKey(2), told(2, 3), START);
+    assert_eq!(table.abandoned_patience(id, START), Micros(0), "others wait for the slot");
+    let later = START.plus(Micros::from_secs(1));
+    assert!(table.abandoned_patience(id, later) > Micros(0), "what was told long ago is not believed");
+    table.sent(id, CallKey(3), USUAL, later);
+    let silent = later.plus(Micros::from_millis(90));
+    assert_eq!(table.abandoned_patience(id, silent), Micros(0), "it stands still, and work queues there");
+}
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -19,8 +19,6 @@
 
 /// The longest answer of a back end.
 const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
-/// How long a call goes on that nobody waits for: most end soon, and their connection is kept.
-const ABANDONED_PATIENCE: Duration = Duration::from_millis(350);
 
 /// A caller's request, as it goes to every replica.
 #[derive(Debug)]
@@ -115,7 +113,11 @@
     let mut exchange = std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, deadline));
     let finished = tokio::select! {
         result = &mut exchange => Some(result),
-        _ = &mut abandoned => tokio::time::timeout(ABANDONED_PATIENCE, &mut exchange).await.ok(),
+        _ = &mut abandoned => {
+            let now = context.clock().now();
+            let patience = context.dispatch.lock().table.abandoned_patience(&replica.replica.id, now);
+            tokio::time::timeout(patience.as_duration(), &mut exchange).await.ok()
+        }
         () = tokio::time::sleep_until(context.clock().instant(deadline)) => None,
     };
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
