--- a/crates/sablebay-catalogue/src/configuration.rs
+++ b/crates/sablebay-catalogue/src/configuration.rs
@@ -52,6 +52,17 @@
     Gather(Gather),
 }
 
+impl Destination {
+    /// Every service that requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let (weighted, shards): (&[WeightedService], &[ServiceName]) = match self {
+            Destination::Services(parts) => (parts, &[]),
+            Destination::Gather(gather) => (&[], &gather.shards),
+        };
+        weighted.iter().map(|part| &part.service).chain(shards)
+    }
+}
+
 /// One route.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Route {
--- a/crates/sablebay-catalogue/src/route_table.rs
+++ b/crates/sablebay-catalogue/src/route_table.rs
@@ -12,18 +12,25 @@
     configuration: RoutingConfiguration,
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     services: HashMap<ServiceName, BackendService>,
+    /// The most urgent priority among the routes that lead to a service.
+    most_urgent: HashMap<ServiceName, u32>,
 }
 
 impl RouteTable {
     /// Makes the table of a configuration.
     pub fn new(configuration: RoutingConfiguration) -> Self {
         let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        let mut most_urgent: HashMap<ServiceName, u32> = HashMap::new();
         for route in &configuration.routes {
+            for service in route.destination.services() {
+                let known = most_urgent.entry(service.clone()).or_insert(route.priority);
+                *known = route.priority.min(*known);
+            }
             let prefixes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route.clone()));
         }
         let services = configuration.services.iter().map(|service| (service.name.clone(), service.clone()));
-        Self { services: services.collect(), hosts, configuration }
+        Self { services: services.collect(), hosts, most_urgent, configuration }
     }
 
     /// The configuration that the table was made of.
@@ -53,6 +60,13 @@
         None
     }
 
+    /// How much less urgent a route is than the most urgent one that shares a service with it; 0 for
+    /// that one.
+    pub fn rank(&self, route: &Route) -> u32 {
+        let shared = route.destination.services().filter_map(|service| self.most_urgent.get(service));
+        shared.min().map_or(0, |most_urgent| route.priority.saturating_sub(*most_urgent))
+    }
+
     /// A service by its name.
     pub fn service(&self, name: &ServiceName) -> Option<&BackendService> {
         self.services.get(name)
--- a/crates/sablebay-catalogue/tests/routing.rs
+++ b/crates/sablebay-catalogue/tests/routing.rs
@@ -78,3 +78,23 @@
         prop_assert!(minimum == 1 || ((minimum - 1) as f64 / shards as f64) < minimum_share);
     }
 }
+
+#[test]
+fn urgency_is_compared_among_routes_that_share_a_service() {
+    let to = |name: &str, priority: u32, shards: &[&str]| Route {
+        priority,
+        destination: Destination::Gather(Gather {
+            shards: shards.iter().map(ServiceName::new).collect(),
+            top: 5,
+            minimum_share: 0.5,
+        }),
+        ..route("a.example", name)
+    };
+    let urgent = to("/urgent/", 1, &["s1", "s2"]);
+    let patient = to("/patient/", 3, &["s2", "s3"]);
+    let alone = to("/alone/", 4, &["s9"]);
+    let table = table(vec![urgent.clone(), patient.clone(), alone.clone()]);
+    assert_eq!(table.rank(&urgent), 0);
+    assert_eq!(table.rank(&patient), 2);
+    assert_eq!(table.rank(&alone), 0, "nothing more urgent wants its service");
+}
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! travel (`sablebay-gateway`). No I/O, no clock, no ambient randomness: time and random draws are
 //! arguments.
 
+mod admission;
 mod connection_share;
 mod fanout;
 mod records;
@@ -15,6 +16,7 @@
 mod route_latency;
 mod weighted_choice;
 
+pub use admission::{Admission, AdmissionInputs, UsualPatience, admit, refusal_probability};
 pub use connection_share::{
     FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, own_replicas,
 };
--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -150,10 +150,20 @@
         self.silence(now) >= SILENT_RATIO
     }
 
+    /// What the replica told of its load, unless it is too long ago.
+    fn recent_hint(&self, now: Micros) -> Option<LoadHint> {
+        self.hint.filter(|(_, at)| now.since(*at) <= HINT_LIFETIME).map(|(hint, _)| hint)
+    }
+
     /// Whether one more call would wait for a slot, as far as the replica told of late.
     pub fn is_full(&self, now: Micros) -> bool {
-        let hint = self.hint.filter(|(_, at)| now.since(*at) <= HINT_LIFETIME);
-        hint.is_some_and(|(hint, _)| hint.waiting > 0 || hint.running >= hint.slots.max(1))
+        self.recent_hint(now).is_some_and(|hint| hint.waiting > 0 || hint.running >= hint.slots.max(1))
+    }
+
+    /// Whether one more call would wait for as many others as the replica works on at once, as far
+    /// as it told of late.
+    pub fn has_queue(&self, now: Micros) -> bool {
+        self.recent_hint(now).is_some_and(|hint| hint.waiting >= hint.slots.max(1))
     }
 
     /// Whether the replica is left alone after failures.
@@ -170,8 +180,7 @@
     pub fn cost(&self, slots: u32, now: Micros) -> f64 {
         const REJECTED_COST: f64 = 3.0;
         let slowness = self.remembered_slowness(now).max(self.silence(now)).max(0.3);
-        let hint = self.hint.filter(|(_, at)| now.since(*at) <= HINT_LIFETIME);
-        let told = hint.map_or(0, |(hint, _)| hint.running + hint.waiting);
+        let told = self.recent_hint(now).map_or(0, |hint| hint.running + hint.waiting);
         let load = f64::from(told.max(self.open.len() as u32)) / f64::from(slots.max(1));
         let rejected = if self.rejected_until > now { REJECTED_COST } else { 1.0 };
         slowness * (1.0 + load) * rejected * (1.0 + f64::from(self.failures))
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -140,6 +140,16 @@
         untried.into_iter().any(|candidate| self.fitness(candidate, now) <= Fitness::BeyondShare)
     }
 
+    /// Whether work queues, or nothing moves, at every one of the replicas. Replicas of which nothing
+    /// is known count as free.
+    pub fn is_crowded(&self, candidates: &[RoutableReplica], now: Micros) -> bool {
+        let is_busy = |candidate: &RoutableReplica| {
+            let health = self.health.get(&candidate.replica.id);
+            health.is_some_and(|health| health.has_queue(now) || health.is_silent(now))
+        };
+        !candidates.is_empty() && candidates.iter().all(is_busy)
+    }
+
     fn fitness(&self, candidate: &RoutableReplica, now: Micros) -> Fitness {
         let health = self.health.get(&candidate.replica.id);
         if health.is_some_and(|health| health.is_paused(now)) {
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -140,3 +140,20 @@
     let silent = later.plus(Micros::from_millis(90));
     assert_eq!(table.abandoned_patience(id, silent), Micros(0), "it stands still, and work queues there");
 }
+
+#[test]
+fn a_shard_is_crowded_when_work_queues_at_all_its_replicas() {
+    let candidates = [replica("a"), replica("b")];
+    let mut table = table();
+    let mut tell = |id: usize, waiting: u32, now: Micros| {
+        let id = &candidates[id].replica.id;
+        table.sent(id, CallKey(1), USUAL, now);
+        table.answered(id, CallKey(1), Some(LoadHint { running: 2, waiting, slots: 2 }), now);
+        table.is_crowded(&candidates, now)
+    };
+    assert!(!tell(0, 2, START), "of the other one nothing is known");
+    assert!(!tell(1, 1, START), "the other one has room soon");
+    assert!(tell(1, 2, START));
+    assert!(!table.is_crowded(&candidates, START.plus(Micros::from_secs(1))), "that was long ago");
+    assert!(!table.is_crowded(&[], START));
+}
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -13,7 +13,7 @@
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
     CallKey, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets,
-    WeightedChoice, connection_share, own_replicas,
+    UsualPatience, WeightedChoice, connection_share, own_replicas,
 };
 use sablebay_model::Micros;
 use sablebay_node::{Clock, Shared};
@@ -59,6 +59,8 @@
     pub latencies: HashMap<String, RouteLatency>,
     /// Splits by route.
     pub splits: HashMap<String, WeightedChoice>,
+    /// How long callers usually wait, by route.
+    pub patience: HashMap<String, UsualPatience>,
 }
 
 /// What the requests of a gateway share.
@@ -108,6 +110,7 @@
             budgets: RetryBudgets::default(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
+            patience: HashMap::new(),
         };
         Self {
             fleet: Mutex::new(FleetView::new(node.info.key.node.clone(), node.settings.zone.clone())),
@@ -224,6 +227,7 @@
             let named = |name: &str| routes.configuration().routes.iter().any(|route| route.name == name);
             dispatch.latencies.retain(|name, _| named(name));
             dispatch.splits.retain(|name, _| named(name));
+            dispatch.patience.retain(|name, _| named(name));
             dispatch.budgets.retain(|service| routes.service(service).is_some());
         }
     }
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -12,14 +12,16 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use sablebay_catalogue::{Destination, Gather, Route, RouteTable};
-use sablebay_dispatch::{FanoutOutcome, TopRecords};
+use sablebay_dispatch::{
+    Admission, AdmissionInputs, FanoutOutcome, ShardTargets, TopRecords, UsualPatience, admit,
+};
 use sablebay_model::Micros;
 
 use crate::call::{ForwardedRequest, end_to_end_headers};
 use crate::context::Context;
 use crate::driver::{DriverResult, DriverWork, RequestBounds, drive};
 use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, GatheredAnswer, Refusal};
-use crate::request_log::{self, RequestRecord};
+use crate::request_log::{self, Crowding, RequestRecord};
 
 /// How long a caller is assumed to wait who does not say.
 const ASSUMED_PATIENCE: Duration = Duration::from_secs(10);
@@ -75,17 +77,58 @@
         return refuse(context, record, Refusal::NoRoute, "no route");
     };
     record.route = Some(route.clone());
+    let targets = context.targets_of(&view, &route);
+    record.crowding = crowding(context, &targets);
+    if let Admission::Refused { retry_after } = admission(context, &record, &routes, &route, &caller) {
+        let refusal = Refusal::NotRun { retry_after: retry_after.as_duration() };
+        return refuse(context, record, refusal, "work queues at too many of its shards");
+    }
     let bounds = bounds_of(&caller, &route, received_at);
     let caller_deadline = received_at.plus(Micros::from(caller.patience.unwrap_or(ASSUMED_PATIENCE)));
     let limit = routes.configuration().limits.body_bytes;
     let Some(forwarded) = read_request(request, caller, &route, limit, caller_deadline).await else {
         return refuse(context, record, Refusal::BodyTooLong, "the body is too long or was broken off");
     };
-    let targets = context.targets_of(&view, &route);
     let result = drive(context, &route, targets, Arc::new(forwarded), bounds).await;
     conclude(context, record, &route, result)
 }
 
+/// How many of a request's shards are crowded.
+fn crowding<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    targets: &[ShardTargets],
+) -> Crowding {
+    let now = context.clock().now();
+    let dispatch = context.dispatch.lock();
+    let is_crowded = |target: &&ShardTargets| dispatch.table.is_crowded(&target.replicas, now);
+    Crowding { shards: targets.len(), crowded: targets.iter().filter(is_crowded).count() }
+}
+
+/// Whether a request is run, or refused at once.
+fn admission<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    record: &RequestRecord,
+    routes: &RouteTable,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Admission {
+    let patience = Micros::from(caller.patience.unwrap_or(ASSUMED_PATIENCE));
+    let mut dispatch = context.dispatch.lock();
+    if !dispatch.patience.contains_key(&route.name) {
+        dispatch.patience.insert(route.name.clone(), UsualPatience::default());
+    }
+    let usual = dispatch.patience.get_mut(&route.name).expect("an entry was just added");
+    let inputs = AdmissionInputs {
+        shards: record.crowding.shards,
+        crowded: record.crowding.crowded,
+        rank: routes.rank(route),
+        returning: usual.note(patience),
+        patience,
+    };
+    drop(dispatch);
+    admit(&inputs, rand::random(), rand::random())
+}
+
 fn find_route(routes: &RouteTable, request: &Request) -> Option<Arc<Route>> {
     let named = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let host = request.uri().authority().map(|authority| authority.as_str()).or(named)?;
--- a/crates/sablebay-gateway/src/request_log.rs
+++ b/crates/sablebay-gateway/src/request_log.rs
@@ -23,12 +23,23 @@
     pub version: u64,
     /// Its route, once found.
     pub route: Option<Arc<Route>>,
+    /// The queues at its shards when it came in.
+    pub crowding: Crowding,
+}
+
+/// The queues at the shards of a request when it came in.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Crowding {
+    /// Shards that it goes to.
+    pub shards: usize,
+    /// Those at which work queued at every replica.
+    pub crowded: usize,
 }
 
 impl RequestRecord {
     /// Of a request that came in.
     pub fn new(caller: &CallerRequest, received_at: Micros) -> Self {
-        Self { id: caller.id.clone(), received_at, version: 0, route: None }
+        Self { id: caller.id.clone(), received_at, version: 0, route: None, crowding: Crowding::default() }
     }
 
     fn id(&self) -> &str {
@@ -70,6 +81,7 @@
     log::warn!(
         request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
         calls = work.calls, extra_calls = work.extra_calls, failures = failures(work).as_str(),
+        shards = record.crowding.shards, crowded = record.crowding.crowded,
         catalogue_age_ms = context.catalogue_age().as_millis();
         "gateway: {refusal}: {why}."
     );
@@ -89,6 +101,7 @@
     log::info!(
         request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
         missing = missing, calls = work.calls, extra_calls = work.extra_calls,
+        shards = record.crowding.shards, crowded = record.crowding.crowded,
         failures = failures(work).as_str();
         "gateway: answered without some shards."
     );
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -5,5 +5,6 @@
 mod catalogue;
 mod life;
 mod odd_answers;
+mod overload;
 mod quiet_path;
 mod support;
