sablebay trace: what several logs say of one request

Cause: the way from a request's id to its cause was grep over all logs, then reading what the node believed before.

--- a/crates/sablebay/src/arguments.rs
+++ b/crates/sablebay/src/arguments.rs
@@ -29,7 +29,7 @@
 
     /// A command that does not exist, with the nearest that does.
     pub fn unknown_command(given: &str) -> Self {
-        const COMMANDS: [&str; 6] = ["serve", "check", "status", "config", "drain", "demo"];
+        const COMMANDS: [&str; 7] = ["serve", "check", "status", "config", "drain", "trace", "demo"];
         Self::new(with_nearest(format!("there is no command `{given}`"), given, &COMMANDS))
     }
 }
--- a/crates/sablebay/src/command.rs
+++ b/crates/sablebay/src/command.rs
@@ -6,3 +6,4 @@
 pub mod drain;
 pub mod serve;
 pub mod status;
+pub mod trace;
--- /dev/null
+++ b/crates/sablebay/tests/trace.rs
@@ -0,0 +1,63 @@
+//! `sablebay trace`: the story of one request out of several logs.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn trace(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sablebay")).arg("trace").args(words).output().expect("the command runs")
+}
+
+fn written(folder: &tempfile::TempDir, name: &str, text: &str) -> PathBuf {
+    let path = folder.path().join(name);
+    std::fs::write(&path, text).expect("the log is written");
+    path
+}
+
+const FIRST: &str = r#"{"node":"n1","caller_address":"127.0.0.1:1"}
+{"time":"2026-01-01T00:00:09.000Z","level":"INFO","message":"catalogue: a configuration is in force.","version":4}
+not a line of ours { at all
+{"time":"2026-01-01T00:00:02.000Z","level":"WARN","message":"catalogue: the source gave nothing: no answer.","catalogue_age_ms":900}
+{"time":"2026-01-01T00:00:02.100Z","level":"WARN","message":"gateway: unknown: too few shards answered.","request":"other","held_ms":3}
+{"time":"2026-01-01T00:00:02.200Z","level":"WARN","message":"gateway: not run: work queues.","request":"abc","crowded":18,"shards":20}
+"#;
+
+/// Two nodes in one file, as the users' bench prints them.
+const SECOND: &str = r#"  1.0000 node-a {"time":"t1","level":"INFO","message":"catalogue: a configuration is in force.","version":7}
+  1.5000 node-b {"time":"t2","level":"INFO","message":"catalogue: a configuration is in force.","version":8}
+  2.0000 node-a {"time":"t3","level":"INFO","message":"gateway: answered without some shards.","request":"abc","missing":1}
+"#;
+
+#[test]
+fn the_lines_of_a_request_come_with_what_its_node_believed() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let first = written(&folder, "first.log", FIRST);
+    let second = written(&folder, "second.log", SECOND);
+    let empty = written(&folder, "empty.log", "");
+    let paths = [&first, &second, &empty].map(|path| path.to_str().expect("a path").to_string());
+    let output = trace(&["abc", &paths[0], &paths[1], &paths[2]]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 7, "{text}");
+    assert!(lines[0].contains("first.log"));
+    assert!(lines[1].contains("version=4"), "the order of the file counts, not the time of day: {text}");
+    assert!(lines[2].contains("the source gave nothing"));
+    assert!(lines[3].contains("crowded=18"));
+    assert!(
+        lines[5].contains("node-a") && lines[5].contains("version=7"),
+        "what node-b believed is left out"
+    );
+    assert!(lines[6].contains("missing=1"));
+}
+
+#[test]
+fn what_is_not_found_or_not_given_is_said() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = written(&folder, "first.log", FIRST);
+    let path = log.to_str().expect("a path");
+    assert_eq!(trace(&["nobody", path]).status.code(), Some(1));
+    assert_eq!(trace(&["abc"]).status.code(), Some(2));
+    assert_eq!(trace(&[]).status.code(), Some(2));
+    assert_eq!(trace(&["abc", "/there/is/no/such/file"]).status.code(), Some(2));
+    assert_eq!(trace(&["--before", "many", "abc", path]).status.code(), Some(2));
+}
