Callers' connections are bounded by the configuration; a body has the request's time

Cause: head and idle times of callers were nobody's: the server library has one limit for both, off without a timer, and a body that stalled was waited for without end. Found by reading. Change: connection_limits.rs: an observed stream and a guard around each request tell resting, reading a head and serving apart; the limits are asked for while a connection is open, so that a new configuration holds for open ones. The head's length is the library's limit. A body that stalls or breaks off is refused as not run (413 is for long ones alone). Red before, on the build without the change: a_head_that_never_ends_is_given_up, a_connection_that_rests_too_long..., a_head_over_the_limit_is_refused, a_body_that_stalls..., many_silent_connections_are_let_go (each over 60 s or failed); green before and after: ambiguous requests, chunks and a length, a caller that leaves within its body.

--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -10,10 +10,10 @@
 use tokio::task::JoinHandle;
 
 use sablebay_config::GatewaySettings;
-use sablebay_node::{ListenerPhase, Node, serve_http};
+use sablebay_node::{ConnectionLimits, ListenerPhase, Node, serve_http, serve_http_within};
 
 use crate::catalogue_reader::{follow_source, install_changes};
-use crate::context::Context;
+use crate::context::{Context, RoutingView};
 use crate::edge::{BackendProtocol, CallerProtocol, CatalogueSource};
 use crate::error::GatewayError;
 use crate::ingress::caller_routes;
@@ -66,6 +66,17 @@
     Ok((listener, bound))
 }
 
+/// What the configuration in force allows a caller's connection.
+fn connection_limits(view: &RoutingView) -> ConnectionLimits {
+    let configured = view.routes.as_ref().map(|routes| routes.configuration().limits);
+    let limits = configured.unwrap_or_default();
+    ConnectionLimits {
+        head_timeout: Duration::from_millis(limits.header_timeout_ms),
+        idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        head_bytes: limits.header_bytes,
+    }
+}
+
 impl Gateway {
     /// Starts a gateway as a part of a node.
     ///
@@ -96,7 +107,10 @@
         ];
         let reloaded = context.clone();
         let reload = Box::new(move |settings| reloaded.settings.store(Arc::new(settings)));
-        let callers = tokio::spawn(serve_http(caller_listener, caller_routes(context), phases));
+        let limiting = context.clone();
+        let limits = move || connection_limits(&limiting.view.load());
+        let callers =
+            tokio::spawn(serve_http_within(caller_listener, caller_routes(context), phases, limits));
         log::info!("gateway: listens for callers on {caller_address}, for readiness on {readiness_address}.");
         let addresses = GatewayAddresses { caller_address, readiness_address };
         Ok(Gateway {
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -9,7 +9,8 @@
 use axum::response::Response;
 use bytes::Bytes;
 use http::{HeaderValue, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use tokio::time::Instant;
 
 use sablebay_catalogue::{Destination, Gather, Route, RouteTable};
 use sablebay_dispatch::{
@@ -86,8 +87,10 @@
     let bounds = bounds_of(&caller, &route, received_at);
     let caller_deadline = received_at.plus(Micros::from(caller.patience.unwrap_or(ASSUMED_PATIENCE)));
     let limit = routes.configuration().limits.body_bytes;
-    let Some(forwarded) = read_request(request, caller, &route, limit, caller_deadline).await else {
-        return refuse(context, record, Refusal::BodyTooLong, "the body is too long or was broken off");
+    let body_deadline = context.clock().instant(bounds.deadline);
+    let forwarded = match read_request(request, caller, &route, limit, caller_deadline, body_deadline).await {
+        Ok(forwarded) => forwarded,
+        Err(failure) => return refuse(context, record, failure.refusal(), failure.reason()),
     };
     let result = drive(context, &route, targets, Arc::new(forwarded), bounds).await;
     conclude(context, record, &route, result)
@@ -144,18 +147,51 @@
     RequestBounds { received_at, deadline: received_at.plus(limit) }
 }
 
-/// The request as it goes on; nothing when its body is too long or was broken off.
+/// Why the body of a request was not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyFailure {
+    TooLong,
+    BrokenOff,
+    TooSlow,
+}
+
+impl BodyFailure {
+    /// Nothing of the request has gone on: unless it can never be taken, it may come back.
+    fn refusal(self) -> Refusal {
+        match self {
+            BodyFailure::TooLong => Refusal::BodyTooLong,
+            BodyFailure::BrokenOff | BodyFailure::TooSlow => Refusal::NotRun { retry_after: REJECTED_RETRY },
+        }
+    }
+
+    fn reason(self) -> &'static str {
+        match self {
+            BodyFailure::TooLong => "the body is too long",
+            BodyFailure::BrokenOff => "the body was broken off",
+            BodyFailure::TooSlow => "the body did not come within the request's time",
+        }
+    }
+}
+
+/// The request as it goes on, once its whole body is in.
 async fn read_request(
     request: Request,
     caller: CallerRequest,
     route: &Route,
     limit: usize,
     caller_deadline: Micros,
-) -> Option<ForwardedRequest> {
+    body_deadline: Instant,
+) -> Result<ForwardedRequest, BodyFailure> {
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
-    let path = head.uri.path_and_query()?.clone();
-    Some(ForwardedRequest {
+    let reading = Limited::new(body, limit).collect();
+    let body = match tokio::time::timeout_at(body_deadline, reading).await {
+        Err(_) => return Err(BodyFailure::TooSlow),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BodyFailure::TooLong),
+        Ok(Err(_)) => return Err(BodyFailure::BrokenOff),
+        Ok(Ok(collected)) => collected.to_bytes(),
+    };
+    let path = head.uri.path_and_query().expect("the route was found by the path").clone();
+    Ok(ForwardedRequest {
         id: caller.id,
         method: head.method,
         uri: Uri::from(path),
--- a/crates/sablebay-node/src/http_listener.rs
+++ b/crates/sablebay-node/src/http_listener.rs
@@ -19,9 +19,16 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::connection_limits::{ConnectionActivity, ConnectionLimits, ObservedStream};
+
 /// How long to wait after a connection could not be accepted, for instance for want of descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
+/// The smallest buffer for heads that the server library takes.
+const SMALLEST_HEAD_BUFFER: usize = 8_192;
+/// How long a connection that is over its limit may take to end in order.
+const EXPIRED_PATIENCE: Duration = Duration::from_millis(200);
+
 /// How far the stop of a listener has come. It only ever advances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ListenerPhase {
@@ -35,13 +42,26 @@
 }
 
 /// Serves `routes` until the phase is over [`ListenerPhase::Open`] and every connection has ended.
-pub async fn serve_http(listener: TcpListener, routes: Router, mut phase: watch::Receiver<ListenerPhase>) {
+/// Connections are bounded by [`ConnectionLimits::default`].
+pub async fn serve_http(listener: TcpListener, routes: Router, phase: watch::Receiver<ListenerPhase>) {
+    serve_http_within(listener, routes, phase, ConnectionLimits::default).await;
+}
+
+/// As [`serve_http`], with limits that may change while connections are open.
+pub async fn serve_http_within<L>(
+    listener: TcpListener,
+    routes: Router,
+    mut phase: watch::Receiver<ListenerPhase>,
+    limits: L,
+) where
+    L: Fn() -> ConnectionLimits + Clone + Send + 'static,
+{
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, from)) => {
-                    connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone()));
+                    connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone(), limits.clone()));
                 }
                 Err(error) => {
                     log::warn!("node: a connection was not accepted: {error}.");
@@ -53,7 +73,7 @@
         }
     }
     for (stream, from) in close(listener) {
-        connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone()));
+        connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone(), limits.clone()));
     }
     connections.join_all().await;
 }
@@ -79,25 +99,43 @@
     waiting
 }
 
-async fn serve_connection(
+async fn serve_connection<L: Fn() -> ConnectionLimits>(
     stream: TcpStream,
     from: SocketAddr,
     routes: Router,
     mut phase: watch::Receiver<ListenerPhase>,
+    limits: L,
 ) {
     // A failure to set the option costs some latency, and nothing else.
     let _ = stream.set_nodelay(true);
+    let activity = ConnectionActivity::new();
+    let stream = ObservedStream::new(stream, activity.clone());
     let routes = TowerToHyperService::new(routes);
+    let served = activity.clone();
     let service = service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
         request.extensions_mut().insert(ConnectInfo(from));
-        routes.call(request)
+        let serving = served.serve();
+        let answer = routes.call(request);
+        async move {
+            let answer = answer.await;
+            drop(serving);
+            answer
+        }
     });
-    let builder = hyper::server::conn::http1::Builder::new();
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.max_buf_size(limits().head_bytes.max(SMALLEST_HEAD_BUFFER));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     // How a connection ends is the other side's matter.
     tokio::select! {
         _ = connection.as_mut() => return,
         () = reached(&mut phase, ListenerPhase::Ended) => {}
+        () = activity.expired(limits) => {
+            log::debug!("node: a connection from {from} was idle, or the head of its request slow, for too long.");
+            connection.as_mut().graceful_shutdown();
+            // A head that never comes to its end, or an answer that is never read, is not waited for.
+            let _ = tokio::time::timeout(EXPIRED_PATIENCE, connection).await;
+            return;
+        }
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! all stand-ins of `sablebay-platform-standin`, over loopback.
 
 mod at_most_once;
+mod callers;
 mod catalogue;
 mod life;
 mod odd_answers;
