Back ends that are grey, flap, forget idle connections or tell of queues, in the stand-in, its tests and the soak

Cause: the soak knew none of the grown deployments' new kinds of trouble, and nothing that touches admission.

--- a/crates/sablebay-bench/src/soak/schedule.rs
+++ b/crates/sablebay-bench/src/soak/schedule.rs
@@ -91,8 +91,14 @@
 
 fn draw_behaviour(random: &mut impl Rng) -> LeafBehaviour {
     let slow = LeafBehaviour::Slow(milliseconds(random, 20..600));
+    let flapping = LeafBehaviour::Flapping(milliseconds(random, 50..400));
+    let forgetful = LeafBehaviour::ForgetIdle(milliseconds(random, 5..200));
     let behaviours = [
         slow,
+        flapping,
+        forgetful,
+        LeafBehaviour::Grey,
+        LeafBehaviour::Queued,
         LeafBehaviour::Silent,
         LeafBehaviour::LoseAnswer,
         LeafBehaviour::BreakOff,
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -16,7 +16,7 @@
 }
 
 /// Behaviours after which the other back end of a shard answers in its place.
-const REPLACED: [LeafBehaviour; 8] = [
+const REPLACED: [LeafBehaviour; 11] = [
     LeafBehaviour::LoseAnswer,
     LeafBehaviour::BreakOff,
     LeafBehaviour::Foreign,
@@ -25,6 +25,9 @@
     LeafBehaviour::Misdirected,
     LeafBehaviour::Fail,
     LeafBehaviour::Silent,
+    LeafBehaviour::Grey,
+    LeafBehaviour::Flapping(Duration::from_millis(40)),
+    LeafBehaviour::ForgetIdle(Duration::from_millis(1)),
 ];
 
 #[tokio::test(flavor = "multi_thread")]
