Incomplete answers are planned earlier by what the node itself is late

Change: AnswerLag: an estimate of how late such answers get ready, quick to rise and slow to fall, taken off the planned moment up to a tenth of the target.

--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! arguments.
 
 mod admission;
+mod answer_lag;
 mod connection_share;
 mod fanout;
 mod records;
@@ -17,6 +18,7 @@
 mod weighted_choice;
 
 pub use admission::{Admission, AdmissionInputs, UsualPatience, admit, refusal_probability};
+pub use answer_lag::AnswerLag;
 pub use connection_share::{
     FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, own_replicas,
 };
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -12,8 +12,8 @@
 };
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
-    CallKey, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets,
-    UsualPatience, WeightedChoice, connection_share, own_replicas,
+    AnswerLag, CallKey, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency,
+    ShardTargets, UsualPatience, WeightedChoice, connection_share, own_replicas,
 };
 use sablebay_model::Micros;
 use sablebay_node::{Clock, Shared};
@@ -59,6 +59,8 @@
     pub latencies: HashMap<String, RouteLatency>,
     /// Splits by route.
     pub splits: HashMap<String, WeightedChoice>,
+    /// How much later than planned answers get ready.
+    pub answer_lag: AnswerLag,
     /// How long callers usually wait, by route.
     pub patience: HashMap<String, UsualPatience>,
 }
@@ -111,6 +113,7 @@
             latencies: HashMap::new(),
             splits: HashMap::new(),
             patience: HashMap::new(),
+            answer_lag: AnswerLag::default(),
         };
         Self {
             fleet: Mutex::new(FleetView::new(node.info.key.node.clone(), node.settings.zone.clone())),
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -27,6 +27,8 @@
     pub answers: Vec<(usize, CallSuccess)>,
     /// The last answer of a back end that failed.
     pub failed_answer: Option<WholeAnswer>,
+    /// When an answer that leaves shards out was planned for.
+    pub partial_at: Micros,
     /// What was needed.
     pub work: DriverWork,
 }
@@ -116,7 +118,7 @@
         }
     }
     let outcome = fanout.outcome().expect("the loop ends with an outcome");
-    DriverResult { outcome, answers, failed_answer, work: driver.work }
+    DriverResult { outcome, answers, failed_answer, partial_at: settings.partial_at, work: driver.work }
 }
 
 fn expected_times<C: CallerProtocol, B: BackendProtocol>(
@@ -144,11 +146,9 @@
         sablebay_catalogue::Destination::Gather(gather) => gather.minimum_shards(),
         sablebay_catalogue::Destination::Services(_) => shards.max(1),
     };
-    let margin = Micros::from_millis(context.settings.load().partial_margin_ms);
-    let target = Micros::from_millis(route.target_latency_ms);
     let partial_at = match route.target_latency_ms {
         0 => bounds.deadline,
-        _ => bounds.received_at.plus(target.since(margin)),
+        target => planned_answer(context, bounds.received_at, Micros::from_millis(target)),
     };
     let repeatability = match context.mechanisms.at_most_once {
         true => route.repeatability,
@@ -167,6 +167,17 @@
     }
 }
 
+/// When an answer that leaves shards out must go, to be with its caller within the target latency.
+fn planned_answer<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    received_at: Micros,
+    target: Micros,
+) -> Micros {
+    let way_back = Micros::from_millis(context.settings.load().partial_margin_ms);
+    let lag = context.dispatch.lock().answer_lag.margin(target, context.clock().now());
+    received_at.plus(target.since(way_back.plus(lag)))
+}
+
 impl<C: CallerProtocol, B: BackendProtocol> Driver<'_, C, B> {
     /// One step of the machine, and the actions that follow.
     fn step<T>(
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -220,14 +220,16 @@
     route: &Route,
     result: DriverResult,
 ) -> http::Response<Full<Bytes>> {
-    let DriverResult { outcome, answers, failed_answer, work } = result;
+    let DriverResult { outcome, answers, failed_answer, partial_at, work } = result;
     context.metrics.work(&work);
     let refusal = match outcome {
         FanoutOutcome::Answered { missing } => {
             request_log::answered(context, &record, missing, &work);
             context.metrics.answered(context.clock().now().since(record.received_at), missing);
             let told = if context.mechanisms.coverage { missing } else { 0 };
-            return merge(context, route, answers, told);
+            let response = merge(context, route, answers, told);
+            note_lag(context, partial_at, missing);
+            return response;
         }
         FanoutOutcome::NotRun => Refusal::NotRun { retry_after: REJECTED_RETRY },
         FanoutOutcome::Unknown if !context.mechanisms.not_run => {
@@ -247,6 +249,18 @@
     }
 }
 
+/// Remembers how late an answer got ready that left at its planned moment.
+fn note_lag<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    planned_at: Micros,
+    missing: usize,
+) {
+    let ready_at = context.clock().now();
+    if missing > 0 && ready_at >= planned_at {
+        context.dispatch.lock().answer_lag.record(planned_at, ready_at);
+    }
+}
+
 fn merge<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     route: &Route,
