Structure: no circle of more than three files in sablebay-node; ingress and fanout in parts

Cause: shared.rs, service_state.rs, report.rs and node.rs imported one another (through NodeMechanisms and ServiceCounts); ingress.rs and fanout.rs had grown to 330 and 500 lines with several jobs each. Change: mechanisms.rs and service_counts.rs in sablebay-node, so that what is left of the circle is shared.rs, service_state.rs and its plan; merge.rs and request_body.rs out of ingress.rs (now 204 lines); fanout/call.rs and fanout/terms.rs out of fanout.rs (361).

--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -9,140 +9,20 @@
 //!   the one before can have arrived;
 //! - nothing is sent at or after the deadline, also when the process was paused.
 
-use std::sync::Arc;
+mod call;
+mod terms;
 
-use derive_more::Display;
 use rand::Rng;
 use smallvec::SmallVec;
 
-use sablebay_catalogue::{Repeatability, ReplicaId, RoutableReplica, ServiceName};
+use sablebay_catalogue::{Repeatability, ReplicaId};
 use sablebay_model::Micros;
 
 use crate::replica_table::ReplicaTable;
 use crate::retry_window::{RetryAllowance, RetryBudgets};
 
-/// Numbers the calls of one request.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CallNumber(pub u32);
-
-/// One shard and the replicas that may answer for it.
-#[derive(Clone, Debug)]
-pub struct ShardTargets {
-    /// The shard.
-    pub service: ServiceName,
-    /// Its replicas.
-    pub replicas: Arc<[RoutableReplica]>,
-}
-
-/// What bounds one request.
-#[derive(Clone, Copy, Debug)]
-pub struct FanoutSettings {
-    /// Whether it may run more than once.
-    pub repeatability: Repeatability,
-    /// Replicas that each shard may be sent to.
-    pub maximum_attempts: u32,
-    /// Shards without which there is no success.
-    pub minimum_shards: usize,
-    /// When the request is given up.
-    pub deadline: Micros,
-    /// When an answer that leaves shards out is worth more than a late whole one.
-    pub partial_at: Micros,
-    /// After how long a silent call is hedged.
-    pub hedge_delay: Micros,
-}
-
-/// Whether a failed call can have run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Execution {
-    /// No byte can have arrived.
-    #[display("not sent")]
-    NotSent,
-    /// The replica says that it did not run it.
-    #[display("not run")]
-    NotRun,
-    /// It may have run.
-    #[display("may have run")]
-    Possible,
-}
-
-/// How a call failed.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum CallFailure {
-    /// No connection came about.
-    #[display("no connection")]
-    NoConnection,
-    /// The replica rejects work.
-    #[display("rejected")]
-    Rejected,
-    /// Another replica has the address.
-    #[display("wrong instance")]
-    WrongInstance,
-    /// The connection broke.
-    #[display("broken")]
-    Broken,
-    /// The answer is another request's, or none in the protocol.
-    #[display("mismatched")]
-    Mismatched,
-    /// The replica answered with a failure.
-    #[display("failed")]
-    Failed,
-    /// No answer came in time.
-    #[display("timed out")]
-    TimedOut,
-}
-
-impl CallFailure {
-    /// Whether a call that failed so can have run.
-    pub fn execution(self) -> Execution {
-        match self {
-            CallFailure::NoConnection => Execution::NotSent,
-            CallFailure::Rejected | CallFailure::WrongInstance => Execution::NotRun,
-            CallFailure::Broken | CallFailure::Mismatched | CallFailure::Failed | CallFailure::TimedOut => {
-                Execution::Possible
-            }
-        }
-    }
-}
-
-/// What the shell has to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum FanoutAction {
-    /// Send a call.
-    Send {
-        /// Names the call in what comes back.
-        call: CallNumber,
-        /// The shard's position in the request.
-        shard: usize,
-        /// Where to.
-        replica: ReplicaId,
-        /// Whether it is the first call of its shard.
-        first: bool,
-    },
-    /// The answer to a call is no longer wanted.
-    Abandon {
-        /// The call.
-        call: CallNumber,
-    },
-}
-
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FanoutOutcome {
-    /// Enough shards answered.
-    Answered {
-        /// Shards left out.
-        missing: usize,
-    },
-    /// Too few shards answered, and no call can have run.
-    NotRun,
-    /// Too few shards answered.
-    Unknown,
-    /// The deadline came before enough shards had answered.
-    Expired {
-        /// Whether a call can have run.
-        may_have_run: bool,
-    },
-}
+pub use call::{CallFailure, CallNumber, Execution};
+pub use terms::{FanoutAction, FanoutOutcome, FanoutSettings, ShardTargets};
 
 /// What a step of the machine works with.
 pub struct FanoutTurn<'a, R> {
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -8,20 +8,18 @@
 use axum::extract::{Request, State};
 use axum::response::Response;
 use bytes::Bytes;
-use http::{HeaderValue, Uri, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use tokio::time::Instant;
+use http::{HeaderValue, header};
+use http_body_util::Full;
 
-use sablebay_catalogue::{Destination, Gather, Route, RouteTable};
-use sablebay_dispatch::{
-    Admission, AdmissionInputs, FanoutOutcome, ShardTargets, TopRecords, UsualPatience, admit,
-};
+use sablebay_catalogue::{Destination, Route, RouteTable};
+use sablebay_dispatch::{Admission, AdmissionInputs, FanoutOutcome, ShardTargets, UsualPatience, admit};
 use sablebay_model::Micros;
 
-use crate::call::{ForwardedRequest, end_to_end_headers};
 use crate::context::Context;
 use crate::driver::{DriverResult, DriverWork, RequestBounds, drive};
-use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, GatheredAnswer, Refusal};
+use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, Refusal};
+use crate::merge::merge;
+use crate::request_body::read_request;
 use crate::request_log::{self, Crowding, RequestRecord};
 
 /// How long a caller is assumed to wait who does not say.
@@ -147,61 +145,6 @@
     RequestBounds { received_at, deadline: received_at.plus(limit) }
 }
 
-/// Why the body of a request was not read to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BodyFailure {
-    TooLong,
-    BrokenOff,
-    TooSlow,
-}
-
-impl BodyFailure {
-    /// Nothing of the request has gone on: unless it can never be taken, it may come back.
-    fn refusal(self) -> Refusal {
-        match self {
-            BodyFailure::TooLong => Refusal::BodyTooLong,
-            BodyFailure::BrokenOff | BodyFailure::TooSlow => Refusal::NotRun { retry_after: REJECTED_RETRY },
-        }
-    }
-
-    fn reason(self) -> &'static str {
-        match self {
-            BodyFailure::TooLong => "the body is too long",
-            BodyFailure::BrokenOff => "the body was broken off",
-            BodyFailure::TooSlow => "the body did not come within the request's time",
-        }
-    }
-}
-
-/// The request as it goes on, once its whole body is in.
-async fn read_request(
-    request: Request,
-    caller: CallerRequest,
-    route: &Route,
-    limit: usize,
-    caller_deadline: Micros,
-    body_deadline: Instant,
-) -> Result<ForwardedRequest, BodyFailure> {
-    let (head, body) = request.into_parts();
-    let reading = Limited::new(body, limit).collect();
-    let body = match tokio::time::timeout_at(body_deadline, reading).await {
-        Err(_) => return Err(BodyFailure::TooSlow),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BodyFailure::TooLong),
-        Ok(Err(_)) => return Err(BodyFailure::BrokenOff),
-        Ok(Ok(collected)) => collected.to_bytes(),
-    };
-    let path = head.uri.path_and_query().expect("the route was found by the path").clone();
-    Ok(ForwardedRequest {
-        id: caller.id,
-        method: head.method,
-        uri: Uri::from(path),
-        headers: end_to_end_headers(head.headers),
-        body,
-        route: route.name.clone(),
-        caller_deadline,
-    })
-}
-
 fn refuse<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     record: RequestRecord,
@@ -260,35 +203,3 @@
         context.dispatch.lock().answer_lag.record(planned_at, ready_at);
     }
 }
-
-fn merge<C: CallerProtocol, B: BackendProtocol>(
-    context: &Context<C, B>,
-    route: &Route,
-    mut answers: Vec<(usize, crate::call::CallSuccess)>,
-    missing: usize,
-) -> http::Response<Full<Bytes>> {
-    match &route.destination {
-        Destination::Gather(gather) => {
-            answers.sort_by_key(|(shard, _)| *shard);
-            context.callers.gathered(gathered(gather, answers, missing))
-        }
-        Destination::Services(_) => {
-            let only = answers.pop().expect("an answered request over one shard has its answer");
-            context.callers.relayed(only.1.answer)
-        }
-    }
-}
-
-fn gathered(
-    gather: &Gather,
-    answers: Vec<(usize, crate::call::CallSuccess)>,
-    missing: usize,
-) -> GatheredAnswer {
-    let mut records = TopRecords::new(gather.top);
-    let mut receipts = Vec::with_capacity(answers.len());
-    for (_, success) in answers {
-        records.add(&success.answer.body);
-        receipts.push(success.receipt);
-    }
-    GatheredAnswer { receipts, missing, body: Bytes::from(records.into_bytes()) }
-}
--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -24,7 +24,8 @@
 use crate::fleet_task::step_fleet;
 use crate::outcome_body::refusal_response;
 use crate::peers::Lane;
-use crate::report::{NodeReport, ServiceReport, node_report, short_report};
+use crate::report::{NodeReport, node_report, short_report};
+use crate::service_counts::ServiceReport;
 use crate::shared::Shared;
 
 /// The longest candidate configuration.
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -15,10 +15,9 @@
 use tokio::task::JoinHandle;
 
 use sablebay_config::NodeSettings;
-use sablebay_fleet::{ClaimHolder, FleetMechanisms, FleetNode, FleetSettings, MemberInfo};
+use sablebay_fleet::{ClaimHolder, FleetNode, FleetSettings, MemberInfo};
 use sablebay_model::{Incarnation, InstanceKey, Micros, Reason, Refusal};
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
-use sablebay_query::Mechanisms;
 
 use crate::admin_api::{admin_routes, start_draining};
 use crate::caller_api::caller_routes;
@@ -32,6 +31,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::load_poll::{local_versions, run_load_polls};
 use crate::logging::LogControl;
+use crate::mechanisms::NodeMechanisms;
 use crate::metrics::Metrics;
 use crate::partial_search::partial_search;
 use crate::peers::{PeerContext, PeerCounters, PeerTransport, RequestHandler, run_listener};
@@ -39,36 +39,6 @@
 use crate::report::short_report;
 use crate::shared::Shared;
 
-/// Mechanisms that an experiment can turn off, to show that its checker notices.
-#[derive(Clone, Copy, Debug)]
-pub struct NodeMechanisms {
-    /// Those of the query path.
-    pub routing: Mechanisms,
-    /// Those of the fleet.
-    pub fleet: FleetMechanisms,
-    /// Write-once claims.
-    pub claims: bool,
-    /// Waiting for requests in flight at a planned stop.
-    pub wait_at_stop: bool,
-    /// Holding a leaf's answer against the call that it names. Off: it is taken for the oldest one.
-    pub correlation: bool,
-    /// Calling an operation's outcome unknown when its back end gave no word. Off: `not_run`.
-    pub unknown_outcomes: bool,
-}
-
-impl Default for NodeMechanisms {
-    fn default() -> Self {
-        Self {
-            routing: Mechanisms::default(),
-            fleet: FleetMechanisms::default(),
-            claims: true,
-            wait_at_stop: true,
-            correlation: true,
-            unknown_outcomes: true,
-        }
-    }
-}
-
 /// The addresses that a node's listeners got.
 #[derive(Clone, Debug, Serialize)]
 pub struct BoundAddresses {
--- a/crates/sablebay-node/src/service_state.rs
+++ b/crates/sablebay-node/src/service_state.rs
@@ -15,8 +15,8 @@
 
 use crate::cluster_view::ClusterView;
 use crate::leaf_client::LeafClient;
-use crate::node::NodeMechanisms;
-use crate::report::ServiceCounts;
+use crate::mechanisms::NodeMechanisms;
+use crate::service_counts::ServiceCounts;
 use crate::shared::Shared;
 
 use plan::{PlanInputs, call_targets, direct_plan, peer_plan, uses_peers};
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -19,8 +19,8 @@
 use crate::leaf_client::{ClientCounters, LeafClient};
 use crate::lifecycle::Lifecycle;
 use crate::logging::LogControl;
+use crate::mechanisms::NodeMechanisms;
 use crate::metrics::Metrics;
-use crate::node::NodeMechanisms;
 use crate::peers::PeerTransport;
 use crate::service_state::{PlanNeed, ServiceState};
 
