sablebay status shows what each gateway knows of routes and replicas

Cause: on the users' platform status named the product's own configuration alone, which is empty there: an operator could not read back which version is in force where. Change: CatalogueReport in a node's report (routes' version, replicas, revision, age of the confirmation), absent without a gateway, and a table of it. Nothing on the request path changes.

--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -43,7 +43,7 @@
 pub use mechanisms::NodeMechanisms;
 pub use node::{BoundAddresses, Node};
 pub use peers::{Lane, PeerFailure, PeerTransport};
-pub use report::NodeReport;
+pub use report::{CatalogueReport, NodeReport};
 pub use root_search::{QueryInput, root_search};
 pub use service_counts::ServiceReport;
 pub use shared::Shared;
--- a/crates/sablebay-node/src/report.rs
+++ b/crates/sablebay-node/src/report.rs
@@ -30,6 +30,20 @@
     pub admin_address: String,
 }
 
+/// What a node with a gateway knows of routes and replicas.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CatalogueReport {
+    /// The version of the routing configuration in force; 0 when none is.
+    pub version: u64,
+    /// The revision up to which it knows the replicas.
+    pub replicas_at: u64,
+    /// Replicas that may get new work.
+    pub replicas: usize,
+    /// Milliseconds since the catalogue was confirmed, by its source or by a peer; absent when it never
+    /// was.
+    pub confirmed_ms_ago: Option<u64>,
+}
+
 /// What one node says of itself and of the fleet.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -68,6 +82,9 @@
     pub conflicts: Vec<Conflict>,
     /// Services that were asked for here.
     pub services: BTreeMap<String, ServiceReport>,
+    /// Routes and replicas; absent without a gateway.
+    #[serde(default)]
+    pub catalogue: Option<CatalogueReport>,
 }
 
 /// The report of this node without its members, as another node asks for it.
@@ -75,6 +92,18 @@
     NodeReport { members: Vec::new(), ..node_report(shared) }
 }
 
+fn catalogue_report(shared: &Shared) -> Option<CatalogueReport> {
+    shared.settings.gateway.as_ref()?;
+    let now = shared.clock.now();
+    let confirmed_ms_ago = shared.catalogue.confirmed_ago(now).map(|ago| ago.as_millis());
+    Some(shared.catalogue.read(|view| CatalogueReport {
+        version: view.routes().map_or(0, |routes| routes.version()),
+        replicas_at: view.replicas_at(),
+        replicas: view.routable(now).values().map(Vec::len).sum(),
+        confirmed_ms_ago,
+    }))
+}
+
 /// The report of this node.
 pub fn node_report(shared: &Shared) -> NodeReport {
     let now = shared.clock.now();
@@ -116,5 +145,6 @@
         rejections: fleet.floor().rejections().cloned().collect(),
         conflicts: fleet.floor().conflicts().copied().collect(),
         services,
+        catalogue: catalogue_report(shared),
     }
 }
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -94,10 +94,31 @@
     for (version, count) in &status.versions {
         print_line(&format!("version {version}: {count} nodes"));
     }
+    print_catalogues(status);
     print_services(status);
     print_troubles(status);
 }
 
+/// What nodes with a gateway know of routes and replicas.
+fn print_catalogues(status: &FleetStatus) {
+    let known: Vec<_> =
+        status.nodes.iter().filter_map(|node| Some((&node.node, node.catalogue.as_ref()?))).collect();
+    if known.is_empty() {
+        return;
+    }
+    print_line(&format!(
+        "\n{:<24} {:>8} {:>9} {:>12} {:>12}",
+        "GATEWAY", "ROUTES", "REPLICAS", "UP TO", "CONFIRMED"
+    ));
+    for (node, catalogue) in known {
+        let confirmed = catalogue.confirmed_ms_ago.map_or("never".to_string(), |ms| format!("{ms} ms ago"));
+        print_line(&format!(
+            "{node:<24} {:>8} {:>9} {:>12} {confirmed:>12}",
+            catalogue.version, catalogue.replicas, catalogue.replicas_at
+        ));
+    }
+}
+
 fn short_version(node: &NodeReport) -> String {
     let lag = if node.version < node.floor { " (lags)" } else { "" };
     format!("{}{lag}", node.version)
--- a/crates/sablebay/tests/platform/life.rs
+++ b/crates/sablebay/tests/platform/life.rs
@@ -6,7 +6,7 @@
 
 use sablebay_platform_standin::{CallerCall, LeafBehaviour};
 
-use crate::support::{Deployment, HOST, NodeProcess, SAFE_PATH, eventually};
+use crate::support::{Deployment, HOST, NodeProcess, SAFE_PATH, configuration, eventually};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_finishes_what_is_in_flight() {
@@ -72,3 +72,36 @@
         assert!(node.is_ready().await);
     }
 }
+
+/// What `sablebay status` prints about a node.
+fn status(node: &NodeProcess) -> String {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_sablebay"))
+        .args(["status", "--admin", &node.admin.to_string()])
+        .output()
+        .expect("the command runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_routes_and_replicas_of_every_node() {
+    let deployment = Deployment::start().await;
+    deployment.store.publish(&configuration(7));
+    let first = NodeProcess::start("node-1", deployment.store.address, &[]);
+    let second = NodeProcess::start("node-2", deployment.store.address, &[first.peers]);
+    first.wait_ready().await;
+    second.wait_ready().await;
+    let leaves = deployment.leaves().count();
+    eventually("both nodes are shown with what they know", || async {
+        let text = status(&first);
+        let shown = |line: &&str| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            words.len() > 2
+                && words[0].starts_with("node-")
+                && words[1] == "7"
+                && words[2] == leaves.to_string()
+        };
+        text.contains("GATEWAY") && text.lines().filter(shown).count() == 2
+    })
+    .await;
+}
--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -150,6 +150,8 @@
     pub readiness: SocketAddr,
     /// Where peers connect.
     pub peers: SocketAddr,
+    /// Where operators ask.
+    pub admin: SocketAddr,
 }
 
 impl Drop for NodeProcess {
@@ -196,6 +198,7 @@
             caller: CallerStandIn { address: address(&addresses["gateway"]["caller_address"]) },
             readiness: address(&addresses["gateway"]["readiness_address"]),
             peers: address(&addresses["peer_address"]),
+            admin: address(&addresses["admin_address"]),
         }
     }
 
