--- a/crates/sablebay-bench/src/hollow.rs
+++ b/crates/sablebay-bench/src/hollow.rs
@@ -171,6 +171,7 @@
             peer_address: address,
             caller_address: address,
             admin_address: address,
+            gathers: false,
         };
         let mut settings = FleetSettings::with_probe_period(self.options.probe_period);
         settings.mechanisms = self.options.mechanisms;
--- /dev/null
+++ b/crates/sablebay-dispatch/src/arrival_rate.rs
@@ -0,0 +1,29 @@
+//! How often requests come in, over the last seconds.
+
+use sablebay_model::Micros;
+
+/// Time over which what was counted falls to half.
+const HALF_LIFE: Micros = Micros::from_secs(3);
+
+/// A rate that forgets.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ArrivalRate {
+    /// Arrivals, each halved with every half-life since.
+    weight: f64,
+    noted_at: Micros,
+    first_at: Option<Micros>,
+}
+
+impl ArrivalRate {
+    /// Counts an arrival. Returns the rate, in arrivals a second.
+    pub fn note(&mut self, now: Micros) -> f64 {
+        let half_lives = |span: Micros| span.as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.weight = self.weight * 0.5f64.powf(half_lives(now.since(self.noted_at))) + 1.0;
+        self.noted_at = now;
+        let first_at = *self.first_at.get_or_insert(now);
+        // What a steady rate of one a second would have come to by now.
+        let lifetime_s = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let of_one = lifetime_s * (1.0 - 0.5f64.powf(half_lives(now.since(first_at)))) + 1.0;
+        self.weight / of_one
+    }
+}
--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -7,9 +7,16 @@
 //! - no shard is sent to more replicas than the route allows;
 //! - every call after the first of its shard is paid from the service's budget, unless no byte of
 //!   the one before can have arrived;
-//! - nothing is sent at or after the deadline, also when the process was paused.
+//! - nothing is sent at or after the deadline, also when the process was paused;
+//! - a shard is in one part of the answer alone: a merged part cannot be taken apart, so that the
+//!   answers of single replicas give way to it.
+//!
+//! Shards may be gathered by other nodes (`gatherers`). What such a node sends to replicas is earned
+//! and paid there; here the shards wait for it, and are called directly when it refuses, breaks or
+//! gives no sign of life in time.
 
 mod call;
+mod delegation;
 mod terms;
 
 use rand::Rng;
@@ -22,7 +29,7 @@
 use crate::retry_window::{RetryAllowance, RetryBudgets};
 
 pub use call::{CallFailure, CallNumber, Execution};
-pub use terms::{FanoutAction, FanoutOutcome, FanoutSettings, ShardTargets};
+pub use terms::{DelegatedShards, FanoutAction, FanoutOutcome, FanoutSettings, GatheredShards, ShardTargets};
 
 /// What a step of the machine works with.
 pub struct FanoutTurn<'a, R> {
@@ -40,12 +47,29 @@
     pub actions: &'a mut Vec<FanoutAction>,
 }
 
+/// What a call was made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallScope {
+    /// One shard, at one of its replicas.
+    Shard(usize),
+    /// Several shards, at the node that gathers them; the position among the delegations.
+    Delegation(usize),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Call {
-    shard: usize,
+    scope: CallScope,
     open: bool,
 }
 
+/// What is known of shards that another node gathers.
+#[derive(Clone, Debug)]
+struct Delegation {
+    delegated: DelegatedShards,
+    /// Whether the node has said anything yet.
+    heard: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ShardState {
     Open,
@@ -64,6 +88,10 @@
     hedge_at: Micros,
     /// Times that none of its replicas could be reached.
     rounds: u32,
+    /// The delegation that it waits for.
+    delegation: Option<usize>,
+    /// The call whose answer was taken.
+    answered_by: Option<CallNumber>,
 }
 
 /// Replicas without a connection that one shard is tried at.
@@ -86,6 +114,7 @@
     settings: FanoutSettings,
     targets: Vec<ShardTargets>,
     shards: Vec<Shard>,
+    delegations: Vec<Delegation>,
     calls: Vec<Call>,
     answered: usize,
     open: usize,
@@ -103,10 +132,13 @@
             open_calls: 0,
             hedge_at: Micros::MAX,
             rounds: 0,
+            delegation: None,
+            answered_by: None,
         };
         Self {
             shards: vec![shard; targets.len()],
             open: targets.len(),
+            delegations: Vec::new(),
             calls: Vec::with_capacity(targets.len()),
             settings,
             targets,
@@ -116,23 +148,45 @@
         }
     }
 
+    /// Has other nodes gather these shards. No shard may stand in two delegations.
+    pub fn delegating(mut self, delegations: Vec<DelegatedShards>) -> Self {
+        let unheard = |delegated| Delegation { delegated, heard: false };
+        self.delegations = delegations.into_iter().map(unheard).collect();
+        for (number, delegation) in self.delegations.iter().enumerate() {
+            for shard in &delegation.delegated.shards {
+                self.shards[*shard].delegation = Some(number);
+            }
+        }
+        self
+    }
+
     /// The shards of the request.
     pub fn targets(&self) -> &[ShardTargets] {
         &self.targets
     }
 
-    /// Sends the first call of each shard.
+    /// Sends the first call of each shard, or asks the node that gathers it.
     pub fn start<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        if turn.now < self.settings.deadline {
+            self.delegate(turn);
+        }
         for shard in 0..self.shards.len() {
-            let service = &self.targets[shard].service;
-            turn.budgets.request(service, turn.allowance, turn.now);
-            if turn.now >= self.settings.deadline || !self.send(shard, turn) {
-                self.close(shard);
+            if self.shards[shard].open_calls == 0 {
+                self.send_first(shard, turn);
             }
         }
         self.settle(turn);
     }
 
+    /// Sends the first call of a shard, which earns for the budget.
+    fn send_first<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) {
+        let service = &self.targets[shard].service;
+        turn.budgets.request(service, turn.allowance, turn.now);
+        if turn.now >= self.settings.deadline || !self.send(shard, turn) {
+            self.close(shard);
+        }
+    }
+
     /// Sends one call of a shard; false when no replica is left.
     fn send<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) -> bool {
         let replicas = &self.targets[shard].replicas;
@@ -142,9 +196,9 @@
         };
         let replica = replicas[index].replica.id.clone();
         let call = CallNumber(self.calls.len() as u32);
-        self.calls.push(Call { shard, open: true });
+        self.calls.push(Call { scope: CallScope::Shard(shard), open: true });
         let progress = &mut self.shards[shard];
-        let first = progress.tried.is_empty();
+        let first = progress.tried.is_empty() && progress.attempts == 0;
         progress.tried.push(replica.clone());
         progress.attempts += 1;
         progress.open_calls += 1;
@@ -159,12 +213,35 @@
         if repeatable && attempts_left { now.plus(self.settings.hedge_delay) } else { Micros::MAX }
     }
 
-    /// The call, if it is open. Anything else is late or repeated.
+    /// The shard of a call to a replica, if the call is open. Anything else is late or repeated.
     fn take_open(&mut self, call: CallNumber) -> Option<usize> {
         let call = self.calls.get_mut(call.0 as usize).filter(|call| call.open)?;
+        let CallScope::Shard(shard) = call.scope else {
+            return None;
+        };
         call.open = false;
-        self.shards[call.shard].open_calls -= 1;
-        Some(call.shard)
+        self.shards[shard].open_calls -= 1;
+        Some(shard)
+    }
+
+    /// When the request is given up.
+    pub fn deadline(&self) -> Micros {
+        self.settings.deadline
+    }
+
+    /// Whether a shard was given up.
+    pub fn is_closed(&self, shard: usize) -> bool {
+        self.shards[shard].state == ShardState::Missing
+    }
+
+    /// Replicas that a shard was sent to.
+    pub fn attempts(&self, shard: usize) -> u32 {
+        self.shards[shard].attempts
+    }
+
+    /// The call whose answer stands for a shard.
+    pub fn answered_by(&self, shard: usize) -> Option<CallNumber> {
+        self.shards[shard].answered_by
     }
 
     /// A call was answered with success. Returns the shard that the answer is taken for.
@@ -178,14 +255,15 @@
             return None;
         }
         self.shards[shard].state = ShardState::Answered;
+        self.shards[shard].answered_by = Some(call);
         self.answered += 1;
         self.open -= 1;
-        self.abandon(turn, |open| open.shard == shard);
+        self.abandon(turn, |open| open.scope == CallScope::Shard(shard));
         self.settle(turn);
         Some(shard)
     }
 
-    /// A call failed.
+    /// A call to a replica failed.
     pub fn on_failure<R: Rng>(
         &mut self,
         call: CallNumber,
@@ -245,7 +323,7 @@
         turn: &mut FanoutTurn<'_, R>,
     ) -> bool {
         let progress = &self.shards[shard];
-        let unreachable = progress.tried.len() - progress.attempts as usize;
+        let unreachable = progress.tried.len().saturating_sub(progress.attempts as usize);
         let allowed = turn.now < self.settings.deadline
             && progress.attempts < self.settings.maximum_attempts
             && unreachable < MAXIMUM_UNREACHABLE
@@ -274,7 +352,9 @@
                 if progress.state != ShardState::Open || turn.now < progress.hedge_at {
                     continue;
                 }
-                if progress.open_calls > 0 {
+                if progress.delegation.is_some() {
+                    self.rescue(shard, turn);
+                } else if progress.open_calls > 0 {
                     if hedging {
                         self.hedge(shard, turn);
                     } else {
@@ -339,7 +419,9 @@
         for (number, call) in self.calls.iter_mut().enumerate() {
             if call.open && selected(call) {
                 call.open = false;
-                self.shards[call.shard].open_calls -= 1;
+                if let CallScope::Shard(shard) = call.scope {
+                    self.shards[shard].open_calls -= 1;
+                }
                 turn.actions.push(FanoutAction::Abandon { call: CallNumber(number as u32) });
             }
         }
--- a/crates/sablebay-dispatch/src/fanout/terms.rs
+++ b/crates/sablebay-dispatch/src/fanout/terms.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use sablebay_catalogue::{Repeatability, ReplicaId, RoutableReplica, ServiceName};
-use sablebay_model::Micros;
+use sablebay_model::{Micros, NodeId};
 
 use super::call::CallNumber;
 
@@ -31,6 +31,30 @@
     pub partial_at: Micros,
     /// After how long a silent call is hedged.
     pub hedge_delay: Micros,
+    /// After how long the shards of a gatherer that gave no sign of life are called directly.
+    pub rescue_delay: Micros,
+}
+
+/// Shards that one other node gathers for this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DelegatedShards {
+    /// The node.
+    pub gatherer: NodeId,
+    /// Positions of the shards in the request, rising.
+    pub shards: Vec<usize>,
+}
+
+/// What a gatherer tells of the shards that it was asked for. Positions are those of the request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatheredShards {
+    /// Shards whose answers are in the merged part that came with this.
+    pub answered: Vec<usize>,
+    /// Shards that the gatherer has given up.
+    pub closed: Vec<usize>,
+    /// Shards that it has sent to a second replica so far.
+    pub retried: Vec<usize>,
+    /// Whether nothing more will come.
+    pub last: bool,
 }
 
 /// What the shell has to do.
@@ -47,6 +71,13 @@
         /// Whether it is the first call of its shard.
         first: bool,
     },
+    /// Ask another node for shards.
+    Delegate {
+        /// Names the call in what comes back.
+        call: CallNumber,
+        /// The node and the shards.
+        delegated: DelegatedShards,
+    },
     /// The answer to a call is no longer wanted.
     Abandon {
         /// The call.
--- /dev/null
+++ b/crates/sablebay-dispatch/src/gatherers.rs
@@ -0,0 +1,163 @@
+//! Which node gathers which shards of a request.
+//!
+//! Where a zone takes few requests on many nodes, each node would know every replica by a call now
+//! and then, and keep a connection to each. There a chunk of shards has a few *owners* in each zone,
+//! which gather it for all: an owner calls its replicas often, and knows them. Where every node of a
+//! zone calls often enough, all are owners, and each calls the replicas of its own zone itself.
+//!
+//! Shards without a replica in this node's zone are gathered in a zone that has one, and merged
+//! there: what crosses is one merged part.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, RngExt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use sablebay_model::{Micros, NodeId, ZoneName};
+
+use crate::fanout::{DelegatedShards, ShardTargets};
+use crate::gatherer_table::GathererTable;
+
+/// A node that gathers for others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GathererNode {
+    /// Its name.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+}
+
+/// What the choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct GathererInputs<'a> {
+    /// This node.
+    pub own: &'a GathererNode,
+    /// The other nodes that gather and take work.
+    pub others: &'a [GathererNode],
+    /// The shards of the request.
+    pub shards: &'a [ShardTargets],
+    /// Requests a second for these shards that callers bring to this node.
+    pub own_rate: f64,
+    /// What is known of the other nodes.
+    pub table: &'a GathererTable,
+    /// Now.
+    pub now: Micros,
+}
+
+/// Calls a second at which a replica is known well: a pause of some hundred milliseconds is seen
+/// within a call or two.
+const WELL_KNOWN_RATE: f64 = 10.0;
+/// Owners of a chunk in a zone, at the least: one may be lost at any time.
+const FEWEST_OWNERS: usize = 2;
+/// Shards fewer than this are called directly: a merged part of so few is no smaller than they are.
+const FEWEST_DELEGATED: usize = 3;
+
+/// The delegations of a request; shards that stand in none are called directly.
+pub fn choose_gatherers<R: Rng>(inputs: &GathererInputs<'_>, random: &mut R) -> Vec<DelegatedShards> {
+    let zones = zones_of(inputs);
+    let mut chosen: BTreeMap<NodeId, Vec<usize>> = BTreeMap::new();
+    let mut salt = None;
+    for chunk in chunks(inputs, &zones) {
+        let mut by_zone: BTreeMap<&ZoneName, Vec<usize>> = BTreeMap::new();
+        for shard in chunk.clone() {
+            // One draw a request: its shards from one far zone travel together.
+            let draw = *salt.get_or_insert_with(|| random.random::<u64>());
+            if let Some(zone) = zone_for(inputs, &inputs.shards[shard], &zones, draw) {
+                by_zone.entry(zone).or_default().push(shard);
+            }
+        }
+        let name = inputs.shards[chunk.start].service.as_str();
+        for (zone, shards) in by_zone {
+            if let Some(node) = owner_in(inputs, zone, &zones[zone], name, random) {
+                chosen.entry(node).or_default().extend(shards);
+            }
+        }
+    }
+    let delegated = chosen.into_iter().filter(|(_, shards)| shards.len() >= FEWEST_DELEGATED);
+    delegated.map(|(gatherer, shards)| DelegatedShards { gatherer, shards }).collect()
+}
+
+/// The nodes of each zone, this one among them.
+fn zones_of<'a>(inputs: &GathererInputs<'a>) -> BTreeMap<&'a ZoneName, Vec<&'a NodeId>> {
+    let mut zones: BTreeMap<&ZoneName, Vec<&NodeId>> = BTreeMap::new();
+    for known in inputs.others.iter().chain([inputs.own]) {
+        zones.entry(&known.zone).or_default().push(&known.node);
+    }
+    zones
+}
+
+/// How many nodes of a zone own a chunk, by the rate that the zone's nodes seem to take together.
+fn owners_wanted(nodes: usize, own_rate: f64) -> usize {
+    let zone_rate = own_rate * nodes as f64;
+    let wanted = (zone_rate / WELL_KNOWN_RATE).ceil() as usize;
+    wanted.max(FEWEST_OWNERS).min(nodes)
+}
+
+/// The shards in chunks that have owners of their own: one where every node owns all, otherwise as
+/// many as there are shards in each, so that a request asks about as many nodes as each has calls.
+fn chunks(
+    inputs: &GathererInputs<'_>,
+    zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
+) -> Vec<std::ops::Range<usize>> {
+    let count = inputs.shards.len();
+    let all_own = zones.values().all(|nodes| owners_wanted(nodes.len(), inputs.own_rate) == nodes.len());
+    let length = if all_own { count } else { (count as f64).sqrt().ceil() as usize };
+    (0..count).step_by(length.max(1)).map(|start| start..(start + length).min(count)).collect()
+}
+
+/// The zone that a shard is gathered in; none when no node of a zone with a replica is known.
+fn zone_for<'a>(
+    inputs: &GathererInputs<'a>,
+    shard: &ShardTargets,
+    zones: &BTreeMap<&'a ZoneName, Vec<&'a NodeId>>,
+    draw: u64,
+) -> Option<&'a ZoneName> {
+    let mut far: Vec<(&ZoneName, usize)> = Vec::new();
+    for candidate in shard.replicas.iter().filter(|candidate| !candidate.last_resort) {
+        let zone = &candidate.replica.zone;
+        if *zone == inputs.own.zone {
+            return Some(&inputs.own.zone);
+        }
+        if let Some((known, nodes)) = zones.get_key_value(zone)
+            && !far.iter().any(|(seen, _)| seen == known)
+        {
+            far.push((*known, nodes.len()));
+        }
+    }
+    far.sort();
+    let nodes: usize = far.iter().map(|(_, nodes)| nodes).sum();
+    let mut position = draw.checked_rem(nodes as u64)? as usize;
+    for (zone, nodes) in far {
+        if position < nodes {
+            return Some(zone);
+        }
+        position -= nodes;
+    }
+    None
+}
+
+/// The owner of a chunk that is asked; none when this node is one itself, or none is fit.
+fn owner_in<R: Rng>(
+    inputs: &GathererInputs<'_>,
+    zone: &ZoneName,
+    nodes: &[&NodeId],
+    chunk: &str,
+    random: &mut R,
+) -> Option<NodeId> {
+    let wanted = owners_wanted(nodes.len(), inputs.own_rate);
+    let mut ranked: Vec<(u64, &NodeId)> = nodes.iter().map(|node| (weight(chunk, node), *node)).collect();
+    ranked.sort_by(|one, other| other.cmp(one));
+    ranked.truncate(wanted);
+    let own = *zone == inputs.own.zone && ranked.iter().any(|(_, node)| **node == inputs.own.node);
+    if own {
+        return None;
+    }
+    let owners = ranked.iter().map(|(_, node)| *node);
+    inputs.table.choose(owners, inputs.now, random).cloned()
+}
+
+/// The weight of a node for a chunk: the highest own it. A node that comes or goes moves its own
+/// chunks alone.
+fn weight(chunk: &str, node: &NodeId) -> u64 {
+    xxh3_64_with_seed(node.as_str().as_bytes(), xxh3_64_with_seed(chunk.as_bytes(), 0))
+}
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -8,8 +8,11 @@
 
 mod admission;
 mod answer_lag;
+mod arrival_rate;
 mod connection_share;
 mod fanout;
+mod gatherer_table;
+mod gatherers;
 mod records;
 mod replica_health;
 mod replica_table;
@@ -19,13 +22,16 @@
 
 pub use admission::{Admission, AdmissionInputs, UsualPatience, admit, refusal_probability};
 pub use answer_lag::AnswerLag;
+pub use arrival_rate::ArrivalRate;
 pub use connection_share::{
     FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, own_replicas,
 };
 pub use fanout::{
-    CallFailure, CallNumber, Execution, Fanout, FanoutAction, FanoutOutcome, FanoutSettings, FanoutTurn,
-    ShardTargets,
+    CallFailure, CallNumber, DelegatedShards, Execution, Fanout, FanoutAction, FanoutOutcome, FanoutSettings,
+    FanoutTurn, GatheredShards, ShardTargets,
 };
+pub use gatherer_table::GathererTable;
+pub use gatherers::{GathererInputs, GathererNode, choose_gatherers};
 pub use records::{RECORD_BYTES, TopRecords};
 pub use replica_health::{LoadHint, ReplicaHealth};
 pub use replica_table::{CallKey, ReplicaTable};
--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -35,7 +35,7 @@
 /// Time over which remembered slowness falls to half.
 const SLOWNESS_HALF_LIFE: Micros = Micros::from_millis(1_500);
 /// How long a load hint is believed.
-const HINT_LIFETIME: Micros = Micros::from_millis(400);
+pub(crate) const HINT_LIFETIME: Micros = Micros::from_millis(400);
 /// How long a replica that rejected a call for its load is left alone.
 const REJECTION_PAUSE: Micros = Micros::from_millis(60);
 /// Failures in a row after which a replica is left alone.
@@ -45,7 +45,7 @@
 /// The longest pause.
 const LONGEST_PAUSE: Micros = Micros::from_millis(2_400);
 /// An open call that took this many times its usual time says that the replica stands still.
-const SILENT_RATIO: f64 = 3.0;
+pub(crate) const SILENT_RATIO: f64 = 3.0;
 /// A silence shorter than this says nothing.
 const SHORTEST_SILENCE: Micros = Micros::from_millis(12);
 
--- /dev/null
+++ b/crates/sablebay-dispatch/tests/delegation.rs
@@ -0,0 +1,463 @@
+//! Shards that other nodes gather: who is asked, and the request's state machine under any order of
+//! parts, failures and time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use sablebay_catalogue::{Repeatability, Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
+use sablebay_dispatch::{
+    CallFailure, CallKey, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutOutcome, FanoutSettings,
+    FanoutTurn, GatheredShards, GathererInputs, GathererNode, GathererTable, ReplicaTable, RetryAllowance,
+    RetryBudgets, ShardTargets, choose_gatherers,
+};
+use sablebay_model::{Micros, NodeId, ZoneName};
+
+const START: Micros = Micros::from_secs(10);
+const DEADLINE: Micros = Micros::from_secs(11);
+const PARTIAL_AT: Micros = Micros::from_millis(10_500);
+const RESCUE_DELAY: Micros = Micros::from_millis(100);
+
+/// Shards with one replica in each of the zones named for them.
+fn targets(zones_of: &[&[&str]]) -> Vec<ShardTargets> {
+    let replica = |shard: usize, zone: &str| RoutableReplica {
+        replica: Arc::new(Replica {
+            id: ReplicaId::new(format!("{shard}-{zone}")),
+            service: ServiceName::new(format!("s{shard}")),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            zone: ZoneName::new(zone),
+            slots: 2,
+            phase: ReplicaPhase::Ready,
+            warm_up_left_ms: 0,
+        }),
+        last_resort: false,
+        beyond_share: false,
+        warm_at: Micros(0),
+    };
+    let shard = |(shard, zones): (usize, &&[&str])| ShardTargets {
+        service: ServiceName::new(format!("s{shard}")),
+        replicas: zones.iter().map(|zone| replica(shard, zone)).collect(),
+    };
+    zones_of.iter().enumerate().map(shard).collect()
+}
+
+fn node(name: &str, zone: &str) -> GathererNode {
+    GathererNode { node: NodeId::new(name), zone: ZoneName::new(zone) }
+}
+
+fn choose(
+    own: &GathererNode,
+    others: &[GathererNode],
+    shards: &[ShardTargets],
+    own_rate: f64,
+    seed: u64,
+) -> Vec<DelegatedShards> {
+    let table = GathererTable::default();
+    let inputs = GathererInputs { own, others, shards, own_rate, table: &table, now: START };
+    choose_gatherers(&inputs, &mut SmallRng::seed_from_u64(seed))
+}
+
+#[test]
+fn shards_of_the_own_zone_are_called_directly_where_every_node_calls_often() {
+    let own = node("n1", "a");
+    let others = [node("n2", "a"), node("n3", "b")];
+    let shards = targets(&[&["a", "b"][..]; 8]);
+    assert_eq!(choose(&own, &others, &shards, 30.0, 1), []);
+}
+
+#[test]
+fn shards_without_a_replica_in_the_own_zone_travel_together() {
+    let own = node("n1", "c");
+    let others = [node("n2", "a"), node("n3", "b")];
+    let shards = targets(&[&["a", "b"], &["c", "a"], &["b", "a"], &["a", "b"], &["c"]]);
+    let chosen = choose(&own, &others, &shards, 30.0, 1);
+    assert_eq!(chosen.len(), 1, "one node of one zone is asked");
+    assert_eq!(chosen[0].shards, [0, 2, 3]);
+}
+
+#[test]
+fn a_far_zone_without_nodes_is_called_directly() {
+    let own = node("n1", "c");
+    let shards = targets(&[&["a"][..]; 8]);
+    assert_eq!(choose(&own, &[node("n2", "c"), node("n3", "b")], &shards, 30.0, 1), []);
+}
+
+#[test]
+fn a_node_that_failed_or_fell_silent_is_not_asked() {
+    let own = node("n1", "c");
+    let others = [node("n2", "a"), node("n3", "a")];
+    let shards = targets(&[&["a"][..]; 8]);
+    let chosen_by = |table: &GathererTable, seed: u64| {
+        let now = START.plus(RESCUE_DELAY);
+        let inputs =
+            GathererInputs { own: &own, others: &others, shards: &shards, own_rate: 30.0, table, now };
+        let chosen = choose_gatherers(&inputs, &mut SmallRng::seed_from_u64(seed));
+        chosen.into_iter().next().map(|delegated| delegated.gatherer)
+    };
+    let now = START.plus(RESCUE_DELAY);
+    let mut table = GathererTable::default();
+    table.asked(&others[0].node, CallKey(1), RESCUE_DELAY, START);
+    for seed in 0..20 {
+        let chosen = chosen_by(&table, seed);
+        assert_eq!(chosen.as_ref(), Some(&others[1].node), "the other was silent for the rescue delay");
+    }
+    for key in [1, 2] {
+        table.failed(&others[1].node, CallKey(key), now);
+    }
+    assert_eq!(chosen_by(&table, 1), None, "nobody is left to ask");
+    table.heard(&others[0].node, CallKey(1), 0.0, now);
+    assert_eq!(chosen_by(&table, 1).as_ref(), Some(&others[0].node), "a word takes its silence back");
+}
+
+/// The owners of each shard in a zone of many nodes that take few requests: whom any node asks.
+fn owners(nodes: &[GathererNode], shards: &[ShardTargets]) -> Vec<BTreeSet<NodeId>> {
+    let mut owners = vec![BTreeSet::new(); shards.len()];
+    for own in nodes {
+        let others: Vec<_> = nodes.iter().filter(|other| *other != own).cloned().collect();
+        for seed in 0..4 {
+            let mut direct: BTreeSet<usize> = (0..shards.len()).collect();
+            for delegated in choose(own, &others, shards, 0.8, seed) {
+                for shard in delegated.shards {
+                    owners[shard].insert(delegated.gatherer.clone());
+                    direct.remove(&shard);
+                }
+            }
+            direct.into_iter().for_each(|shard| {
+                owners[shard].insert(own.node.clone());
+            });
+        }
+    }
+    owners
+}
+
+#[test]
+fn few_nodes_of_a_zone_own_a_shard_and_a_node_that_leaves_moves_its_own_alone() {
+    let nodes: Vec<_> = (0..20).map(|number| node(&format!("n{number}"), "a")).collect();
+    let shards = targets(&[&["a", "b"][..]; 90]);
+    let before = owners(&nodes, &shards);
+    assert!(before.iter().all(|owners| owners.len() == 2), "16 calls a second want two owners");
+    let gone = nodes[7].node.clone();
+    let left: Vec<_> = nodes.iter().filter(|known| known.node != gone).cloned().collect();
+    for (owners, before) in owners(&left, &shards).iter().zip(&before) {
+        assert!(!owners.contains(&gone));
+        let stayed = before.iter().filter(|owner| owners.contains(*owner)).count();
+        assert!(stayed >= 1 && (stayed == 2 || before.contains(&gone)), "only its own shards move");
+    }
+}
+
+#[test]
+fn no_shard_is_delegated_twice_and_far_too_few_are_not_delegated_at_all() {
+    let own = node("n1", "a");
+    let others: Vec<_> =
+        (2..12).map(|number| node(&format!("n{number}"), ["a", "b", "c"][number % 3])).collect();
+    let zones: Vec<&[&str]> =
+        (0..40).map(|shard| [&["a", "b"][..], &["b", "c"], &["c"]][shard % 3]).collect();
+    for rate in [0.1, 1.0, 5.0, 50.0] {
+        for seed in 0..20 {
+            let chosen = choose(&own, &others, &targets(&zones), rate, seed);
+            let mut seen = BTreeSet::new();
+            for delegated in &chosen {
+                assert!(delegated.shards.is_sorted_by(|one, next| one < next));
+                assert!(delegated.shards.len() >= 3, "so few are smaller apart than merged");
+                assert!(delegated.shards.iter().all(|shard| seen.insert(*shard)), "in one part alone");
+            }
+        }
+    }
+    let few = targets(&[&["a"], &["b"], &["b"]]);
+    assert_eq!(choose(&own, &others, &few, 50.0, 1), []);
+}
+
+/// A request with everything around it, and a record of what was sent.
+struct Harness {
+    fanout: Fanout,
+    table: ReplicaTable,
+    budgets: RetryBudgets,
+    allowance: RetryAllowance,
+    random: SmallRng,
+    now: Micros,
+    /// The shards of each call, and whether it went to a gatherer.
+    sent: BTreeMap<CallNumber, (Vec<usize>, bool)>,
+    open: Vec<CallNumber>,
+}
+
+impl Harness {
+    /// Eight shards; the first four are gathered by one node, the next two by another.
+    fn new(minimum_shards: usize, fixed: f64) -> Self {
+        let settings = FanoutSettings {
+            repeatability: Repeatability::Repeatable,
+            maximum_attempts: 2,
+            minimum_shards,
+            deadline: DEADLINE,
+            partial_at: PARTIAL_AT,
+            hedge_delay: Micros::from_millis(50),
+            rescue_delay: RESCUE_DELAY,
+        };
+        let delegated = |name: &str, shards: std::ops::Range<usize>| DelegatedShards {
+            gatherer: NodeId::new(name),
+            shards: shards.collect(),
+        };
+        let delegations = vec![delegated("n1", 0..4), delegated("n2", 4..6)];
+        let mut harness = Self {
+            fanout: Fanout::new(settings, targets(&[&["a", "b", "c"][..]; 8])).delegating(delegations),
+            table: ReplicaTable::new(ZoneName::new("c")),
+            budgets: RetryBudgets::default(),
+            allowance: RetryAllowance { ratio: 0.2, fixed, window: Micros::from_secs(10), nodes: 1 },
+            random: SmallRng::seed_from_u64(1),
+            now: START,
+            sent: BTreeMap::new(),
+            open: Vec::new(),
+        };
+        harness.step(|fanout, turn| fanout.start(turn));
+        harness
+    }
+
+    fn step<T>(&mut self, step: impl FnOnce(&mut Fanout, &mut FanoutTurn<'_, SmallRng>) -> T) -> T {
+        let mut actions = Vec::new();
+        let result = step(
+            &mut self.fanout,
+            &mut FanoutTurn {
+                table: &self.table,
+                budgets: &mut self.budgets,
+                allowance: &self.allowance,
+                now: self.now,
+                random: &mut self.random,
+                actions: &mut actions,
+            },
+        );
+        for action in actions {
+            let (call, sent) = match action {
+                FanoutAction::Send { call, shard, .. } => (call, (vec![shard], false)),
+                FanoutAction::Delegate { call, delegated } => (call, (delegated.shards, true)),
+                FanoutAction::Abandon { call } => {
+                    self.open.retain(|open| *open != call);
+                    continue;
+                }
+            };
+            assert!(self.now < DEADLINE, "nothing is sent at or after the deadline");
+            self.sent.insert(call, sent);
+            self.open.push(call);
+        }
+        result
+    }
+
+    fn gathered(&mut self, call: u32, answered: &[usize], closed: &[usize], last: bool) -> bool {
+        let gathered = GatheredShards {
+            answered: answered.to_vec(),
+            closed: closed.to_vec(),
+            retried: Vec::new(),
+            last,
+        };
+        if last {
+            self.open.retain(|open| open.0 != call);
+        }
+        self.step(|fanout, turn| fanout.on_gathered(CallNumber(call), &gathered, turn))
+    }
+
+    fn answer(&mut self, call: CallNumber) -> Option<usize> {
+        self.open.retain(|open| *open != call);
+        self.step(|fanout, turn| fanout.on_answer(call, turn))
+    }
+
+    fn wait(&mut self, until: Micros) {
+        self.now = until;
+        self.step(|fanout, turn| fanout.on_wake(turn));
+    }
+
+    /// Answers every open call to a replica.
+    fn answer_replicas(&mut self) {
+        for call in self.open.clone() {
+            if !self.sent[&call].1 {
+                self.answer(call);
+            }
+        }
+    }
+
+    fn direct_calls_of(&self, shard: usize) -> usize {
+        self.sent.values().filter(|(shards, gatherer)| !gatherer && shards.contains(&shard)).count()
+    }
+}
+
+#[test]
+fn each_shard_is_asked_for_once_at_a_gatherer_or_a_replica() {
+    let harness = Harness::new(8, 100.0);
+    let mut asked: Vec<usize> = harness.sent.values().flat_map(|(shards, _)| shards.clone()).collect();
+    asked.sort_unstable();
+    assert_eq!(asked, (0..8).collect::<Vec<_>>());
+}
+
+#[test]
+fn merged_parts_and_single_answers_make_a_whole() {
+    let mut harness = Harness::new(8, 100.0);
+    assert!(harness.gathered(0, &[0, 1, 3], &[], false), "what is in comes before the rest");
+    assert!(harness.gathered(1, &[4, 5], &[], true));
+    harness.answer_replicas();
+    assert_eq!(harness.fanout.outcome(), None, "shard 2 is still being gathered");
+    assert!(harness.gathered(0, &[2], &[], true));
+    assert_eq!(harness.fanout.outcome(), Some(FanoutOutcome::Answered { missing: 0 }));
+}
+
+#[test]
+fn the_shards_of_a_refused_delegation_are_first_calls_without_a_budget() {
+    let mut harness = Harness::new(8, 0.0);
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Rejected, turn));
+    assert!((0..4).all(|shard| harness.direct_calls_of(shard) == 1));
+}
+
+#[test]
+fn the_shards_of_a_gatherer_that_broke_are_paid_for() {
+    let mut harness = Harness::new(4, 0.0);
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Broken, turn));
+    assert!((0..4).all(|shard| harness.direct_calls_of(shard) == 0), "its calls may have arrived");
+    let mut harness = Harness::new(8, 100.0);
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Broken, turn));
+    assert!((0..4).all(|shard| harness.direct_calls_of(shard) == 1));
+}
+
+#[test]
+fn the_shards_of_a_silent_gatherer_are_called_directly_and_those_of_a_living_one_are_not() {
+    let mut harness = Harness::new(8, 100.0);
+    harness.answer_replicas();
+    harness.gathered(1, &[], &[], false);
+    harness.wait(START.plus(RESCUE_DELAY));
+    assert!((0..4).all(|shard| harness.direct_calls_of(shard) == 1), "all of a silent one's, at once");
+    assert!((4..6).all(|shard| harness.direct_calls_of(shard) == 0), "the other hedges by itself");
+    harness.answer_replicas();
+    assert!(harness.gathered(1, &[4, 5], &[], true));
+    assert_eq!(harness.fanout.outcome(), Some(FanoutOutcome::Answered { missing: 0 }));
+}
+
+#[test]
+fn a_merged_part_takes_the_place_of_single_answers_and_never_stands_beside_them() {
+    let mut harness = Harness::new(8, 100.0);
+    harness.wait(START.plus(RESCUE_DELAY));
+    let rescue = *harness.sent.iter().find(|(_, sent)| **sent == (vec![1], false)).expect("a rescue").0;
+    assert_eq!(harness.answer(rescue), Some(1));
+    assert!(harness.gathered(0, &[0, 1, 2, 3], &[], true), "four shards are worth more than one");
+    assert_eq!(harness.fanout.answered_by(1), Some(CallNumber(0)), "the single answer no longer counts");
+    assert!(!harness.open.contains(&rescue));
+}
+
+#[test]
+fn what_a_gatherer_may_not_say_is_not_taken() {
+    let mut harness = Harness::new(8, 100.0);
+    assert!(!harness.gathered(0, &[0, 4], &[], false), "shard 4 is not its own");
+    assert!(!harness.gathered(0, &[1, 1], &[], false), "a shard stands once");
+    assert!(!harness.gathered(0, &[99], &[99], false), "there is no such shard");
+    assert!(harness.gathered(0, &[0, 1], &[], false));
+    assert!(!harness.gathered(0, &[1, 2], &[], false), "it told of shard 1 before");
+    assert!(!harness.gathered(7, &[7], &[], true), "that call is not a delegation");
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Gathered { first: bool, answered: Vec<bool>, closed: Vec<bool>, retried: Vec<bool>, last: bool },
+    GathererFailed(bool, CallFailure),
+    Answer(prop::sample::Index),
+    Fail(prop::sample::Index, CallFailure),
+    Wait(u64),
+}
+
+fn failure() -> impl Strategy<Value = CallFailure> {
+    prop_oneof![Just(CallFailure::NoConnection), Just(CallFailure::Rejected), Just(CallFailure::Broken)]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let flags = || proptest::collection::vec(any::<bool>(), 4);
+    prop_oneof![
+        (any::<bool>(), flags(), flags(), flags(), any::<bool>()).prop_map(
+            |(first, answered, closed, retried, last)| Event::Gathered {
+                first,
+                answered,
+                closed,
+                retried,
+                last
+            }
+        ),
+        (any::<bool>(), failure()).prop_map(|(first, failure)| Event::GathererFailed(first, failure)),
+        any::<prop::sample::Index>().prop_map(Event::Answer),
+        (any::<prop::sample::Index>(), failure()).prop_map(|(index, failure)| Event::Fail(index, failure)),
+        (0u64..150).prop_map(Event::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(43), cases: 800, ..Config::default() })]
+
+    #[test]
+    fn coverage_is_true_in_any_order_of_events(
+        minimum in 1usize..9,
+        events in proptest::collection::vec(event(), 0..40),
+    ) {
+        let mut harness = Harness::new(minimum, 20.0);
+        // The shards of each taken part, by call, as a shell keeps them.
+        let mut parts: Vec<(CallNumber, Vec<usize>)> = Vec::new();
+        for event in events {
+            match event {
+                Event::Gathered { first, answered, closed, retried, last } => {
+                    let (call, offset) = if first { (CallNumber(0), 0) } else { (CallNumber(1), 4) };
+                    let named = |flags: Vec<bool>| -> Vec<usize> {
+                        flags.iter().enumerate().filter(|(_, set)| **set).map(|(at, _)| at + offset).collect()
+                    };
+                    let gathered = GatheredShards {
+                        answered: named(answered),
+                        closed: named(closed),
+                        retried: named(retried),
+                        last,
+                    };
+                    if harness.step(|fanout, turn| fanout.on_gathered(call, &gathered, turn)) {
+                        parts.push((call, gathered.answered));
+                    }
+                    if last {
+                        harness.open.retain(|open| *open != call);
+                    }
+                }
+                Event::GathererFailed(first, failure) => {
+                    let call = CallNumber(u32::from(!first));
+                    harness.open.retain(|open| *open != call);
+                    harness.step(|fanout, turn| fanout.on_gatherer_failure(call, failure, turn));
+                }
+                Event::Answer(index) if !harness.open.is_empty() => {
+                    let call = harness.open[index.index(harness.open.len())];
+                    if !harness.sent[&call].1 {
+                        parts.extend(harness.answer(call).map(|shard| (call, vec![shard])));
+                    }
+                }
+                Event::Fail(index, failure) if !harness.open.is_empty() => {
+                    let call = harness.open[index.index(harness.open.len())];
+                    if !harness.sent[&call].1 {
+                        harness.open.retain(|open| *open != call);
+                        harness.step(|fanout, turn| fanout.on_failure(call, failure, turn));
+                    }
+                }
+                Event::Wait(milliseconds) => harness.wait(harness.now.plus(Micros::from_millis(milliseconds))),
+                Event::Answer(_) | Event::Fail(..) => {}
+            }
+            let standing = parts
+                .iter()
+                .filter(|(call, shards)| {
+                    shards.iter().all(|shard| harness.fanout.answered_by(*shard) == Some(*call))
+                })
+                .flat_map(|(_, shards)| shards.clone());
+            let standing: Vec<usize> = standing.collect();
+            let distinct: BTreeSet<usize> = standing.iter().copied().collect();
+            prop_assert_eq!(distinct.len(), standing.len(), "each shard stands in one part");
+            let answered = (0..8).filter(|shard| harness.fanout.answered_by(*shard).is_some()).count();
+            prop_assert_eq!(answered, standing.len(), "no shard counts whose part does not stand");
+            if let Some(FanoutOutcome::Answered { missing }) = harness.fanout.outcome() {
+                prop_assert_eq!(missing, 8 - standing.len(), "what the caller is told is true");
+                prop_assert!(standing.len() >= minimum);
+            }
+            for shard in 0..8 {
+                prop_assert!(harness.direct_calls_of(shard) <= 8, "calls are bounded");
+                prop_assert!(harness.fanout.attempts(shard) <= 2, "no more replicas than the route allows");
+            }
+        }
+        harness.wait(DEADLINE.max(harness.now));
+        prop_assert!(harness.fanout.outcome().is_some(), "the deadline ends every request");
+        prop_assert!(harness.open.is_empty(), "and abandons what is open");
+    }
+}
--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -49,6 +49,7 @@
         deadline: DEADLINE,
         partial_at: PARTIAL_AT,
         hedge_delay: Micros::from_millis(50),
+        rescue_delay: Micros::from_millis(100),
     }
 }
 
@@ -103,6 +104,7 @@
                     self.sent.insert(call, (shard, replica));
                     self.open.push(call);
                 }
+                FanoutAction::Delegate { .. } => panic!("nothing is delegated here"),
                 FanoutAction::Abandon { call } => self.open.retain(|open| *open != call),
             }
         }
--- a/crates/sablebay-fleet/src/member.rs
+++ b/crates/sablebay-fleet/src/member.rs
@@ -24,6 +24,10 @@
     pub caller_address: SocketAddr,
     /// Where operators connect.
     pub admin_address: SocketAddr,
+    /// Whether it gathers shards for others. Nodes of releases that could not do it do not say so.
+    #[musli(default)]
+    #[serde(default)]
+    pub gathers: bool,
 }
 
 /// What is believed of a member.
--- a/crates/sablebay-fleet/tests/members.rs
+++ b/crates/sablebay-fleet/tests/members.rs
@@ -28,6 +28,7 @@
         peer_address: address,
         caller_address: address,
         admin_address: address,
+        gathers: false,
     };
     MemberClaim { info: Arc::new(info), status, refutation }
 }
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -10,12 +10,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use sablebay_catalogue::RoutableReplica;
-use sablebay_dispatch::{CallFailure, CallKey, CallNumber, LoadHint};
+use sablebay_dispatch::{CallFailure, CallKey, CallNumber, GatheredShards, LoadHint};
 use sablebay_model::Micros;
 
 use crate::connections::{Lease, ReplicaConnections};
 use crate::context::Context;
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, WholeAnswer};
+use crate::merge::MergedPart;
 
 /// The longest answer of a back end.
 const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
@@ -57,13 +58,24 @@
     Failure(CallFailure, Option<WholeAnswer>),
 }
 
+/// What comes back of a call.
+#[derive(Debug)]
+pub enum CallNews {
+    /// A call to a replica ended.
+    Ended(CallResult),
+    /// A gatherer told how far it is, with what it has merged since.
+    Gathered(GatheredShards, MergedPart),
+    /// A gatherer is of no use.
+    GathererFailed(CallFailure),
+}
+
 /// What a call tells its request.
 #[derive(Debug)]
 pub struct CallEvent {
     /// The call.
     pub call: CallNumber,
-    /// How it ended.
-    pub result: CallResult,
+    /// What came back.
+    pub news: CallNews,
 }
 
 /// One call to be made.
@@ -100,14 +112,15 @@
         }
         () = tokio::time::sleep_until(context.clock().instant(deadline)) => {
             context.dispatch.lock().table.forget(&replica.replica.id, key);
-            let _ = events.send(CallEvent { call: number, result: CallResult::Failure(CallFailure::NoConnection, None) });
+            let unreached = CallResult::Failure(CallFailure::NoConnection, None);
+            let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
             return;
         }
     };
     let Some(lease) = leased else {
         context.dispatch.lock().table.failed(&replica.replica.id, key, context.clock().now());
-        let _ = events
-            .send(CallEvent { call: number, result: CallResult::Failure(CallFailure::NoConnection, None) });
+        let unreached = CallResult::Failure(CallFailure::NoConnection, None);
+        let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
         return;
     };
     let mut exchange = std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, deadline));
@@ -122,7 +135,7 @@
     };
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
     note(&context, &replica, key, &request, &result);
-    let _ = events.send(CallEvent { call: number, result: result.0 });
+    let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
 
 /// Tells the replica table how a call went.
--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::socket;
+use sablebay_node::prepare_socket;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -150,7 +150,7 @@
 
 async fn open(address: SocketAddr) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
-    socket::prepare(&stream);
+    prepare_socket(&stream);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAXIMUM_HEAD_BYTES);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -12,8 +12,9 @@
 };
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
-    AnswerLag, CallKey, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency,
-    ShardTargets, UsualPatience, WeightedChoice, connection_share, own_replicas,
+    AnswerLag, ArrivalRate, CallKey, DelegatedShards, GathererInputs, GathererTable, ReplicaShareInputs,
+    ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, UsualPatience, WeightedChoice,
+    choose_gatherers, connection_share, own_replicas,
 };
 use sablebay_model::Micros;
 use sablebay_node::{Clock, Shared};
@@ -59,6 +60,10 @@
     pub latencies: HashMap<String, RouteLatency>,
     /// Splits by route.
     pub splits: HashMap<String, WeightedChoice>,
+    /// What is known of the nodes that gather for this one.
+    pub gatherers: GathererTable,
+    /// How often requests come in, by the first of their shards.
+    pub arrivals: HashMap<ServiceName, ArrivalRate>,
     /// How much later than planned answers get ready.
     pub answer_lag: AnswerLag,
     /// How long callers usually wait, by route.
@@ -113,6 +118,8 @@
             latencies: HashMap::new(),
             splits: HashMap::new(),
             patience: HashMap::new(),
+            gatherers: GathererTable::default(),
+            arrivals: HashMap::new(),
             answer_lag: AnswerLag::default(),
         };
         Self {
@@ -232,6 +239,7 @@
             dispatch.splits.retain(|name, _| named(name));
             dispatch.patience.retain(|name, _| named(name));
             dispatch.budgets.retain(|service| routes.service(service).is_some());
+            dispatch.arrivals.retain(|service, _| routes.service(service).is_some());
         }
     }
 
@@ -276,6 +284,29 @@
         }
     }
 
+    /// Which other nodes gather shards of a request that came in now.
+    pub fn delegations(&self, route: &Route, targets: &[ShardTargets]) -> Vec<DelegatedShards> {
+        let (Destination::Gather(gather), true) = (&route.destination, self.mechanisms.gathering) else {
+            return Vec::new();
+        };
+        let Some(first) = gather.shards.first() else {
+            return Vec::new();
+        };
+        let gatherers = self.fleet.lock().gatherers();
+        let now = self.clock().now();
+        let mut dispatch = self.dispatch.lock();
+        let own_rate = dispatch.arrivals.entry(first.clone()).or_default().note(now);
+        let inputs = GathererInputs {
+            own: &gatherers.own,
+            others: &gatherers.others,
+            shards: targets,
+            own_rate,
+            table: &dispatch.gatherers,
+            now,
+        };
+        choose_gatherers(&inputs, &mut rand::rng())
+    }
+
     /// Takes every other shard from the configuration before; for the soak alone.
     fn mix_with_replaced(&self, route: &Route, targets: &mut [ShardTargets]) {
         let replaced = self.replaced.load();
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -6,25 +6,36 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, oneshot};
 
-use sablebay_catalogue::{Repeatability, Route};
+use sablebay_catalogue::{Destination, Gather, Repeatability, ReplicaId, Route};
 use sablebay_dispatch::{
-    CallFailure, CallNumber, Fanout, FanoutAction, FanoutOutcome, FanoutSettings, FanoutTurn, ShardTargets,
+    CallFailure, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutOutcome, FanoutSettings,
+    FanoutTurn, ShardTargets,
 };
 use sablebay_model::Micros;
 
-use crate::call::{CallEvent, CallResult, CallSuccess, ForwardedRequest, OutgoingCall, run_call};
+use crate::call::{CallEvent, CallNews, CallResult, ForwardedRequest, OutgoingCall, run_call};
 use crate::context::Context;
+use crate::delegated::{DelegationTimes, OutgoingDelegation, names_of, run_delegation};
 use crate::edge::{BackendProtocol, CallerProtocol, WholeAnswer};
+use crate::merge::{Part, TakenPart};
 
 /// Events handled in one turn.
 const EVENTS_PER_TURN: usize = 32;
+/// The part of the target latency after which a gatherer that is not done gives a sign of life: by
+/// then most shards are in, and the last ones are being hedged.
+const PROGRESS_PART: f64 = 0.35;
+/// The part of the target latency after which the shards of a silent gatherer are called directly:
+/// late enough for a sign of life to have come, early enough for the calls to be in time.
+const RESCUE_PART: f64 = 0.5;
+/// The target assumed for these of a route that names none.
+const ASSUMED_TARGET: Micros = Micros::from_millis(500);
 
 /// What one request has come to.
 pub struct DriverResult {
     /// How it ended.
     pub outcome: FanoutOutcome,
-    /// The answers that were taken, with the positions of their shards.
-    pub answers: Vec<(usize, CallSuccess)>,
+    /// The parts that stand.
+    pub parts: Vec<TakenPart>,
     /// The last answer of a back end that failed.
     pub failed_answer: Option<WholeAnswer>,
     /// When an answer that leaves shards out was planned for.
@@ -36,27 +47,18 @@
 /// What one request needed.
 #[derive(Clone, Debug, Default)]
 pub struct DriverWork {
-    /// Calls of all kinds.
+    /// Calls to replicas of all kinds, of this node.
     pub calls: u32,
     /// Calls after the first of their shard.
     pub extra_calls: u32,
-    /// The failures of its calls, with the replica of each.
+    /// Nodes that were asked to gather shards.
+    pub gatherers: u32,
+    /// Shards that they were asked for.
+    pub delegated_shards: u32,
+    /// The failures of its calls, with the replica or node of each.
     pub failures: Vec<(String, CallFailure)>,
 }
 
-/// One request being run.
-struct Driver<'a, C, B> {
-    context: &'a Arc<Context<C, B>>,
-    request: Arc<ForwardedRequest>,
-    deadline: Micros,
-    usual: Micros,
-    events: mpsc::UnboundedSender<CallEvent>,
-    /// By call number: dropping one abandons its call.
-    open: Vec<Option<oneshot::Sender<()>>>,
-    replicas: Vec<String>,
-    work: DriverWork,
-}
-
 /// What bounds a request on a route.
 pub struct RequestBounds {
     /// When it came in.
@@ -65,73 +67,78 @@
     pub deadline: Micros,
 }
 
+/// What is needed to have other nodes gather shards.
+#[derive(Clone)]
+pub struct DelegationTerms {
+    gather: Gather,
+    maximum_attempts: u32,
+    times: DelegationTimes,
+}
+
 /// Runs a request to its end. Dropping the future abandons its calls.
 pub async fn drive<C: CallerProtocol, B: BackendProtocol>(
     context: &Arc<Context<C, B>>,
     route: &Route,
     targets: Vec<ShardTargets>,
+    delegations: Vec<DelegatedShards>,
     request: Arc<ForwardedRequest>,
     bounds: RequestBounds,
 ) -> DriverResult {
-    let (events, mut receiver) = mpsc::unbounded_channel();
     let target = (route.target_latency_ms > 0).then(|| Micros::from_millis(route.target_latency_ms));
-    let (usual, hedge_delay) = expected_times(context, route, target);
+    let (usual, hedge_delay) = expected_times(context, &route.name, target);
     let settings = fanout_settings(context, route, targets.len(), &bounds, hedge_delay);
-    let mut random = SmallRng::from_rng(&mut rand::rng());
-    let mut driver = Driver {
-        context,
-        request,
-        deadline: bounds.deadline,
-        usual,
-        events,
-        open: Vec::with_capacity(targets.len()),
-        replicas: Vec::with_capacity(targets.len()),
-        work: DriverWork::default(),
-    };
-    let mut fanout = Fanout::new(settings, targets);
-    let mut answers = Vec::with_capacity(fanout.targets().len());
-    let mut failed_answer = None;
-    driver.step(&mut fanout, &mut random, |fanout, turn| fanout.start(turn));
-    let mut events = Vec::with_capacity(EVENTS_PER_TURN);
-    while fanout.outcome().is_none() {
-        let wake = context.clock().instant(fanout.next_wake());
-        let woken = tokio::time::timeout_at(wake, receiver.recv_many(&mut events, EVENTS_PER_TURN)).await;
-        for event in events.drain(..) {
-            let call = event.call;
-            match event.result {
-                CallResult::Success(success) => {
-                    let taken =
-                        driver.step(&mut fanout, &mut random, |fanout, turn| fanout.on_answer(call, turn));
-                    answers.extend(taken.map(|shard| (shard, success)));
-                }
-                CallResult::Failure(failure, answer) => {
-                    driver.note_failure(call, failure);
-                    failed_answer = answer.or(failed_answer);
-                    driver.step(&mut fanout, &mut random, |fanout, turn| {
-                        fanout.on_failure(call, failure, turn)
-                    });
-                }
-            }
-        }
-        if woken.is_err() || context.clock().now() >= fanout.next_wake() {
-            driver.step(&mut fanout, &mut random, |fanout, turn| fanout.on_wake(turn));
-        }
+    let terms = delegation_terms(route, target, &settings, &bounds);
+    let fanout = Fanout::new(settings, targets).delegating(delegations);
+    let mut run = RunningRequest::start(context, fanout, request, usual, terms);
+    run.until(Micros::MAX).await;
+    let outcome = run.fanout.outcome().expect("without a limit a request runs to its end");
+    DriverResult {
+        outcome,
+        parts: run.take_parts(),
+        failed_answer: run.failed_answer.take(),
+        partial_at: settings.partial_at,
+        work: std::mem::take(&mut run.work),
     }
-    let outcome = fanout.outcome().expect("the loop ends with an outcome");
-    DriverResult { outcome, answers, failed_answer, partial_at: settings.partial_at, work: driver.work }
 }
 
-fn expected_times<C: CallerProtocol, B: BackendProtocol>(
-    context: &Context<C, B>,
+fn delegation_terms(
     route: &Route,
     target: Option<Micros>,
+    settings: &FanoutSettings,
+    bounds: &RequestBounds,
+) -> Option<DelegationTerms> {
+    let Destination::Gather(gather) = &route.destination else {
+        return None;
+    };
+    let times = DelegationTimes {
+        target: target.unwrap_or_default(),
+        progress_delay: part_of(target, bounds, PROGRESS_PART),
+        rescue_delay: settings.rescue_delay,
+        partial_at: settings.partial_at,
+        deadline: settings.deadline,
+    };
+    Some(DelegationTerms { gather: gather.clone(), maximum_attempts: settings.maximum_attempts, times })
+}
+
+/// A part of the time that a request has: its route's target latency, or half of what is left until
+/// it is given up where that is less.
+fn part_of(target: Option<Micros>, bounds: &RequestBounds, part: f64) -> Micros {
+    let half = bounds.deadline.since(bounds.received_at).0 / 2;
+    Micros((target.unwrap_or(ASSUMED_TARGET).0.min(half) as f64 * part) as u64)
+}
+
+/// How long the calls of a route usually take, and after how long a silent one is hedged.
+pub fn expected_times<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    route: &str,
+    target: Option<Micros>,
 ) -> (Micros, Micros) {
     let now = context.clock().now();
     let mut dispatch = context.dispatch.lock();
-    if !dispatch.latencies.contains_key(&route.name) {
-        dispatch.latencies.insert(route.name.clone(), sablebay_dispatch::RouteLatency::new(now));
+    if !dispatch.latencies.contains_key(route) {
+        dispatch.latencies.insert(route.to_string(), sablebay_dispatch::RouteLatency::new(now));
     }
-    let latencies = dispatch.latencies.get_mut(&route.name).expect("an entry was just added");
+    let latencies = dispatch.latencies.get_mut(route).expect("an entry was just added");
     (latencies.usual(target, now), latencies.hedge_delay(target, now))
 }
 
@@ -142,9 +149,10 @@
     bounds: &RequestBounds,
     hedge_delay: Micros,
 ) -> FanoutSettings {
+    let target = (route.target_latency_ms > 0).then(|| Micros::from_millis(route.target_latency_ms));
     let minimum_shards = match &route.destination {
-        sablebay_catalogue::Destination::Gather(gather) => gather.minimum_shards(),
-        sablebay_catalogue::Destination::Services(_) => shards.max(1),
+        Destination::Gather(gather) => gather.minimum_shards(),
+        Destination::Services(_) => shards.max(1),
     };
     let partial_at = match route.target_latency_ms {
         0 => bounds.deadline,
@@ -164,6 +172,7 @@
             Repeatability::Repeatable => hedge_delay,
             Repeatability::AtMostOnce => Micros::MAX,
         },
+        rescue_delay: part_of(target, bounds, RESCUE_PART),
     }
 }
 
@@ -178,65 +187,219 @@
     received_at.plus(target.since(way_back.plus(lag)))
 }
 
-impl<C: CallerProtocol, B: BackendProtocol> Driver<'_, C, B> {
+/// One request being run. Dropping it abandons its calls.
+pub struct RunningRequest<C: CallerProtocol, B: BackendProtocol> {
+    context: Arc<Context<C, B>>,
+    fanout: Fanout,
+    request: Arc<ForwardedRequest>,
+    usual: Micros,
+    terms: Option<DelegationTerms>,
+    random: SmallRng,
+    events: mpsc::UnboundedSender<CallEvent>,
+    receiver: mpsc::UnboundedReceiver<CallEvent>,
+    parts: Vec<TakenPart>,
+    failed_answer: Option<WholeAnswer>,
+    /// By call number: dropping one abandons its call.
+    open: Vec<Option<oneshot::Sender<()>>>,
+    /// By call number: the replica or node.
+    called: Vec<String>,
+    work: DriverWork,
+}
+
+impl<C: CallerProtocol, B: BackendProtocol> RunningRequest<C, B> {
+    /// Starts a request; calls to its replicas usually take `usual`.
+    pub fn start(
+        context: &Arc<Context<C, B>>,
+        fanout: Fanout,
+        request: Arc<ForwardedRequest>,
+        usual: Micros,
+        terms: Option<DelegationTerms>,
+    ) -> Self {
+        let (events, receiver) = mpsc::unbounded_channel();
+        let shards = fanout.targets().len();
+        let mut run = Self {
+            context: context.clone(),
+            fanout,
+            request,
+            usual,
+            terms,
+            random: SmallRng::from_rng(&mut rand::rng()),
+            events,
+            receiver,
+            parts: Vec::with_capacity(shards),
+            failed_answer: None,
+            open: Vec::with_capacity(shards),
+            called: Vec::with_capacity(shards),
+            work: DriverWork::default(),
+        };
+        run.step(|fanout, turn| fanout.start(turn));
+        run
+    }
+
+    /// Runs until the request has ended, and not past `moment`.
+    pub async fn until(&mut self, moment: Micros) {
+        let mut events = Vec::with_capacity(EVENTS_PER_TURN);
+        while !self.is_finished() && self.context.clock().now() < moment {
+            let wake = self.context.clock().instant(self.fanout.next_wake().min(moment));
+            let received = self.receiver.recv_many(&mut events, EVENTS_PER_TURN);
+            // Whether anything came or the time ran out shows in what there is.
+            let _ = tokio::time::timeout_at(wake, received).await;
+            for event in events.drain(..) {
+                self.take(event);
+            }
+            if self.context.clock().now() >= self.fanout.next_wake() {
+                self.step(|fanout, turn| fanout.on_wake(turn));
+            }
+        }
+    }
+
+    /// Whether the request has ended.
+    pub fn is_finished(&self) -> bool {
+        self.fanout.outcome().is_some()
+    }
+
+    /// The request's state machine.
+    pub fn fanout(&self) -> &Fanout {
+        &self.fanout
+    }
+
+    /// What was needed so far.
+    pub fn work(&self) -> &DriverWork {
+        &self.work
+    }
+
+    /// Whether parts have come in that were not taken out yet.
+    pub fn has_parts(&self) -> bool {
+        !self.parts.is_empty()
+    }
+
+    /// Takes the parts that stand; those that others took the place of are dropped.
+    pub fn take_parts(&mut self) -> Vec<TakenPart> {
+        let parts = std::mem::take(&mut self.parts);
+        let stands = |taken: &TakenPart| {
+            taken.shards.iter().all(|shard| self.fanout.answered_by(*shard) == Some(taken.call))
+        };
+        parts.into_iter().filter(stands).collect()
+    }
+
+    fn take(&mut self, event: CallEvent) {
+        let call = event.call;
+        match event.news {
+            CallNews::Ended(CallResult::Success(success)) => {
+                let taken = self.step(|fanout, turn| fanout.on_answer(call, turn));
+                let taken =
+                    taken.map(|shard| TakenPart { call, shards: vec![shard], part: Part::Single(success) });
+                self.parts.extend(taken);
+            }
+            CallNews::Ended(CallResult::Failure(failure, answer)) => {
+                self.note_failure(call, failure);
+                self.failed_answer = answer.or(self.failed_answer.take());
+                self.step(|fanout, turn| fanout.on_failure(call, failure, turn));
+            }
+            CallNews::Gathered(gathered, merged) => {
+                if self.step(|fanout, turn| fanout.on_gathered(call, &gathered, turn)) {
+                    self.parts.push(TakenPart {
+                        call,
+                        shards: gathered.answered,
+                        part: Part::Merged(merged),
+                    });
+                }
+            }
+            CallNews::GathererFailed(failure) => {
+                self.note_failure(call, failure);
+                self.step(|fanout, turn| fanout.on_gatherer_failure(call, failure, turn));
+            }
+        }
+    }
+
     /// One step of the machine, and the actions that follow.
-    fn step<T>(
-        &mut self,
-        fanout: &mut Fanout,
-        random: &mut SmallRng,
-        step: impl FnOnce(&mut Fanout, &mut FanoutTurn<'_, SmallRng>) -> T,
-    ) -> T {
+    fn step<T>(&mut self, step: impl FnOnce(&mut Fanout, &mut FanoutTurn<'_, SmallRng>) -> T) -> T {
         let mut actions = Vec::new();
         let now = self.context.clock().now();
         let allowance = self.context.allowance();
-        let mut dispatch = self.context.dispatch.lock();
-        let dispatch = &mut *dispatch;
-        let result = step(
-            fanout,
-            &mut FanoutTurn {
-                table: &dispatch.table,
-                budgets: &mut dispatch.budgets,
-                allowance: &allowance,
-                now,
-                random,
-                actions: &mut actions,
-            },
-        );
+        let result = {
+            let mut dispatch = self.context.dispatch.lock();
+            let dispatch = &mut *dispatch;
+            step(
+                &mut self.fanout,
+                &mut FanoutTurn {
+                    table: &dispatch.table,
+                    budgets: &mut dispatch.budgets,
+                    allowance: &allowance,
+                    now,
+                    random: &mut self.random,
+                    actions: &mut actions,
+                },
+            )
+        };
         for action in actions {
             match action {
                 FanoutAction::Send { call, shard, replica, first } => {
-                    let targets = &fanout.targets()[shard];
-                    let chosen = targets.replicas.iter().find(|known| known.replica.id == replica);
-                    let chosen = chosen.expect("a replica is chosen among the targets").clone();
-                    let key = self.context.next_call();
-                    dispatch.table.sent(&replica, key, self.usual, now);
-                    self.work.calls += 1;
+                    self.send(call, shard, &replica, now);
                     self.work.extra_calls += u32::from(!first);
-                    self.replicas.push(replica.to_string());
-                    let (abandon, abandoned) = oneshot::channel();
-                    debug_assert_eq!(self.open.len(), call.0 as usize);
-                    self.open.push(Some(abandon));
-                    tokio::spawn(run_call(
-                        self.context.clone(),
-                        OutgoingCall {
-                            number: call,
-                            key,
-                            replica: chosen,
-                            request: self.request.clone(),
-                            deadline: self.deadline,
-                            abandoned,
-                            events: self.events.clone(),
-                        },
-                    ));
                 }
+                FanoutAction::Delegate { call, delegated } => self.delegate(call, delegated, now),
                 FanoutAction::Abandon { call } => self.open[call.0 as usize] = None,
             }
         }
         result
     }
 
+    /// Notes a call that is about to be made; what comes back is ready when it is abandoned.
+    fn open_call(&mut self, call: CallNumber, called: String) -> oneshot::Receiver<()> {
+        let (abandon, abandoned) = oneshot::channel();
+        debug_assert_eq!(self.open.len(), call.0 as usize);
+        self.open.push(Some(abandon));
+        self.called.push(called);
+        abandoned
+    }
+
+    fn send(&mut self, call: CallNumber, shard: usize, replica: &ReplicaId, now: Micros) {
+        let targets = &self.fanout.targets()[shard];
+        let chosen = targets.replicas.iter().find(|known| known.replica.id == *replica);
+        let chosen = chosen.expect("a replica is chosen among the targets").clone();
+        let key = self.context.next_call();
+        self.context.dispatch.lock().table.sent(replica, key, self.usual, now);
+        self.work.calls += 1;
+        let abandoned = self.open_call(call, replica.to_string());
+        let outgoing = OutgoingCall {
+            number: call,
+            key,
+            replica: chosen,
+            request: self.request.clone(),
+            deadline: self.fanout.deadline(),
+            abandoned,
+            events: self.events.clone(),
+        };
+        tokio::spawn(run_call(self.context.clone(), outgoing));
+    }
+
+    fn delegate(&mut self, call: CallNumber, delegated: DelegatedShards, now: Micros) {
+        let terms = self.terms.as_ref().expect("only shards whose records are merged are delegated").clone();
+        let key = self.context.next_call();
+        let rescue_delay = terms.times.rescue_delay;
+        self.context.dispatch.lock().gatherers.asked(&delegated.gatherer, key, rescue_delay, now);
+        self.work.gatherers += 1;
+        self.work.delegated_shards += delegated.shards.len() as u32;
+        let abandoned = self.open_call(call, delegated.gatherer.to_string());
+        let outgoing = OutgoingDelegation {
+            number: call,
+            key,
+            address: self.context.fleet.lock().address_of(&delegated.gatherer),
+            shards: names_of(&terms.gather, &delegated),
+            top: terms.gather.top,
+            maximum_attempts: terms.maximum_attempts,
+            delegated,
+            request: self.request.clone(),
+            times: terms.times,
+            abandoned,
+            events: self.events.clone(),
+        };
+        tokio::spawn(run_delegation(self.context.clone(), outgoing));
+    }
+
     fn note_failure(&mut self, call: CallNumber, failure: CallFailure) {
-        let replica = self.replicas.get(call.0 as usize).cloned().unwrap_or_default();
-        self.work.failures.push((replica, failure));
+        let called = self.called.get(call.0 as usize).cloned().unwrap_or_default();
+        self.work.failures.push((called, failure));
     }
 }
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -3,11 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use sablebay_catalogue::{READERS, RoutableReplica};
-use sablebay_dispatch::{FleetSize, ZoneNodes};
+use sablebay_dispatch::{FleetSize, GathererNode, ZoneNodes};
 use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::Shared;
 
@@ -20,6 +21,15 @@
     pub address: SocketAddr,
 }
 
+/// The nodes that gather shards for one another, as this one sees them.
+#[derive(Debug)]
+pub struct Gatherers {
+    /// This node.
+    pub own: GathererNode,
+    /// The others that are present.
+    pub others: Vec<GathererNode>,
+}
+
 /// The nodes that are present, and all that were met in this life.
 #[derive(Debug)]
 pub struct FleetView {
@@ -30,6 +40,7 @@
     /// Present peers in an order that is the same on every node.
     ranked: Vec<FleetPeer>,
     own_rank: usize,
+    gatherers: Arc<Gatherers>,
     told: Option<usize>,
 }
 
@@ -41,20 +52,36 @@
 impl FleetView {
     /// A view without peers.
     pub fn new(own: NodeId, zone: ZoneName) -> Self {
-        Self { met: BTreeMap::from([(own.clone(), zone)]), own, ranked: Vec::new(), own_rank: 0, told: None }
+        let this = GathererNode { node: own.clone(), zone: zone.clone() };
+        Self {
+            met: BTreeMap::from([(own.clone(), zone)]),
+            own,
+            ranked: Vec::new(),
+            own_rank: 0,
+            gatherers: Arc::new(Gatherers { own: this, others: Vec::new() }),
+            told: None,
+        }
     }
 
     /// Brings the view up to date.
     pub fn refresh(&mut self, node: &Shared) {
         let fleet = node.fleet.lock();
         let present = fleet.members().present().filter(|member| member.info.key.node != self.own);
+        let mut gatherers = Vec::new();
         let mut ranked: Vec<FleetPeer> = present
             .inspect(|member| {
+                if member.info.gathers {
+                    let (node, zone) = (member.info.key.node.clone(), member.info.zone.clone());
+                    gatherers.push(GathererNode { node, zone });
+                }
                 self.met.insert(member.info.key.node.clone(), member.info.zone.clone());
             })
             .map(|member| FleetPeer { node: member.info.key.node.clone(), address: member.info.peer_address })
             .collect();
         drop(fleet);
+        if gatherers != self.gatherers.others {
+            self.gatherers = Arc::new(Gatherers { own: self.gatherers.own.clone(), others: gatherers });
+        }
         ranked.sort_by_key(|peer| (rank_key(&peer.node), peer.node.clone()));
         let own_key = (rank_key(&self.own), self.own.clone());
         self.own_rank =
@@ -62,6 +89,16 @@
         self.ranked = ranked;
     }
 
+    /// The nodes that gather shards for one another.
+    pub fn gatherers(&self) -> Arc<Gatherers> {
+        self.gatherers.clone()
+    }
+
+    /// Where a present peer listens.
+    pub fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
+        self.ranked.iter().find(|peer| peer.node == *node).map(|peer| peer.address)
+    }
+
     /// Whether this node reads the source for all.
     pub fn is_reader(&self) -> bool {
         self.own_rank < READERS
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::context::{Context, RoutingView};
 use crate::edge::{BackendProtocol, CallerProtocol, CatalogueSource};
 use crate::error::GatewayError;
+use crate::gatherer::GatewayGatherer;
 use crate::ingress::caller_routes;
 use crate::mechanisms::GatewayMechanisms;
 use crate::peer_catalogue::follow_peers;
@@ -95,6 +96,10 @@
         let (readiness_listener, readiness_address) = listen(settings.readiness_address, "readiness").await?;
         let context =
             Arc::new(Context::new(node.shared.clone(), callers, back_ends, settings.clone(), mechanisms));
+        let gatherer = Arc::new(GatewayGatherer::new(&context));
+        if node.shared.gatherer.set(gatherer).is_err() {
+            log::warn!("gateway: another gateway of this node gathers for other nodes already.");
+        }
         node.shared.metrics.extend(|registry| context.metrics.register(registry));
         let (phase, phases) = watch::channel(ListenerPhase::Open);
         let (_always_open, always_open) = watch::channel(ListenerPhase::Open);
--- /dev/null
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -0,0 +1,198 @@
+//! Gathers shards for another node: one call to one replica of each, hedged and replaced as for
+//! callers of this node, and one merged part back, or two when some shards are late.
+
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+
+use sablebay_catalogue::Repeatability;
+use sablebay_dispatch::{Fanout, FanoutSettings, ShardTargets};
+use sablebay_model::{InstanceKey, Micros, Reason, Refusal};
+use sablebay_node::{PartialGatherer, ProgressSender};
+use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerResponse};
+
+use crate::call::ForwardedRequest;
+use crate::context::Context;
+use crate::driver::{RunningRequest, expected_times};
+use crate::edge::{BackendProtocol, CallerProtocol};
+use crate::merge::merge_parts;
+use crate::request_log;
+
+/// Gathers for other nodes by the means of a gateway.
+pub struct GatewayGatherer<C, B> {
+    /// Gone when the gateway has ended.
+    context: Weak<Context<C, B>>,
+}
+
+impl<C, B> GatewayGatherer<C, B> {
+    /// A gatherer of a gateway.
+    pub fn new(context: &Arc<Context<C, B>>) -> Self {
+        Self { context: Arc::downgrade(context) }
+    }
+}
+
+impl<C: CallerProtocol, B: BackendProtocol> PartialGatherer for GatewayGatherer<C, B> {
+    fn gather(
+        &self,
+        from: InstanceKey,
+        partial: PartialGather,
+        progress: ProgressSender,
+    ) -> Pin<Box<dyn Future<Output = PeerResponse> + Send>> {
+        let context = self.context.upgrade();
+        Box::pin(async move {
+            match context {
+                Some(context) => gather(&context, from, partial, &progress).await,
+                None => refuse(Reason::Stopping, "the gateway has ended"),
+            }
+        })
+    }
+}
+
+fn refuse(reason: Reason, message: &str) -> PeerResponse {
+    PeerResponse::Refused(Refusal::not_run(reason, message))
+}
+
+/// The moments of a request that is gathered for another node, by this node's clock.
+#[derive(Clone, Copy, Debug)]
+struct GatherTimes {
+    received_at: Micros,
+    progress_at: Micros,
+    wanted_at: Micros,
+    deadline: Micros,
+}
+
+async fn gather<C: CallerProtocol, B: BackendProtocol>(
+    context: &Arc<Context<C, B>>,
+    from: InstanceKey,
+    partial: PartialGather,
+    progress: &ProgressSender,
+) -> PeerResponse {
+    let Some(_in_flight) = context.node.lifecycle.enter() else {
+        return refuse(Reason::Stopping, "the node is stopping");
+    };
+    let view = context.view.load_full();
+    let targets: Vec<ShardTargets> = partial.shards.iter().map(|shard| view.targets(shard)).collect();
+    if targets.iter().any(|target| target.replicas.is_empty()) {
+        return refuse(Reason::NoReplica, "no replica of some shard is known here");
+    }
+    let now = context.clock().now();
+    let Some(request) = forwarded(&partial, now) else {
+        return refuse(Reason::BadRequest, "the request cannot be read");
+    };
+    let target = (partial.target_us > 0).then_some(Micros(partial.target_us));
+    let lag = context.dispatch.lock().answer_lag.margin(target.unwrap_or_default(), now);
+    let times = GatherTimes {
+        received_at: now,
+        progress_at: now.plus(Micros(partial.progress_us)),
+        wanted_at: now.plus(Micros(partial.wanted_us).since(lag)),
+        deadline: now.plus(Micros(partial.limit_us)),
+    };
+    let (usual, hedge_delay) = expected_times(context, &partial.route, target);
+    let settings = FanoutSettings {
+        repeatability: Repeatability::Repeatable,
+        maximum_attempts: partial.maximum_attempts.max(1),
+        // It ends when each shard is in or given up: what is in goes out meanwhile.
+        minimum_shards: 0,
+        deadline: times.deadline,
+        partial_at: times.deadline,
+        hedge_delay,
+        rescue_delay: Micros::MAX,
+    };
+    let crowded = crowded(context, &targets, now);
+    let mut run =
+        RunningRequest::start(context, Fanout::new(settings, targets), Arc::new(request), usual, None);
+    let mut told = Told::new(partial.shards.len(), partial.top as usize, crowded);
+    run.until(times.progress_at).await;
+    if !run.is_finished() {
+        progress.send(told.part(&mut run)).await;
+        run.until(times.wanted_at).await;
+    }
+    if !run.is_finished() {
+        if run.has_parts() {
+            progress.send(told.part(&mut run)).await;
+        }
+        run.until(Micros::MAX).await;
+    }
+    let last = told.part(&mut run);
+    context.metrics.work(run.work());
+    if told.closed > 0 || context.clock().now() > times.wanted_at {
+        let held = context.clock().now().since(times.received_at);
+        request_log::gathered(context, &partial, from.node.as_str(), told.closed, held, run.work());
+    }
+    last
+}
+
+fn crowded<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    targets: &[ShardTargets],
+    now: Micros,
+) -> usize {
+    let dispatch = context.dispatch.lock();
+    targets.iter().filter(|target| dispatch.table.is_crowded(&target.replicas, now)).count()
+}
+
+/// The request as it goes to replicas; nothing when it is none.
+fn forwarded(partial: &PartialGather, now: Micros) -> Option<ForwardedRequest> {
+    let mut headers = HeaderMap::with_capacity(partial.headers.len());
+    for (name, value) in &partial.headers {
+        headers.append(HeaderName::from_bytes(name.as_bytes()).ok()?, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(ForwardedRequest {
+        id: HeaderValue::from_bytes(&partial.request).ok()?,
+        method: Method::from_bytes(partial.method.as_bytes()).ok()?,
+        uri: partial.uri.parse::<Uri>().ok()?,
+        headers,
+        body: Bytes::from(partial.body.clone()),
+        route: partial.route.clone(),
+        caller_deadline: now.plus(Micros(partial.remaining_us)),
+    })
+}
+
+/// What the root was told so far.
+struct Told {
+    top: usize,
+    crowded: usize,
+    closed_told: Vec<bool>,
+    closed: usize,
+}
+
+impl Told {
+    fn new(shards: usize, top: usize, crowded: usize) -> Self {
+        Self { top, crowded, closed_told: vec![false; shards], closed: 0 }
+    }
+
+    /// What has come in since the last part.
+    fn part<C: CallerProtocol, B: BackendProtocol>(
+        &mut self,
+        run: &mut RunningRequest<C, B>,
+    ) -> PeerResponse {
+        let mut parts = run.take_parts();
+        parts.sort_by_key(|taken| taken.shards.first().copied());
+        let answered =
+            parts.iter().flat_map(|taken| taken.shards.iter().map(|shard| *shard as u32)).collect();
+        let merged = merge_parts(self.top, parts);
+        let mut closed = Vec::new();
+        let mut retried = Vec::new();
+        for (shard, told) in self.closed_told.iter_mut().enumerate() {
+            if run.fanout().is_closed(shard) && !*told {
+                *told = true;
+                closed.push(shard as u32);
+            }
+            if run.fanout().attempts(shard) > 1 {
+                retried.push(shard as u32);
+            }
+        }
+        self.closed += closed.len();
+        PeerResponse::Gathered(Box::new(GatheredPart {
+            answered,
+            receipts: merged.receipts.iter().map(|receipt| receipt.as_bytes().to_vec()).collect(),
+            records: merged.records.to_vec(),
+            closed,
+            retried,
+            crowded: self.crowded as u32,
+            calls: run.work().calls,
+        }))
+    }
+}
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -12,7 +12,9 @@
 use http_body_util::Full;
 
 use sablebay_catalogue::{Destination, Route, RouteTable};
-use sablebay_dispatch::{Admission, AdmissionInputs, FanoutOutcome, ShardTargets, UsualPatience, admit};
+use sablebay_dispatch::{
+    Admission, AdmissionInputs, DelegatedShards, FanoutOutcome, ShardTargets, UsualPatience, admit,
+};
 use sablebay_model::Micros;
 
 use crate::context::Context;
@@ -77,7 +79,8 @@
     };
     record.route = Some(route.clone());
     let targets = context.targets_of(&view, &route);
-    record.crowding = crowding(context, &targets);
+    let delegations = context.delegations(&route, &targets);
+    record.crowding = crowding(context, &targets, &delegations);
     if let Admission::Refused { retry_after } = admission(context, &record, &routes, &route, &caller) {
         let refusal = Refusal::NotRun { retry_after: retry_after.as_duration() };
         return refuse(context, record, refusal, "work queues at too many of its shards");
@@ -90,7 +93,7 @@
         Ok(forwarded) => forwarded,
         Err(failure) => return refuse(context, record, failure.refusal(), failure.reason()),
     };
-    let result = drive(context, &route, targets, Arc::new(forwarded), bounds).await;
+    let result = drive(context, &route, targets, delegations, Arc::new(forwarded), bounds).await;
     conclude(context, record, &route, result)
 }
 
@@ -98,11 +101,18 @@
 fn crowding<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     targets: &[ShardTargets],
+    delegations: &[DelegatedShards],
 ) -> Crowding {
     let now = context.clock().now();
     let dispatch = context.dispatch.lock();
-    let is_crowded = |target: &&ShardTargets| dispatch.table.is_crowded(&target.replicas, now);
-    Crowding { shards: targets.len(), crowded: targets.iter().filter(is_crowded).count() }
+    let told = |delegated: &DelegatedShards| {
+        dispatch.gatherers.crowded(&delegated.gatherer, now) * delegated.shards.len() as f64
+    };
+    let delegated: f64 = delegations.iter().map(told).sum();
+    let is_direct = |shard: &usize| delegations.iter().all(|known| !known.shards.contains(shard));
+    let is_crowded = |shard: &usize| dispatch.table.is_crowded(&targets[*shard].replicas, now);
+    let direct = (0..targets.len()).filter(is_direct).filter(is_crowded).count();
+    Crowding { shards: targets.len(), crowded: direct + delegated.round() as usize }
 }
 
 /// Whether a request is run, or refused at once.
@@ -163,14 +173,14 @@
     route: &Route,
     result: DriverResult,
 ) -> http::Response<Full<Bytes>> {
-    let DriverResult { outcome, answers, failed_answer, partial_at, work } = result;
+    let DriverResult { outcome, parts, failed_answer, partial_at, work } = result;
     context.metrics.work(&work);
     let refusal = match outcome {
         FanoutOutcome::Answered { missing } => {
             request_log::answered(context, &record, missing, &work);
             context.metrics.answered(context.clock().now().since(record.received_at), missing);
             let told = if context.mechanisms.coverage { missing } else { 0 };
-            let response = merge(context, route, answers, told);
+            let response = merge(context, route, parts, told);
             note_lag(context, partial_at, missing);
             return response;
         }
--- a/crates/sablebay-gateway/src/mechanisms.rs
+++ b/crates/sablebay-gateway/src/mechanisms.rs
@@ -20,6 +20,9 @@
     pub configuration: bool,
     /// Finishing what is in flight at a planned stop. Off: it is cut.
     pub planned_stop: bool,
+    /// Having other nodes gather shards. Off: each node calls every replica itself; no promise
+    /// depends on it, and the soak does not break it.
+    pub gathering: bool,
 }
 
 impl Default for GatewayMechanisms {
@@ -33,6 +36,7 @@
             pinning: true,
             configuration: true,
             planned_stop: true,
+            gathering: true,
         }
     }
 }
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -64,6 +64,8 @@
     /// The age of the catalogue's last confirmation, in milliseconds.
     pub catalogue_age: Gauge,
     requests: Family<OutcomeLabel, Counter>,
+    delegations: Family<OutcomeLabel, Counter>,
+    delegated_shards: Counter,
     calls: Counter,
     extra_calls: Counter,
     missing_shards: Counter,
@@ -81,6 +83,8 @@
             configuration_version: Gauge::default(),
             catalogue_age: Gauge::default(),
             requests: Family::default(),
+            delegations: Family::default(),
+            delegated_shards: Counter::default(),
             calls: Counter::default(),
             extra_calls: Counter::default(),
             missing_shards: Counter::default(),
@@ -114,10 +118,16 @@
         self.requests.get_or_create(&OutcomeLabel { outcome: refusal_word(refusal) }).inc();
     }
 
+    /// Another node that was asked to gather shards answered, failed or was given up.
+    pub fn delegated(&self, outcome: &'static str) {
+        self.delegations.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// What one request needed.
     pub fn work(&self, work: &DriverWork) {
         self.calls.inc_by(u64::from(work.calls));
         self.extra_calls.inc_by(u64::from(work.extra_calls));
+        self.delegated_shards.inc_by(u64::from(work.delegated_shards));
     }
 
     /// A read of the catalogue's source ended.
@@ -131,6 +141,16 @@
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("calls", "Calls to replicas", self.calls.clone());
         registry.register("extra_calls", "Calls after the first of their shard", self.extra_calls.clone());
+        registry.register(
+            "delegations",
+            "Nodes asked to gather shards, by outcome",
+            self.delegations.clone(),
+        );
+        registry.register(
+            "delegated_shards",
+            "Shards that other nodes were asked to gather",
+            self.delegated_shards.clone(),
+        );
         registry.register("missing_shards", "Shards left out of answers", self.missing_shards.clone());
         registry.register(
             "connections_opened",
--- a/crates/sablebay-gateway/src/request_log.rs
+++ b/crates/sablebay-gateway/src/request_log.rs
@@ -8,6 +8,7 @@
 
 use sablebay_catalogue::Route;
 use sablebay_model::Micros;
+use sablebay_protocol::peer::PartialGather;
 
 use crate::context::Context;
 use crate::driver::DriverWork;
@@ -80,13 +81,35 @@
     let held = context.clock().now().since(record.received_at).as_millis();
     log::warn!(
         request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
-        calls = work.calls, extra_calls = work.extra_calls, failures = failures(work).as_str(),
+        calls = work.calls, extra_calls = work.extra_calls, gatherers = work.gatherers,
+        delegated_shards = work.delegated_shards, failures = failures(work).as_str(),
         shards = record.crowding.shards, crowded = record.crowding.crowded,
         catalogue_age_ms = context.catalogue_age().as_millis();
         "gateway: {refusal}: {why}."
     );
 }
 
+/// Shards that were gathered for another node, of which some were late or given up.
+pub fn gathered<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    partial: &PartialGather,
+    root: &str,
+    given_up: usize,
+    held: Micros,
+    work: &DriverWork,
+) {
+    if !context.metrics.log_budget.take(context.clock().now()) {
+        return;
+    }
+    log::info!(
+        request = String::from_utf8_lossy(&partial.request).as_ref(), route = partial.route.as_str(),
+        root = root, shards = partial.shards.len(), given_up = given_up, held_ms = held.as_millis(),
+        wanted_ms = Micros(partial.wanted_us).as_millis(), calls = work.calls,
+        extra_calls = work.extra_calls, failures = failures(work).as_str();
+        "gateway: gathered for a peer, late or without some shards."
+    );
+}
+
 /// A request that was answered.
 pub fn answered<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
@@ -101,6 +124,7 @@
     log::info!(
         request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
         missing = missing, calls = work.calls, extra_calls = work.extra_calls,
+        gatherers = work.gatherers, delegated_shards = work.delegated_shards,
         shards = record.crowding.shards, crowded = record.crowding.crowded,
         failures = failures(work).as_str();
         "gateway: answered without some shards."
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -34,7 +34,7 @@
 use crate::mechanisms::NodeMechanisms;
 use crate::metrics::Metrics;
 use crate::partial_search::partial_search;
-use crate::peers::{PeerContext, PeerCounters, PeerTransport, RequestHandler, run_listener};
+use crate::peers::{PeerContext, PeerCounters, PeerTransport, ProgressSender, RequestHandler, run_listener};
 use crate::platform::run_platform_reader;
 use crate::report::short_report;
 use crate::shared::Shared;
@@ -200,6 +200,7 @@
         peer_address: settings.advertised_peer_address.unwrap_or(addresses.peer_address),
         caller_address: addresses.caller_address,
         admin_address: addresses.admin_address,
+        gathers: settings.gateway.is_some(),
     };
     let peer_context = Arc::new(PeerContext {
         fleet: settings.fleet.clone(),
@@ -232,6 +233,7 @@
         metrics: Metrics::new(),
         lifecycle: Lifecycle::default(),
         catalogue: CatalogueStore::default(),
+        gatherer: OnceLock::new(),
         next_call: Arc::new(AtomicU64::new(1)),
         next_claim: AtomicU64::new(1),
         client_counters: Arc::default(),
@@ -245,10 +247,22 @@
 struct Handler(Arc<Shared>);
 
 impl RequestHandler for Handler {
-    async fn handle(self: Arc<Self>, _from: InstanceKey, request: PeerRequest) -> PeerResponse {
+    async fn handle(
+        self: Arc<Self>,
+        from: InstanceKey,
+        request: PeerRequest,
+        progress: ProgressSender,
+    ) -> PeerResponse {
         let shared = &self.0;
         match request {
             PeerRequest::PartialSearch(partial) => partial_search(shared, partial).await,
+            PeerRequest::PartialGather(partial) => match shared.gatherer.get() {
+                Some(gatherer) => gatherer.gather(from, *partial, progress).await,
+                None => PeerResponse::Refused(Refusal::not_run(
+                    Reason::UnknownService,
+                    "no gateway runs on this node",
+                )),
+            },
             PeerRequest::Versions { service, partitions } => {
                 const PATIENCE: Micros = Micros::from_secs(1);
                 let deadline = shared.clock.now().plus(PATIENCE);
--- a/crates/sablebay-node/src/peers.rs
+++ b/crates/sablebay-node/src/peers.rs
@@ -18,10 +18,12 @@
 
 use sablebay_fleet::{FleetMessage, MemberInfo};
 use sablebay_model::{FleetName, InstanceKey, Refusal};
-use sablebay_protocol::peer::{PeerRequest, PeerResponse};
+use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
 
 use connection::{Connection, open_connection};
 
+pub use connection::{PeerNews, PendingAnswer};
+
 pub use listener::run_listener;
 
 /// Whether a connection is for the fleet's own needs or for queries.
@@ -57,6 +59,20 @@
     Refused(Refusal),
 }
 
+/// Tells a peer how far its request is, before the answer.
+pub struct ProgressSender {
+    number: u64,
+    answers: mpsc::Sender<PeerMessage>,
+}
+
+impl ProgressSender {
+    /// Sends a part of the answer. It waits for room in the peer's queue.
+    pub async fn send(&self, response: PeerResponse) {
+        // A peer that is gone wants no answer.
+        let _ = self.answers.send(PeerMessage::Progress { number: self.number, response }).await;
+    }
+}
+
 /// Answers requests of peers.
 pub trait RequestHandler: Send + Sync + 'static {
     /// Answers one request. Dropped when the peer cancels it.
@@ -64,6 +80,7 @@
         self: Arc<Self>,
         from: InstanceKey,
         request: PeerRequest,
+        progress: ProgressSender,
     ) -> impl Future<Output = PeerResponse> + Send;
 }
 
@@ -166,15 +183,34 @@
         request: PeerRequest,
         until: tokio::time::Instant,
     ) -> Result<PeerResponse, PeerFailure> {
+        let mut answer = self.open_request(address, lane, request, until).await?;
+        loop {
+            match tokio::time::timeout_at(until, answer.next()).await {
+                Ok(Some(PeerNews::Progress(_))) => {}
+                Ok(Some(PeerNews::Answer(PeerResponse::Refused(refusal)))) => {
+                    return Err(PeerFailure::Refused(refusal));
+                }
+                Ok(Some(PeerNews::Answer(response))) => return Ok(response),
+                Ok(None) => return Err(PeerFailure::Broken),
+                Err(_) => return Err(PeerFailure::TimedOut),
+            }
+        }
+    }
+
+    /// Sends a request whose answer comes in parts.
+    ///
+    /// # Errors
+    /// [`PeerFailure::NotSent`].
+    pub async fn open_request(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+        request: PeerRequest,
+        until: tokio::time::Instant,
+    ) -> Result<PendingAnswer, PeerFailure> {
         let connecting = tokio::time::timeout_at(until, self.connection(address, lane)).await;
         let connection = connecting.ok().flatten().ok_or(PeerFailure::NotSent)?;
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
-        let answer = connection.request(number, request).ok_or(PeerFailure::NotSent)?;
-        match tokio::time::timeout_at(until, answer).await {
-            Ok(Some(PeerResponse::Refused(refusal))) => Err(PeerFailure::Refused(refusal)),
-            Ok(Some(response)) => Ok(response),
-            Ok(None) => Err(PeerFailure::Broken),
-            Err(_) => Err(PeerFailure::TimedOut),
-        }
+        connection.request(number, request).ok_or(PeerFailure::NotSent)
     }
 }
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use sablebay_fleet::{FleetMessage, MemberInfo};
 use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
@@ -19,7 +19,16 @@
 /// Messages that wait to be written at the most; more are dropped.
 const QUEUE_LENGTH: usize = 8_192;
 
-type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<PeerResponse>>>>;
+/// What a peer says to a request.
+#[derive(Debug)]
+pub enum PeerNews {
+    /// A part of the answer; more will come.
+    Progress(PeerResponse),
+    /// The answer, or the last part of it.
+    Answer(PeerResponse),
+}
+
+type Pending = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<PeerNews>>>>;
 
 /// The sending side of a connection.
 pub struct Connection {
@@ -32,30 +41,22 @@
 /// The answer to a request; cancels the request when it is dropped before the answer came.
 pub struct PendingAnswer {
     number: u64,
-    receiver: oneshot::Receiver<PeerResponse>,
+    receiver: mpsc::UnboundedReceiver<PeerNews>,
     pending: Pending,
     queue: mpsc::Sender<PeerMessage>,
-    done: bool,
 }
 
-impl Future for PendingAnswer {
-    type Output = Option<PeerResponse>;
-
-    fn poll(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Self::Output> {
-        let polled = std::pin::Pin::new(&mut self.receiver).poll(context);
-        polled.map(|answer| {
-            self.done = true;
-            answer.ok()
-        })
+impl PendingAnswer {
+    /// What the peer says next; nothing after the answer, and when the connection broke.
+    pub async fn next(&mut self) -> Option<PeerNews> {
+        self.receiver.recv().await
     }
 }
 
 impl Drop for PendingAnswer {
     fn drop(&mut self) {
-        if !self.done && self.pending.lock().remove(&self.number).is_some() {
+        // An answered request is no longer pending.
+        if self.pending.lock().remove(&self.number).is_some() {
             // A full queue loses the cancellation: the peer then works in vain, and no more.
             let _ = self.queue.try_send(PeerMessage::Cancel { number: self.number });
         }
@@ -85,14 +86,14 @@
 
     /// Sends a request; nothing when it was not sent.
     pub fn request(&self, number: u64, request: PeerRequest) -> Option<PendingAnswer> {
-        let (sender, receiver) = oneshot::channel();
+        let (sender, receiver) = mpsc::unbounded_channel();
         self.pending.lock().insert(number, sender);
         if !self.is_open() || !self.put(PeerMessage::Request { number, request }) {
             self.pending.lock().remove(&number);
             return None;
         }
         let pending = self.pending.clone();
-        Some(PendingAnswer { number, receiver, pending, queue: self.queue.clone(), done: false })
+        Some(PendingAnswer { number, receiver, pending, queue: self.queue.clone() })
     }
 }
 
@@ -152,7 +153,12 @@
             PeerMessage::Response { number, response } => {
                 if let Some(sender) = connection.pending.lock().remove(&number) {
                     // The asker may have given up between the two lines.
-                    let _ = sender.send(response);
+                    let _ = sender.send(PeerNews::Answer(response));
+                }
+            }
+            PeerMessage::Progress { number, response } => {
+                if let Some(sender) = connection.pending.lock().get(&number) {
+                    let _ = sender.send(PeerNews::Progress(response));
                 }
             }
             PeerMessage::Fleet(message) => deliver(&context, &peer, message).await,
--- a/crates/sablebay-node/src/peers/handshake.rs
+++ b/crates/sablebay-node/src/peers/handshake.rs
@@ -14,6 +14,7 @@
 use sablebay_protocol::{ChannelKey, FrameReader, Nonce, ProtocolError, encode_frame};
 
 use super::PeerContext;
+use crate::socket::prepare_socket;
 
 /// How long the other side has for its nonce and greeting.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -90,7 +91,7 @@
     context: &PeerContext,
     mut stream: TcpStream,
 ) -> Option<(MemberInfo, MessageReader, MessageWriter)> {
-    stream.set_nodelay(true).ok()?;
+    prepare_socket(&stream);
     let own: Nonce = rand::rng().random();
     stream.write_all(&own).await.ok()?;
     let mut other: Nonce = [0; 16];
--- a/crates/sablebay-node/src/peers/listener.rs
+++ b/crates/sablebay-node/src/peers/listener.rs
@@ -12,7 +12,7 @@
 
 use super::connection::{deliver, run_writer};
 use super::handshake::handshake;
-use super::{Lane, PeerContext, RequestHandler};
+use super::{Lane, PeerContext, ProgressSender, RequestHandler};
 
 /// Connections accepted at the most.
 const MAXIMUM_ACCEPTED: usize = 8_192;
@@ -58,7 +58,8 @@
         match message {
             PeerMessage::Fleet(message) => deliver(&context, &peer, message).await,
             PeerMessage::Request { number, request } => {
-                let cancellable = matches!(request, PeerRequest::PartialSearch(_));
+                let cancellable =
+                    matches!(request, PeerRequest::PartialSearch(_) | PeerRequest::PartialGather(_));
                 let answering = answer(
                     handler.clone(),
                     peer.key.clone(),
@@ -78,7 +79,7 @@
                     task.abort();
                 }
             }
-            PeerMessage::Greeting(_) | PeerMessage::Response { .. } => {}
+            PeerMessage::Greeting(_) | PeerMessage::Response { .. } | PeerMessage::Progress { .. } => {}
         }
     }
     // The peer is gone: nobody wants the searches that it asked for.
@@ -95,7 +96,8 @@
     answers: mpsc::Sender<PeerMessage>,
     running: Arc<Mutex<HashMap<u64, AbortHandle>>>,
 ) {
-    let response = handler.handle(from, request).await;
+    let progress = ProgressSender { number, answers: answers.clone() };
+    let response = handler.handle(from, request, progress).await;
     running.lock().remove(&number);
     // A peer that is gone wants no answer.
     let _ = answers.send(PeerMessage::Response { number, response }).await;
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -1,8 +1,9 @@
 //! What all parts of a node share.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::pin::Pin;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -11,6 +12,7 @@
 use sablebay_config::{Configuration, EntryKind, LeafSettings, NodeSettings};
 use sablebay_fleet::{ClaimHolder, FleetNode, MemberInfo};
 use sablebay_model::{InstanceKey, LeafId, Reason, Refusal, ServiceId};
+use sablebay_protocol::peer::{PartialGather, PeerResponse};
 
 use crate::catalogue_store::CatalogueStore;
 use crate::clock::Clock;
@@ -21,9 +23,20 @@
 use crate::logging::LogControl;
 use crate::mechanisms::NodeMechanisms;
 use crate::metrics::Metrics;
-use crate::peers::PeerTransport;
+use crate::peers::{PeerTransport, ProgressSender};
 use crate::service_state::{PlanNeed, ServiceState};
 
+/// Gathers shards for other nodes.
+pub trait PartialGatherer: Send + Sync {
+    /// Gathers; dropped when the asker no longer wants it.
+    fn gather(
+        &self,
+        from: InstanceKey,
+        partial: PartialGather,
+        progress: ProgressSender,
+    ) -> Pin<Box<dyn Future<Output = PeerResponse> + Send>>;
+}
+
 /// What all parts of a node share.
 pub struct Shared {
     /// The settings.
@@ -52,6 +65,8 @@
     pub metrics: Metrics,
     /// The catalogue of routes and replicas, for a node with a gateway.
     pub catalogue: CatalogueStore,
+    /// Gathers shards for other nodes; set by the gateway.
+    pub gatherer: OnceLock<Arc<dyn PartialGatherer>>,
     /// Where the node is in its life.
     pub lifecycle: Lifecycle,
     /// Requests that the node runs at once, over all services.
--- a/crates/sablebay-gateway/src/socket.rs
+++ b/crates/sablebay-node/src/socket.rs
@@ -8,7 +8,7 @@
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(3_000);
 
 /// Sets what every connection needs. A failure costs latency, or time until a dead link is seen.
-pub fn prepare(stream: &TcpStream) {
+pub fn prepare_socket(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
     let limit = UNACKNOWLEDGED_LIMIT.as_millis() as u32;
     let _ = rustix::net::sockopt::set_tcp_user_timeout(stream, limit);
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -3,7 +3,7 @@
 
 use musli::{Decode, Encode};
 
-use sablebay_catalogue::CatalogueSnapshot;
+use sablebay_catalogue::{CatalogueSnapshot, ServiceName};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -43,6 +43,13 @@
         /// The number of the request.
         number: u64,
     },
+    /// A part of the answer to a request; more will come.
+    Progress {
+        /// The number of the request.
+        number: u64,
+        /// The part.
+        response: PeerResponse,
+    },
 }
 
 /// A request from one node to another.
@@ -84,6 +91,8 @@
         /// How long the receiver may wait until it has something new, in milliseconds.
         wait_ms: u64,
     },
+    /// Ask one replica of each of some shards on the sender's behalf, and merge their answers.
+    PartialGather(Box<PartialGather>),
 }
 
 /// A search of some partitions.
@@ -107,6 +116,60 @@
     pub query: String,
 }
 
+/// A request over shards whose records are merged, as one node hands some of its shards to another.
+/// Times are spans from when it was sent: the clocks of nodes differ.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct PartialGather {
+    /// The caller's identifier of this attempt.
+    pub request: Vec<u8>,
+    /// The method.
+    pub method: String,
+    /// Path and query.
+    pub uri: String,
+    /// The headers, without those that concern one connection.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The name of the route; latencies are kept by it.
+    pub route: String,
+    /// The shards. The root's configuration names them; any replica of theirs will do.
+    pub shards: Vec<ServiceName>,
+    /// Records wanted at the most.
+    pub top: u32,
+    /// Replicas that each shard may be sent to.
+    pub maximum_attempts: u32,
+    /// The route's target latency, in microseconds; 0 when there is none.
+    pub target_us: u64,
+    /// When a sign of life is due, in microseconds.
+    pub progress_us: u64,
+    /// When what is in is wanted, in microseconds.
+    pub wanted_us: u64,
+    /// When the root gives the request up, in microseconds.
+    pub limit_us: u64,
+    /// How much longer the caller waits, in microseconds.
+    pub remaining_us: u64,
+}
+
+/// What a node gathered of the shards asked for since it last said something. Shards are positions
+/// in the list of the request.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct GatheredPart {
+    /// Shards whose records are merged here, rising.
+    pub answered: Vec<u32>,
+    /// What proves their answers to the caller, in the same order.
+    pub receipts: Vec<Vec<u8>>,
+    /// The greatest records of these answers, greatest first.
+    pub records: Vec<u8>,
+    /// Shards that were given up.
+    pub closed: Vec<u32>,
+    /// Shards that were sent to a second replica.
+    pub retried: Vec<u32>,
+    /// Shards at which work queues, of all that were asked for.
+    pub crowded: u32,
+    /// Calls to replicas so far.
+    pub calls: u32,
+}
+
 /// The result of a partial search.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct PartialResult {
@@ -141,4 +204,6 @@
     Refused(Refusal),
     /// The part of the catalogue that was asked for.
     Catalogue(Box<CatalogueSnapshot>),
+    /// Shards that were gathered.
+    Gathered(Box<GatheredPart>),
 }
--- a/crates/sablebay-protocol/tests/frames.rs
+++ b/crates/sablebay-protocol/tests/frames.rs
@@ -1,12 +1,14 @@
 //! Frames: what is written is read; anything else is turned away and nothing panics.
 
+use std::net::SocketAddr;
+
 use bytes::BytesMut;
 use musli::{Decode, Encode};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use sablebay_fleet::FleetMessage;
-use sablebay_model::FleetName;
+use sablebay_fleet::{FleetMessage, MemberInfo};
+use sablebay_model::{FleetName, Incarnation, InstanceKey, NodeId, RegionName, ZoneName};
 use sablebay_protocol::backend::{LeafAnswer, LeafOperationAnswer};
 use sablebay_protocol::caller::QueryBody;
 use sablebay_protocol::peer::PeerMessage;
@@ -150,3 +152,32 @@
     let new: New = musli::wire::from_slice(&musli::wire::to_vec(&old).unwrap()).unwrap();
     assert_eq!(new, New { number: 3, added: None });
 }
+
+/// A member as the release before nodes gathered for one another tells of itself.
+#[derive(Debug, Encode, Decode, PartialEq)]
+struct MemberOfThen {
+    key: InstanceKey,
+    zone: ZoneName,
+    region: RegionName,
+    peer_address: SocketAddr,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+#[test]
+fn a_member_of_the_release_before_is_read_as_one_that_does_not_gather() {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let then = MemberOfThen {
+        key: InstanceKey { node: NodeId::new("n1"), incarnation: Incarnation::from_start(1, 2) },
+        zone: ZoneName::new("a"),
+        region: RegionName::new("r"),
+        peer_address: address,
+        caller_address: address,
+        admin_address: address,
+    };
+    let read: MemberInfo = musli::wire::from_slice(&musli::wire::to_vec(&then).unwrap()).unwrap();
+    assert!(!read.gathers, "such a node is not asked");
+    let now = MemberInfo { gathers: true, ..read };
+    let read: MemberOfThen = musli::wire::from_slice(&musli::wire::to_vec(&now).unwrap()).unwrap();
+    assert_eq!(read, then, "and it reads a member of this release");
+}
--- /dev/null
+++ b/crates/sablebay/tests/platform/gathering.rs
@@ -0,0 +1,180 @@
+//! Shards that another node gathers: all back ends stand in one zone, and the node that callers
+//! reach in another.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use sablebay_platform_standin::{CallerCall, LeafBehaviour};
+
+use crate::support::{
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, check_gathered, configuration, eventually,
+};
+
+/// A deployment with nodes in the back ends' zone, and a root in a zone without any.
+struct Fleet {
+    deployment: Deployment,
+    gatherers: Vec<NodeProcess>,
+    root: NodeProcess,
+}
+
+/// A metric of a node, as it is served; 0 before it was counted.
+fn metric(node: &NodeProcess, name: &str) -> u64 {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(node.admin).expect("the node takes a connection");
+    stream
+        .write_all(b"GET /metrics HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n")
+        .expect("the request is sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the metrics come");
+    let lines = text.lines().filter_map(|line| line.strip_prefix(name));
+    lines.filter_map(|value| value.trim().parse::<u64>().ok()).sum()
+}
+
+const ANSWERED: &str = "sablebay_gateway_delegations_total{outcome=\"answered\"}";
+
+/// Makes gathered requests until one was gathered by another node; returns its number.
+async fn until_delegated(root: &NodeProcess) {
+    let number = std::sync::atomic::AtomicU32::new(0);
+    eventually("a request is gathered by another node", || async {
+        let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let id = format!("warm-{number}");
+        check_gathered(&root.get(GATHER_PATH, &id).await, &id);
+        metric(root, ANSWERED) > 0
+    })
+    .await;
+}
+
+impl Fleet {
+    async fn start(gatherers: usize) -> Self {
+        let deployment = Deployment::start().await;
+        let mut nodes: Vec<NodeProcess> = Vec::new();
+        for number in 0..gatherers {
+            let seeds: Vec<_> = nodes.iter().map(|node| node.peers).collect();
+            nodes.push(NodeProcess::start(&format!("node-{number}"), deployment.store.address, &seeds));
+        }
+        let seeds: Vec<_> = nodes.iter().map(|node| node.peers).collect();
+        let root = NodeProcess::start_in("zone-b", "root", deployment.store.address, &seeds);
+        for node in nodes.iter().chain([&root]) {
+            node.wait_ready().await;
+        }
+        until_delegated(&root).await;
+        Self { deployment, gatherers: nodes, root }
+    }
+
+    fn slow_shards(&self, delay: Duration) {
+        for leaf in &self.deployment.shards {
+            leaf.behave(LeafBehaviour::Slow(delay));
+        }
+    }
+
+    /// Begins a gathered request, and waits until each shard runs it.
+    async fn begin(
+        &self,
+        id: &'static str,
+    ) -> tokio::task::JoinHandle<sablebay_platform_standin::CallerAnswer> {
+        let caller = self.root.caller;
+        let call = CallerCall { patience: Duration::from_secs(60), ..CallerCall::get(HOST, GATHER_PATH, id) };
+        let asked = tokio::spawn(async move { caller.call(&call).await.expect("an answer") });
+        let runs = || async { self.deployment.runs_of(id) >= u32::from(SHARDS) };
+        eventually("each shard runs the request", runs).await;
+        asked
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_merged_part_holds_what_the_shards_hold() {
+    let fleet = Fleet::start(2).await;
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let answer = fleet.root.get(GATHER_PATH, &id).await;
+        check_gathered(&answer, &id);
+        assert_eq!(answer.missing, 0);
+        assert_eq!(fleet.deployment.runs_of(&id), u32::from(SHARDS), "one back end of each shard");
+    }
+    assert!(metric(&fleet.root, ANSWERED) > 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_shards_of_a_gatherer_that_is_killed_are_called_by_the_root() {
+    let fleet = Fleet::start(1).await;
+    fleet.slow_shards(Duration::from_millis(1_500));
+    let asked = fleet.begin("r-1").await;
+    fleet.gatherers[0].signal(Signal::KILL);
+    let answer = asked.await.expect("the task ends");
+    check_gathered(&answer, "r-1");
+    assert_eq!(answer.missing, 0, "the root called every shard itself");
+    fleet.slow_shards(Duration::ZERO);
+    check_gathered(&fleet.root.get(GATHER_PATH, "r-2").await, "r-2");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_shards_of_a_gatherer_that_freezes_are_called_by_the_root() {
+    let fleet = Fleet::start(1).await;
+    fleet.gatherers[0].signal(Signal::STOP);
+    for number in 0..3 {
+        let id = format!("r-{number}");
+        let answer = fleet.root.get(GATHER_PATH, &id).await;
+        check_gathered(&answer, &id);
+        assert_eq!(answer.missing, 0);
+    }
+    fleet.gatherers[0].signal(Signal::CONT);
+    let before = metric(&fleet.root, ANSWERED);
+    let number = std::sync::atomic::AtomicU32::new(0);
+    eventually("the gatherer is asked again", || async {
+        let id = format!("again-{}", number.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        let answer = fleet.root.get(GATHER_PATH, &id).await;
+        check_gathered(&answer, &id);
+        let arrivals = fleet.deployment.runs_of(&id);
+        assert!(arrivals <= 2 * u32::from(SHARDS), "{arrivals} runs of one request");
+        metric(&fleet.root, ANSWERED) > before
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gatherer_that_stops_as_planned_finishes_what_it_took() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.slow_shards(Duration::from_millis(1_500));
+    let asked = fleet.begin("r-1").await;
+    fleet.gatherers[0].signal(Signal::TERM);
+    let answer = asked.await.expect("the task ends");
+    check_gathered(&answer, "r-1");
+    assert_eq!(answer.missing, 0);
+    assert_eq!(fleet.deployment.runs_of("r-1"), u32::from(SHARDS), "nothing was sent twice");
+    fleet.slow_shards(Duration::ZERO);
+    assert_eq!(fleet.gatherers[0].exit_code().await, Some(0));
+    check_gathered(&fleet.root.get(GATHER_PATH, "r-2").await, "r-2");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_work_that_others_do_for_it() {
+    let fleet = Fleet::start(1).await;
+    for leaf in &fleet.deployment.shards {
+        leaf.behave(LeafBehaviour::Slow(Duration::from_secs(3_600)));
+    }
+    let asked = fleet.begin("r-1").await;
+    asked.abort();
+    let cancelled = || fleet.deployment.shards.iter().map(|leaf| leaf.record().cancelled).sum::<u64>();
+    eventually("the back ends' work ends", || async { cancelled() >= u64::from(SHARDS) }).await;
+    assert_eq!(fleet.root.get(SAFE_PATH, "r-2").await.status.as_u16(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gatherer_of_another_configuration_gathers_what_it_is_asked_for() {
+    let fleet = Fleet::start(2).await;
+    // Some nodes will know it before others; the root's version names the shards.
+    let mut fewer = configuration(2);
+    for route in &mut fewer.routes {
+        if let sablebay_catalogue::Destination::Gather(gather) = &mut route.destination {
+            gather.shards.reverse();
+        }
+    }
+    fleet.deployment.store.publish(&fewer);
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let answer = fleet.root.get(GATHER_PATH, &id).await;
+        check_gathered(&answer, &id);
+        assert_eq!(answer.missing, 0);
+    }
+}
--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -164,9 +164,14 @@
 
 /// The settings file of a node.
 pub fn settings_text(name: &str, store: SocketAddr, peers: &[SocketAddr]) -> String {
+    settings_in_zone("zone-a", name, store, peers)
+}
+
+/// The settings file of a node in a zone.
+pub fn settings_in_zone(zone: &str, name: &str, store: SocketAddr, peers: &[SocketAddr]) -> String {
     let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
     format!(
-        "node = \"{name}\"\nzone = \"zone-a\"\nprobe_period_ms = 100\nlog_level = \"warn\"\npeers = [{}]\n\n\
+        "node = \"{name}\"\nzone = \"{zone}\"\nprobe_period_ms = 100\nlog_level = \"warn\"\npeers = [{}]\n\n\
          [gateway]\ncaller_address = \"127.0.0.1:0\"\nreadiness_address = \"127.0.0.1:0\"\n\
          catalogue_address = \"{store}\"\nretry_ratio = 1.0\nretry_fixed = 1000\nassumed_nodes = 4\n\
          stop_linger_ms = 300\nstop_timeout_ms = 20000\n",
@@ -177,9 +182,18 @@
 impl NodeProcess {
     /// Starts a node and reads where it listens.
     pub fn start(name: &str, store: SocketAddr, peers: &[SocketAddr]) -> Self {
+        Self::start_with(&settings_text(name, store, peers))
+    }
+
+    /// Starts a node in a zone and reads where it listens.
+    pub fn start_in(zone: &str, name: &str, store: SocketAddr, peers: &[SocketAddr]) -> Self {
+        Self::start_with(&settings_in_zone(zone, name, store, peers))
+    }
+
+    fn start_with(settings: &str) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let settings_path = folder.path().join("node.toml");
-        std::fs::write(&settings_path, settings_text(name, store, peers)).expect("the settings are written");
+        std::fs::write(&settings_path, settings).expect("the settings are written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_sablebay"))
             .args(["serve", "--settings"])
             .arg(&settings_path)
