--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -15,6 +15,10 @@
 
 /// What one more call to a replica in another zone costs, against one in the same.
 const OTHER_ZONE_COST: f64 = 1.5;
+/// The cost up to which a replica in this node's zone is good enough: about three times the usual
+/// latency, or a queue of two calls a slot. Bytes between zones are paid for, and up to there an
+/// answer is in time all the same. From trials with 2 to 4 (docs/decisions.md).
+const GOOD_ENOUGH_COST: f64 = 4.0;
 /// What one more call to a replica that is slow from its start costs.
 const COLD_COST: f64 = 1.6;
 /// How long an abandoned call may go on at a replica that has slots to spare.
@@ -170,8 +174,10 @@
     fn cost(&self, candidate: &RoutableReplica, now: Micros) -> f64 {
         let replica = &candidate.replica;
         let known = self.health.get(&replica.id).map_or(1.0, |health| health.cost(replica.slots, now));
-        let zone = if replica.zone == self.zone { 1.0 } else { OTHER_ZONE_COST };
         let cold = if candidate.warm_at > now { COLD_COST } else { 1.0 };
-        known * zone * cold
+        if replica.zone == self.zone {
+            return known * cold;
+        }
+        (known * cold * OTHER_ZONE_COST).max(GOOD_ENOUGH_COST)
     }
 }
