--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -92,6 +92,11 @@
     delegation: Option<usize>,
     /// The call whose answer was taken.
     answered_by: Option<CallNumber>,
+    /// The replica that the last attempt is kept for: two nodes send the shard's calls, and neither
+    /// knows for sure which replicas the other has used.
+    spare: Option<ReplicaId>,
+    /// Whether only the spare is left: another node may have used every other attempt.
+    spare_alone: bool,
 }
 
 /// Replicas without a connection that one shard is tried at.
@@ -134,6 +139,8 @@
             rounds: 0,
             delegation: None,
             answered_by: None,
+            spare: None,
+            spare_alone: false,
         };
         Self {
             shards: vec![shard; targets.len()],
@@ -148,6 +155,15 @@
         }
     }
 
+    /// Keeps the last attempt of each shard for the replica named for it, as another node asks that
+    /// may send the shard there too.
+    pub fn keeping_spares(mut self, spares: Vec<Option<ReplicaId>>) -> Self {
+        for (shard, spare) in self.shards.iter_mut().zip(spares) {
+            shard.spare = spare;
+        }
+        self
+    }
+
     /// Has other nodes gather these shards. No shard may stand in two delegations.
     pub fn delegating(mut self, delegations: Vec<DelegatedShards>) -> Self {
         let unheard = |delegated| Delegation { delegated, heard: false };
@@ -190,7 +206,10 @@
     /// Sends one call of a shard; false when no replica is left.
     fn send<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) -> bool {
         let replicas = &self.targets[shard].replicas;
-        let chosen = turn.table.choose(replicas, &self.shards[shard].tried, turn.now, turn.random);
+        let chosen = match self.reserved(shard) {
+            Some(spare) => self.untried_position(shard, &spare),
+            None => turn.table.choose(replicas, &self.shards[shard].tried, turn.now, turn.random),
+        };
         let Some(index) = chosen else {
             return false;
         };
@@ -207,6 +226,20 @@
         true
     }
 
+    /// The replica that the next call must go to, when only the spare's attempt is left.
+    fn reserved(&self, shard: usize) -> Option<ReplicaId> {
+        let progress = &self.shards[shard];
+        let spare = progress.spare.as_ref()?;
+        let last = progress.attempts + 1 >= self.settings.maximum_attempts;
+        let kept = progress.spare_alone || (last && !progress.tried.contains(spare));
+        kept.then(|| spare.clone())
+    }
+
+    fn untried_position(&self, shard: usize, replica: &ReplicaId) -> Option<usize> {
+        let known = self.targets[shard].replicas.iter().position(|known| known.replica.id == *replica);
+        known.filter(|_| !self.shards[shard].tried.contains(replica))
+    }
+
     fn next_hedge(&self, shard: usize, now: Micros) -> Micros {
         let repeatable = self.settings.repeatability == Repeatability::Repeatable;
         let attempts_left = self.shards[shard].attempts < self.settings.maximum_attempts;
@@ -381,7 +414,14 @@
             self.shards[shard].hedge_at = Micros::MAX;
             return;
         }
-        let worthwhile = turn.table.has_fit(replicas, tried, turn.now);
+        let candidates = match self.reserved(shard) {
+            None => &replicas[..],
+            Some(spare) => match self.untried_position(shard, &spare) {
+                Some(position) => &replicas[position..=position],
+                None => &[],
+            },
+        };
+        let worthwhile = turn.table.has_fit(candidates, tried, turn.now);
         let paid = worthwhile && turn.budgets.spend(&self.targets[shard].service, turn.allowance, turn.now);
         if !paid || !self.send(shard, turn) {
             self.shards[shard].hedge_at = turn.now.plus(HEDGE_RECHECK);
--- a/crates/sablebay-dispatch/src/fanout/delegation.rs
+++ b/crates/sablebay-dispatch/src/fanout/delegation.rs
@@ -3,7 +3,10 @@
 
 use rand::Rng;
 
-use sablebay_model::Micros;
+use smallvec::SmallVec;
+
+use sablebay_catalogue::ReplicaId;
+use sablebay_model::{Micros, ZoneName};
 
 use super::call::{CallFailure, CallNumber, Execution};
 use super::terms::{FanoutAction, GatheredShards};
@@ -17,15 +20,43 @@
             let call = CallNumber(self.calls.len() as u32);
             self.calls.push(Call { scope: CallScope::Delegation(number), open: true });
             let delegated = self.delegations[number].delegated.clone();
-            for shard in &delegated.shards {
+            let spares: Vec<Option<ReplicaId>> = delegated
+                .shards
+                .iter()
+                .map(|shard| self.choose_spare(*shard, &delegated.zone, turn))
+                .collect();
+            for (shard, spare) in delegated.shards.iter().zip(&spares) {
                 let progress = &mut self.shards[*shard];
+                progress.spare = spare.clone();
+                progress.spare_alone = spare.is_some();
                 // The gatherer's first call; its later ones are told.
                 progress.attempts = 1;
                 progress.open_calls = 1;
                 progress.hedge_at = rescue_at;
             }
-            turn.actions.push(FanoutAction::Delegate { call, delegated });
+            turn.actions.push(FanoutAction::Delegate { call, delegated, spares });
+        }
+    }
+
+    /// The replica that a shard's last attempt is kept for: outside of the gatherer's zone, whose
+    /// replicas it uses first. None where a shard has no more replicas than attempts, so that any of
+    /// them will do.
+    fn choose_spare<R: Rng>(
+        &self,
+        shard: usize,
+        zone: &ZoneName,
+        turn: &mut FanoutTurn<'_, R>,
+    ) -> Option<ReplicaId> {
+        let replicas = &self.targets[shard].replicas;
+        let attempts = self.settings.maximum_attempts as usize;
+        if attempts < 2 || replicas.len() <= attempts {
+            return None;
         }
+        let in_zone = replicas.iter().filter(|known| known.replica.zone == *zone);
+        let in_zone: SmallVec<[ReplicaId; 3]> = in_zone.map(|known| known.replica.id.clone()).collect();
+        let outside = turn.table.choose(replicas, &in_zone, turn.now, turn.random);
+        let chosen = outside.or_else(|| turn.table.choose(replicas, &[], turn.now, turn.random))?;
+        Some(replicas[chosen].replica.id.clone())
     }
 
     /// A gatherer told how far it is. Returns whether the part that came with it is taken; the
@@ -145,7 +176,10 @@
         progress.delegation = None;
         progress.open_calls -= 1;
         if execution != Execution::Possible {
+            // The gatherer sent nothing: every attempt is this node's own.
             progress.attempts -= 1;
+            progress.spare = None;
+            progress.spare_alone = false;
         }
         if progress.state != ShardState::Open {
             return;
--- a/crates/sablebay-dispatch/src/fanout/terms.rs
+++ b/crates/sablebay-dispatch/src/fanout/terms.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use sablebay_catalogue::{Repeatability, ReplicaId, RoutableReplica, ServiceName};
-use sablebay_model::{Micros, NodeId};
+use sablebay_model::{Micros, NodeId, ZoneName};
 
 use super::call::CallNumber;
 
@@ -40,6 +40,8 @@
 pub struct DelegatedShards {
     /// The node.
     pub gatherer: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
     /// Positions of the shards in the request, rising.
     pub shards: Vec<usize>,
 }
@@ -77,6 +79,8 @@
         call: CallNumber,
         /// The node and the shards.
         delegated: DelegatedShards,
+        /// The spare replica of each of these shards, where it has more replicas than attempts.
+        spares: Vec<Option<ReplicaId>>,
     },
     /// The answer to a call is no longer wanted.
     Abandon {
--- a/crates/sablebay-dispatch/src/gatherers.rs
+++ b/crates/sablebay-dispatch/src/gatherers.rs
@@ -55,7 +55,7 @@
 /// The delegations of a request; shards that stand in none are called directly.
 pub fn choose_gatherers<R: Rng>(inputs: &GathererInputs<'_>, random: &mut R) -> Vec<DelegatedShards> {
     let zones = zones_of(inputs);
-    let mut chosen: BTreeMap<NodeId, Vec<usize>> = BTreeMap::new();
+    let mut chosen: BTreeMap<(NodeId, &ZoneName), Vec<usize>> = BTreeMap::new();
     let mut salt = None;
     for chunk in chunks(inputs, &zones) {
         let mut by_zone: BTreeMap<&ZoneName, Vec<usize>> = BTreeMap::new();
@@ -69,12 +69,17 @@
         let name = inputs.shards[chunk.start].service.as_str();
         for (zone, shards) in by_zone {
             if let Some(node) = owner_in(inputs, zone, &zones[zone], name, random) {
-                chosen.entry(node).or_default().extend(shards);
+                chosen.entry((node, zone)).or_default().extend(shards);
             }
         }
     }
     let delegated = chosen.into_iter().filter(|(_, shards)| shards.len() >= FEWEST_DELEGATED);
-    delegated.map(|(gatherer, shards)| DelegatedShards { gatherer, shards }).collect()
+    let named = |((gatherer, zone), shards): ((NodeId, &ZoneName), _)| DelegatedShards {
+        gatherer,
+        zone: zone.clone(),
+        shards,
+    };
+    delegated.map(named).collect()
 }
 
 /// The nodes of each zone, this one among them.
--- a/crates/sablebay-dispatch/tests/delegation.rs
+++ b/crates/sablebay-dispatch/tests/delegation.rs
@@ -198,6 +198,7 @@
         };
         let delegated = |name: &str, shards: std::ops::Range<usize>| DelegatedShards {
             gatherer: NodeId::new(name),
+            zone: ZoneName::new("a"),
             shards: shards.collect(),
         };
         let delegations = vec![delegated("n1", 0..4), delegated("n2", 4..6)];
@@ -231,7 +232,7 @@
         for action in actions {
             let (call, sent) = match action {
                 FanoutAction::Send { call, shard, .. } => (call, (vec![shard], false)),
-                FanoutAction::Delegate { call, delegated } => (call, (delegated.shards, true)),
+                FanoutAction::Delegate { call, delegated, .. } => (call, (delegated.shards, true)),
                 FanoutAction::Abandon { call } => {
                     self.open.retain(|open| *open != call);
                     continue;
@@ -461,3 +462,140 @@
         prop_assert!(harness.open.is_empty(), "and abandons what is open");
     }
 }
+
+/// One of the two nodes that send the calls of delegated shards, and the replicas that it has used.
+struct Sender {
+    fanout: Fanout,
+    budgets: RetryBudgets,
+    random: SmallRng,
+    used: BTreeSet<(usize, ReplicaId)>,
+    open: Vec<CallNumber>,
+    spares: Option<Vec<Option<ReplicaId>>>,
+}
+
+impl Sender {
+    fn new(fanout: Fanout, seed: u64) -> Self {
+        let random = SmallRng::seed_from_u64(seed);
+        let mut sender = Self {
+            fanout,
+            budgets: RetryBudgets::default(),
+            random,
+            used: BTreeSet::new(),
+            open: Vec::new(),
+            spares: None,
+        };
+        sender.step(START, |fanout, turn| fanout.start(turn));
+        sender
+    }
+
+    fn step<T>(
+        &mut self,
+        now: Micros,
+        step: impl FnOnce(&mut Fanout, &mut FanoutTurn<'_, SmallRng>) -> T,
+    ) -> T {
+        let mut actions = Vec::new();
+        let allowance =
+            RetryAllowance { ratio: 0.2, fixed: 1_000.0, window: Micros::from_secs(10), nodes: 1 };
+        let result = step(
+            &mut self.fanout,
+            &mut FanoutTurn {
+                table: &ReplicaTable::new(ZoneName::new("a")),
+                budgets: &mut self.budgets,
+                allowance: &allowance,
+                now,
+                random: &mut self.random,
+                actions: &mut actions,
+            },
+        );
+        for action in actions {
+            match action {
+                FanoutAction::Send { call, shard, replica, .. } => {
+                    self.used.insert((shard, replica));
+                    self.open.push(call);
+                }
+                FanoutAction::Delegate { spares, .. } => self.spares = Some(spares),
+                FanoutAction::Abandon { call } => self.open.retain(|open| *open != call),
+            }
+        }
+        result
+    }
+
+    fn fail_one(&mut self, now: Micros, index: prop::sample::Index) {
+        if !self.open.is_empty() {
+            let call = self.open.swap_remove(index.index(self.open.len()));
+            self.step(now, |fanout, turn| fanout.on_failure(call, CallFailure::Broken, turn));
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Race {
+    RootWaits(u64),
+    GathererWaits(u64),
+    RootCallFails(prop::sample::Index),
+    GathererCallFails(prop::sample::Index),
+    GathererBreaks,
+}
+
+fn race() -> impl Strategy<Value = Race> {
+    prop_oneof![
+        (0u64..200).prop_map(Race::RootWaits),
+        (0u64..200).prop_map(Race::GathererWaits),
+        any::<prop::sample::Index>().prop_map(Race::RootCallFails),
+        any::<prop::sample::Index>().prop_map(Race::GathererCallFails),
+        Just(Race::GathererBreaks),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(47), cases: 500, ..Config::default() })]
+
+    /// Seen on the grown sites (scores 9af389ad and b3080100): a gatherer that was late with its sign
+    /// of life had sent a shard to two replicas, and the root to a third of two allowed.
+    #[test]
+    fn a_root_and_its_gatherer_use_no_more_replicas_than_the_route_allows(
+        maximum_attempts in 1u32..4,
+        seed in any::<u64>(),
+        events in proptest::collection::vec(race(), 0..30),
+    ) {
+        let settings = FanoutSettings {
+            repeatability: Repeatability::Repeatable,
+            maximum_attempts,
+            minimum_shards: 0,
+            deadline: DEADLINE,
+            partial_at: DEADLINE,
+            hedge_delay: Micros::from_millis(50),
+            rescue_delay: RESCUE_DELAY,
+        };
+        let zones: [&[&str]; 3] = [&["a", "b", "c", "d"][..]; 3];
+        let delegated =
+            DelegatedShards { gatherer: NodeId::new("n1"), zone: ZoneName::new("a"), shards: vec![0, 1, 2] };
+        let root = Fanout::new(settings, targets(&zones)).delegating(vec![delegated]);
+        let mut root = Sender::new(root, seed);
+        let spares = root.spares.take().expect("the shards are delegated");
+        let gatherer = Fanout::new(settings, targets(&zones)).keeping_spares(spares);
+        let mut gatherer = Sender::new(gatherer, !seed);
+        let (mut root_now, mut gatherer_now) = (START, START);
+        for event in events {
+            match event {
+                Race::RootWaits(wait) => {
+                    root_now = root_now.plus(Micros::from_millis(wait));
+                    root.step(root_now, |fanout, turn| fanout.on_wake(turn));
+                }
+                Race::GathererWaits(wait) => {
+                    gatherer_now = gatherer_now.plus(Micros::from_millis(wait));
+                    gatherer.step(gatherer_now, |fanout, turn| fanout.on_wake(turn));
+                }
+                Race::RootCallFails(index) => root.fail_one(root_now, index),
+                Race::GathererCallFails(index) => gatherer.fail_one(gatherer_now, index),
+                Race::GathererBreaks => root.step(root_now, |fanout, turn| {
+                    fanout.on_gatherer_failure(CallNumber(0), CallFailure::Broken, turn);
+                }),
+            }
+            for shard in 0..3 {
+                let used = root.used.union(&gatherer.used).filter(|(known, _)| *known == shard).count();
+                prop_assert!(used <= maximum_attempts as usize, "{used} replicas of shard {shard}");
+            }
+        }
+    }
+}
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -6,7 +6,7 @@
 use http::HeaderValue;
 use tokio::sync::{mpsc, oneshot};
 
-use sablebay_catalogue::{Gather, ServiceName};
+use sablebay_catalogue::{Gather, ReplicaId, ServiceName};
 use sablebay_dispatch::{CallFailure, CallKey, CallNumber, DelegatedShards, GatheredShards, RECORD_BYTES};
 use sablebay_model::Micros;
 use sablebay_node::{Lane, PeerFailure, PeerNews, PendingAnswer};
@@ -48,6 +48,8 @@
     pub address: Option<SocketAddr>,
     /// The names of the shards.
     pub shards: Vec<ServiceName>,
+    /// The spare replica of each, where there is one.
+    pub spares: Vec<Option<ReplicaId>>,
     /// Records wanted at the most.
     pub top: usize,
     /// Replicas that each shard may be sent to.
@@ -149,6 +151,7 @@
         body: request.body.to_vec(),
         route: request.route.clone(),
         shards: delegation.shards.clone(),
+        spares: delegation.spares.iter().map(spare_text).collect(),
         top: u32::try_from(delegation.top).unwrap_or(u32::MAX),
         maximum_attempts: delegation.maximum_attempts,
         target_us: times.target.0,
@@ -159,6 +162,10 @@
     }
 }
 
+fn spare_text(spare: &Option<ReplicaId>) -> String {
+    spare.as_ref().map_or_else(String::new, ToString::to_string)
+}
+
 fn note_heard<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     delegation: &OutgoingDelegation,
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -338,7 +338,9 @@
                     self.send(call, shard, &replica, now);
                     self.work.extra_calls += u32::from(!first);
                 }
-                FanoutAction::Delegate { call, delegated } => self.delegate(call, delegated, now),
+                FanoutAction::Delegate { call, delegated, spares } => {
+                    self.delegate(call, delegated, spares, now);
+                }
                 FanoutAction::Abandon { call } => self.open[call.0 as usize] = None,
             }
         }
@@ -374,7 +376,13 @@
         tokio::spawn(run_call(self.context.clone(), outgoing));
     }
 
-    fn delegate(&mut self, call: CallNumber, delegated: DelegatedShards, now: Micros) {
+    fn delegate(
+        &mut self,
+        call: CallNumber,
+        delegated: DelegatedShards,
+        spares: Vec<Option<ReplicaId>>,
+        now: Micros,
+    ) {
         let terms = self.terms.as_ref().expect("only shards whose records are merged are delegated").clone();
         let key = self.context.next_call();
         let rescue_delay = terms.times.rescue_delay;
@@ -387,6 +395,7 @@
             key,
             address: self.context.fleet.lock().address_of(&delegated.gatherer),
             shards: names_of(&terms.gather, &delegated),
+            spares,
             top: terms.gather.top,
             maximum_attempts: terms.maximum_attempts,
             delegated,
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 
-use sablebay_catalogue::Repeatability;
+use sablebay_catalogue::{Repeatability, ReplicaId};
 use sablebay_dispatch::{Fanout, FanoutSettings, ShardTargets};
 use sablebay_model::{InstanceKey, Micros, Reason, Refusal};
 use sablebay_node::{PartialGatherer, ProgressSender};
@@ -101,8 +101,8 @@
         rescue_delay: Micros::MAX,
     };
     let crowded = crowded(context, &targets, now);
-    let mut run =
-        RunningRequest::start(context, Fanout::new(settings, targets), Arc::new(request), usual, None);
+    let fanout = Fanout::new(settings, targets).keeping_spares(spares(&partial));
+    let mut run = RunningRequest::start(context, fanout, Arc::new(request), usual, None);
     let mut told = Told::new(partial.shards.len(), partial.top as usize, crowded);
     run.until(times.progress_at).await;
     if !run.is_finished() {
@@ -124,6 +124,11 @@
     last
 }
 
+/// The spare replica of each shard, where there is one.
+fn spares(partial: &PartialGather) -> Vec<Option<ReplicaId>> {
+    partial.spares.iter().map(|text| (!text.is_empty()).then(|| ReplicaId::new(text))).collect()
+}
+
 fn crowded<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     targets: &[ShardTargets],
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -134,6 +134,9 @@
     pub route: String,
     /// The shards. The root's configuration names them; any replica of theirs will do.
     pub shards: Vec<ServiceName>,
+    /// The spare replica of each shard, which its last attempt is kept for: the root may send the
+    /// shard there too. Empty texts where there is none.
+    pub spares: Vec<String>,
     /// Records wanted at the most.
     pub top: u32,
     /// Replicas that each shard may be sent to.
