--- a/crates/sablebay-dispatch/src/arrival_rate.rs
+++ b/crates/sablebay-dispatch/src/arrival_rate.rs
@@ -17,13 +17,28 @@
 impl ArrivalRate {
     /// Counts an arrival. Returns the rate, in arrivals a second.
     pub fn note(&mut self, now: Micros) -> f64 {
-        let half_lives = |span: Micros| span.as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.weight = self.weight * 0.5f64.powf(half_lives(now.since(self.noted_at))) + 1.0;
+        self.weight = self.weight_at(now) + 1.0;
         self.noted_at = now;
-        let first_at = *self.first_at.get_or_insert(now);
+        self.first_at.get_or_insert(now);
+        self.rate(now)
+    }
+
+    /// The rate, in arrivals a second.
+    pub fn rate(&self, now: Micros) -> f64 {
+        let Some(first_at) = self.first_at else {
+            return 0.0;
+        };
         // What a steady rate of one a second would have come to by now.
         let lifetime_s = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
         let of_one = lifetime_s * (1.0 - 0.5f64.powf(half_lives(now.since(first_at)))) + 1.0;
-        self.weight / of_one
+        self.weight_at(now) / of_one
+    }
+
+    fn weight_at(&self, now: Micros) -> f64 {
+        self.weight * 0.5f64.powf(half_lives(now.since(self.noted_at)))
     }
 }
+
+fn half_lives(span: Micros) -> f64 {
+    span.as_secs_f64() / HALF_LIFE.as_secs_f64()
+}
--- a/crates/sablebay-dispatch/src/gatherers.rs
+++ b/crates/sablebay-dispatch/src/gatherers.rs
@@ -13,6 +13,7 @@
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use sablebay_catalogue::ServiceName;
 use sablebay_model::{Micros, NodeId, ZoneName};
 
 use crate::fanout::{DelegatedShards, ShardTargets};
@@ -54,10 +55,10 @@
 
 /// The delegations of a request; shards that stand in none are called directly.
 pub fn choose_gatherers<R: Rng>(inputs: &GathererInputs<'_>, random: &mut R) -> Vec<DelegatedShards> {
-    let zones = zones_of(inputs);
+    let zones = zones_of(inputs.own, inputs.others);
     let mut chosen: BTreeMap<(NodeId, &ZoneName), Vec<usize>> = BTreeMap::new();
     let mut salt = None;
-    for chunk in chunks(inputs, &zones) {
+    for chunk in chunks(inputs.shards.len(), &zones, inputs.own_rate) {
         let mut by_zone: BTreeMap<&ZoneName, Vec<usize>> = BTreeMap::new();
         for shard in chunk.clone() {
             // One draw a request: its shards from one far zone travel together.
@@ -83,14 +84,46 @@
 }
 
 /// The nodes of each zone, this one among them.
-fn zones_of<'a>(inputs: &GathererInputs<'a>) -> BTreeMap<&'a ZoneName, Vec<&'a NodeId>> {
+fn zones_of<'a>(
+    own: &'a GathererNode,
+    others: &'a [GathererNode],
+) -> BTreeMap<&'a ZoneName, Vec<&'a NodeId>> {
     let mut zones: BTreeMap<&ZoneName, Vec<&NodeId>> = BTreeMap::new();
-    for known in inputs.others.iter().chain([inputs.own]) {
+    for known in others.iter().chain([own]) {
         zones.entry(&known.zone).or_default().push(&known.node);
     }
     zones
 }
 
+/// For each shard, whether this node keeps connections to its replicas as one that gathers it, or
+/// would gather it if one owner were lost. Nothing where every node gathers every shard itself.
+pub fn owned_shards(
+    own: &GathererNode,
+    others: &[GathererNode],
+    shards: &[ServiceName],
+    own_rate: f64,
+) -> Option<Vec<bool>> {
+    let zones = zones_of(own, others);
+    let chunks = chunks(shards.len(), &zones, own_rate);
+    if chunks.len() < 2 {
+        return None;
+    }
+    let nodes = &zones[&own.zone];
+    let kept = owners_wanted(nodes.len(), own_rate) + 1;
+    let owns = |chunk: &std::ops::Range<usize>| {
+        let owners = owners(shards[chunk.start].as_str(), nodes, kept);
+        owners.contains(&&own.node)
+    };
+    let by_chunk = chunks.iter().map(|chunk| std::iter::repeat_n(owns(chunk), chunk.len()));
+    Some(by_chunk.flatten().collect())
+}
+
+/// How many nodes gather a shard in all zones together, spare owners among them.
+pub fn gathering_nodes(own: &GathererNode, others: &[GathererNode], own_rate: f64) -> usize {
+    let zones = zones_of(own, others);
+    zones.values().map(|nodes| (owners_wanted(nodes.len(), own_rate) + 1).min(nodes.len())).sum()
+}
+
 /// How many nodes of a zone own a chunk, by the rate that the zone's nodes seem to take together.
 fn owners_wanted(nodes: usize, own_rate: f64) -> usize {
     let zone_rate = own_rate * nodes as f64;
@@ -101,11 +134,11 @@
 /// The shards in chunks that have owners of their own: one where every node owns all, otherwise as
 /// many as there are shards in each, so that a request asks about as many nodes as each has calls.
 fn chunks(
-    inputs: &GathererInputs<'_>,
+    count: usize,
     zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
+    own_rate: f64,
 ) -> Vec<std::ops::Range<usize>> {
-    let count = inputs.shards.len();
-    let all_own = zones.values().all(|nodes| owners_wanted(nodes.len(), inputs.own_rate) == nodes.len());
+    let all_own = zones.values().all(|nodes| owners_wanted(nodes.len(), own_rate) == nodes.len());
     let length = if all_own { count } else { (count as f64).sqrt().ceil() as usize };
     (0..count).step_by(length.max(1)).map(|start| start..(start + length).min(count)).collect()
 }
@@ -150,15 +183,18 @@
     random: &mut R,
 ) -> Option<NodeId> {
     let wanted = owners_wanted(nodes.len(), inputs.own_rate);
-    let mut ranked: Vec<(u64, &NodeId)> = nodes.iter().map(|node| (weight(chunk, node), *node)).collect();
-    ranked.sort_by(|one, other| other.cmp(one));
-    ranked.truncate(wanted);
-    let own = *zone == inputs.own.zone && ranked.iter().any(|(_, node)| **node == inputs.own.node);
-    if own {
+    let owners = owners(chunk, nodes, wanted);
+    if *zone == inputs.own.zone && owners.contains(&&inputs.own.node) {
         return None;
     }
-    let owners = ranked.iter().map(|(_, node)| *node);
-    inputs.table.choose(owners, inputs.now, random).cloned()
+    inputs.table.choose(owners.into_iter(), inputs.now, random).cloned()
+}
+
+/// The nodes with the highest weights for a chunk.
+fn owners<'a>(chunk: &str, nodes: &[&'a NodeId], wanted: usize) -> Vec<&'a NodeId> {
+    let mut ranked: Vec<(u64, &NodeId)> = nodes.iter().map(|node| (weight(chunk, node), *node)).collect();
+    ranked.sort_by(|one, other| other.cmp(one));
+    ranked.into_iter().take(wanted).map(|(_, node)| node).collect()
 }
 
 /// The weight of a node for a chunk: the highest own it. A node that comes or goes moves its own
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -31,7 +31,7 @@
     FanoutTurn, GatheredShards, ShardTargets,
 };
 pub use gatherer_table::GathererTable;
-pub use gatherers::{GathererInputs, GathererNode, choose_gatherers};
+pub use gatherers::{GathererInputs, GathererNode, choose_gatherers, gathering_nodes, owned_shards};
 pub use records::{RECORD_BYTES, TopRecords};
 pub use replica_health::{LoadHint, ReplicaHealth};
 pub use replica_table::{CallKey, ReplicaTable};
--- a/crates/sablebay-dispatch/tests/delegation.rs
+++ b/crates/sablebay-dispatch/tests/delegation.rs
@@ -13,7 +13,7 @@
 use sablebay_dispatch::{
     CallFailure, CallKey, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutOutcome, FanoutSettings,
     FanoutTurn, GatheredShards, GathererInputs, GathererNode, GathererTable, ReplicaTable, RetryAllowance,
-    RetryBudgets, ShardTargets, choose_gatherers,
+    RetryBudgets, ShardTargets, choose_gatherers, gathering_nodes, owned_shards,
 };
 use sablebay_model::{Micros, NodeId, ZoneName};
 
@@ -171,6 +171,30 @@
     assert_eq!(choose(&own, &others, &few, 50.0, 1), []);
 }
 
+#[test]
+fn whom_others_ask_keeps_connections_to_the_replicas() {
+    let nodes: Vec<_> = (0..40).map(|number| node(&format!("n{number}"), ["a", "b"][number % 2])).collect();
+    let shards = targets(&[&["a", "b"][..]; 90]);
+    let names: Vec<_> = shards.iter().map(|shard| shard.service.clone()).collect();
+    let kept = |own: &GathererNode| {
+        let others: Vec<_> = nodes.iter().filter(|other| *other != own).cloned().collect();
+        owned_shards(own, &others, &names, 0.8).expect("few nodes own a shard")
+    };
+    let kept: BTreeMap<NodeId, Vec<bool>> = nodes.iter().map(|own| (own.node.clone(), kept(own))).collect();
+    for own in &nodes {
+        let others: Vec<_> = nodes.iter().filter(|other| *other != own).cloned().collect();
+        for delegated in choose(own, &others, &shards, 0.8, 1) {
+            assert!(delegated.shards.iter().all(|shard| kept[&delegated.gatherer][*shard]));
+        }
+    }
+    for shard in 0..90 {
+        let owners = kept.values().filter(|kept| kept[shard]).count();
+        assert_eq!(owners, 6, "two and a spare one in each zone");
+        assert_eq!(owners, gathering_nodes(&nodes[0], &nodes[1..], 0.8));
+    }
+    assert_eq!(owned_shards(&nodes[0], &nodes[1..], &names, 30.0), None, "here every node owns all");
+}
+
 /// A request with everything around it, and a record of what was sent.
 struct Harness {
     fanout: Fanout,
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -24,6 +24,7 @@
 use crate::fleet_view::FleetView;
 use crate::mechanisms::GatewayMechanisms;
 use crate::metrics::GatewayMetrics;
+use crate::ownership::Ownership;
 
 /// The replicas that may get new work, at one moment.
 #[derive(Debug, Default)]
@@ -92,6 +93,8 @@
     pub connections: Mutex<HashMap<ReplicaId, Arc<ReplicaConnections>>>,
     /// The other nodes.
     pub fleet: Mutex<FleetView>,
+    /// The shards that this node gathers for others.
+    ownership: ArcSwap<Ownership>,
     /// Nodes that share budgets and connections.
     pub nodes: AtomicU64,
     /// This node's position among them.
@@ -131,6 +134,7 @@
             node_position: AtomicU64::new(0),
             source_fails: AtomicBool::new(false),
             settings: ArcSwap::from_pointee(settings),
+            ownership: ArcSwap::from_pointee(Ownership::default()),
             mechanisms,
             view: ArcSwap::from_pointee(RoutingView::default()),
             replaced: ArcSwap::from_pointee(RoutingView::default()),
@@ -190,17 +194,47 @@
 
     fn connection_limit(&self, service: &ServiceName) -> usize {
         let maximum = maximum_connections(self.view.load().routes.as_deref(), service);
-        connection_share(maximum, self.nodes.load(Ordering::Relaxed) as usize)
+        let owners = self.ownership.load().owners_of(service);
+        connection_share(maximum, owners.unwrap_or(self.nodes.load(Ordering::Relaxed) as usize))
+    }
+
+    /// Which shards this node gathers, where there are more nodes than connections and a few nodes of
+    /// each zone gather for the others.
+    fn ownership(&self, view: &RoutingView) -> Ownership {
+        let Some(routes) = view.routes.as_ref().filter(|_| self.mechanisms.gathering) else {
+            return Ownership::default();
+        };
+        let running_for = Micros::from(self.clock().running_for());
+        let fleet = self.fleet.lock();
+        let settled = fleet.size(running_for).0.is_settled();
+        let gatherers = fleet.gatherers();
+        drop(fleet);
+        if !settled {
+            return Ownership::default();
+        }
+        let now = self.clock().now();
+        let dispatch = self.dispatch.lock();
+        let mut ownership = Ownership::default();
+        for route in &routes.configuration().routes {
+            if let Destination::Gather(gather) = &route.destination
+                && let Some(first) = gather.shards.first()
+            {
+                let own_rate = dispatch.arrivals.get(first).map_or(0.0, |arrivals| arrivals.rate(now));
+                ownership.add(&gatherers, &gather.shards, own_rate);
+            }
+        }
+        ownership
     }
 
     /// Marks the replicas that have no room for a connection of this node.
-    fn keep_to_share(&self, maximum: u32, replicas: &mut Arc<[RoutableReplica]>) {
+    fn keep_to_share(&self, maximum: u32, ownership: &Ownership, replicas: &mut Arc<[RoutableReplica]>) {
         let own_zone = &self.node.settings.zone;
         let local: Vec<bool> = replicas.iter().map(|known| known.replica.zone == *own_zone).collect();
         let (own_zone_nodes, other_zones) = self.fleet.lock().zones(own_zone, replicas);
+        let nodes = self.nodes.load(Ordering::Relaxed) as usize;
         let own = own_replicas(&ReplicaShareInputs {
             maximum,
-            nodes: self.nodes.load(Ordering::Relaxed) as usize,
+            nodes,
             position: self.node_position.load(Ordering::Relaxed) as usize,
             local: &local,
             own_zone_nodes,
@@ -209,6 +243,11 @@
         if own.iter().all(|own| *own) {
             return;
         }
+        let owned = replicas.first().and_then(|known| ownership.owns(&known.replica.service));
+        let own = match owned {
+            Some(owned) => vec![owned; own.len()],
+            None => own,
+        };
         let marked = replicas
             .iter()
             .zip(own)
@@ -218,10 +257,12 @@
 
     /// Takes a new view of routes and replicas into use.
     pub fn install(&self, mut view: RoutingView) {
+        let ownership = self.ownership(&view);
         for (service, replicas) in &mut view.replicas {
             let maximum = maximum_connections(view.routes.as_deref(), service);
-            self.keep_to_share(maximum, replicas);
+            self.keep_to_share(maximum, &ownership, replicas);
         }
+        self.ownership.store(Arc::new(ownership));
         let before = self.view.swap(Arc::new(view));
         let version = |view: &RoutingView| view.routes.as_ref().map_or(0, |routes| routes.version());
         if version(&before) != version(&self.view.load()) {
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod mechanisms;
 mod merge;
 mod metrics;
+mod ownership;
 mod peer_catalogue;
 mod readiness;
 mod request_body;
