A ledger of bytes by kind and zone, on /metrics

Change: each frame between nodes and each byte of a connection to a replica is counted by what it is for (membership, catalogue, gather requests, merged parts, first and extra calls) and by own or other zone. control_bytes is now the sum of membership and catalogue, whichever lane they went on.

--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -88,6 +88,8 @@
     pub replica: RoutableReplica,
     /// What.
     pub request: Arc<ForwardedRequest>,
+    /// Whether it is a hedge or a retry.
+    pub extra: bool,
     /// When the answer is no longer wanted.
     pub deadline: Micros,
     /// Ready when nobody waits any more; also when its other end is dropped.
@@ -101,8 +103,8 @@
     context: Arc<Context<C, B>>,
     call: OutgoingCall,
 ) {
-    let OutgoingCall { number, key, replica, request, deadline, mut abandoned, events } = call;
-    let connections = context.connections_to(&replica);
+    let connections = context.connections_to(&call.replica);
+    let OutgoingCall { number, key, replica, request, extra, deadline, mut abandoned, events } = call;
     let leased = tokio::select! {
         lease = connections.lease() => lease,
         _ = &mut abandoned => {
@@ -123,7 +125,8 @@
         let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
         return;
     };
-    let mut exchange = std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, deadline));
+    let mut exchange =
+        std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, extra, deadline));
     let finished = tokio::select! {
         result = &mut exchange => Some(result),
         _ = &mut abandoned => {
@@ -170,6 +173,7 @@
     mut lease: Lease,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
+    extra: bool,
     deadline: Micros,
 ) -> (CallResult, Option<LoadHint>) {
     let now = context.clock().now();
@@ -180,7 +184,7 @@
     let remaining = request.caller_deadline.min(deadline).since(now).as_duration();
     let mut outgoing = outgoing_request(request);
     context.back_ends.address_to(&mut outgoing, &replica.replica, remaining);
-    let Ok(response) = lease.send(outgoing).await else {
+    let Ok(response) = lease.send(outgoing, extra).await else {
         return (CallResult::Failure(CallFailure::Broken, None), None);
     };
     let (head, body) = response.into_parts();
--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -16,7 +16,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use sablebay_node::prepare_socket;
+use sablebay_node::{TrafficLedger, TrafficSpan, prepare_socket};
+
+use crate::counted_stream::{CallTraffic, CountedStream};
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -29,6 +31,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    traffic: Arc<CallTraffic>,
     usable_until: Option<Instant>,
 }
 
@@ -45,14 +48,16 @@
 }
 
 impl Lease {
-    /// Sends a request; the answer's head comes back.
+    /// Sends a request, a hedge or retry if `extra`; the answer's head comes back.
     ///
     /// # Errors
     /// The library's error.
     pub async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
+        extra: bool,
     ) -> Result<http::Response<hyper::body::Incoming>, hyper::Error> {
+        self.connection.traffic.begin(extra);
         self.connection.sender.send_request(request).await
     }
 
@@ -69,17 +74,27 @@
     permits: Arc<Semaphore>,
     limit: AtomicUsize,
     opened: Counter,
+    ledger: TrafficLedger,
+    span: TrafficSpan,
 }
 
 impl ReplicaConnections {
-    /// No connection yet, and `limit` at the most.
-    pub fn new(address: SocketAddr, limit: usize, opened: Counter) -> Self {
+    /// No connection yet, and `limit` at the most. Their bytes are counted in `ledger`.
+    pub fn new(
+        address: SocketAddr,
+        limit: usize,
+        opened: Counter,
+        ledger: TrafficLedger,
+        span: TrafficSpan,
+    ) -> Self {
         Self {
             address,
             idle: Mutex::default(),
             permits: Arc::new(Semaphore::new(limit)),
             limit: AtomicUsize::new(limit),
             opened,
+            ledger,
+            span,
         }
     }
 
@@ -105,10 +120,14 @@
             }
         }
         self.opened.inc();
-        let connection = tokio::time::timeout(CONNECT_TIMEOUT, open(self.address)).await.ok()??;
+        let connection = tokio::time::timeout(CONNECT_TIMEOUT, self.open()).await.ok()??;
         Some(Lease { connection, _permit: permit })
     }
 
+    async fn open(&self) -> Option<Connection> {
+        open(self.address, Arc::new(CallTraffic::new(self.ledger.clone(), self.span))).await
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
@@ -128,7 +147,7 @@
             return;
         }
         self.opened.inc();
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(self.address)).await;
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open()).await;
         if let Ok(Some(connection)) = opened {
             self.idle.lock().push(connection);
         }
@@ -148,9 +167,10 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Option<Connection> {
+async fn open(address: SocketAddr, traffic: Arc<CallTraffic>) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     prepare_socket(&stream);
+    let stream = CountedStream::new(stream, traffic.clone());
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAXIMUM_HEAD_BYTES);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -158,5 +178,5 @@
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
-    Some(Connection { sender, task: task.abort_handle(), usable_until: None })
+    Some(Connection { sender, task: task.abort_handle(), traffic, usable_until: None })
 }
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -17,7 +17,7 @@
     choose_gatherers, connection_share, own_replicas,
 };
 use sablebay_model::Micros;
-use sablebay_node::{Clock, Shared};
+use sablebay_node::{Clock, Shared, TrafficSpan};
 
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
@@ -187,7 +187,9 @@
         }
         let limit = self.connection_limit(&replica.replica.service);
         let opened = self.metrics.connections_opened.clone();
-        let made = Arc::new(ReplicaConnections::new(replica.replica.address, limit, opened));
+        let span = TrafficSpan::between(&self.node.settings.zone, &replica.replica.zone);
+        let ledger = self.node.peers.traffic().clone();
+        let made = Arc::new(ReplicaConnections::new(replica.replica.address, limit, opened, ledger, span));
         connections.insert(replica.replica.id.clone(), made.clone());
         made
     }
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -335,7 +335,7 @@
         for action in actions {
             match action {
                 FanoutAction::Send { call, shard, replica, first } => {
-                    self.send(call, shard, &replica, now);
+                    self.send(call, shard, &replica, first, now);
                     self.work.extra_calls += u32::from(!first);
                 }
                 FanoutAction::Delegate { call, delegated, spares } => {
@@ -356,7 +356,7 @@
         abandoned
     }
 
-    fn send(&mut self, call: CallNumber, shard: usize, replica: &ReplicaId, now: Micros) {
+    fn send(&mut self, call: CallNumber, shard: usize, replica: &ReplicaId, first: bool, now: Micros) {
         let targets = &self.fanout.targets()[shard];
         let chosen = targets.replicas.iter().find(|known| known.replica.id == *replica);
         let chosen = chosen.expect("a replica is chosen among the targets").clone();
@@ -369,6 +369,7 @@
             key,
             replica: chosen,
             request: self.request.clone(),
+            extra: !first,
             deadline: self.fanout.deadline(),
             abandoned,
             events: self.events.clone(),
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -100,7 +100,11 @@
         if node.shared.gatherer.set(gatherer).is_err() {
             log::warn!("gateway: another gateway of this node gathers for other nodes already.");
         }
-        node.shared.metrics.extend(|registry| context.metrics.register(registry));
+        let traffic = node.shared.peers.traffic();
+        node.shared.metrics.extend(|registry| {
+            context.metrics.register(registry);
+            traffic.register(registry);
+        });
         let (phase, phases) = watch::channel(ListenerPhase::Open);
         let (_always_open, always_open) = watch::channel(ListenerPhase::Open);
         let tasks = vec![
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod catalogue_reader;
 mod connections;
 mod context;
+mod counted_stream;
 mod delegated;
 mod driver;
 pub mod edge;
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -31,6 +31,7 @@
 mod service_state;
 mod shared;
 mod socket;
+mod traffic;
 
 pub use admin_api::start_draining;
 pub use catalogue_store::CatalogueStore;
@@ -49,3 +50,4 @@
 pub use service_counts::ServiceReport;
 pub use shared::{PartialGatherer, Shared};
 pub use socket::prepare_socket;
+pub use traffic::{TrafficKind, TrafficLedger, TrafficSpan};
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -38,6 +38,7 @@
 use crate::platform::run_platform_reader;
 use crate::report::short_report;
 use crate::shared::Shared;
+use crate::traffic::TrafficLedger;
 
 /// The addresses that a node's listeners got.
 #[derive(Clone, Debug, Serialize)]
@@ -208,6 +209,7 @@
         info: info.clone(),
         incoming,
         counters: PeerCounters::default(),
+        traffic: TrafficLedger::default(),
     });
     let mut fleet_settings = FleetSettings::with_probe_period(Micros::from_millis(settings.probe_period_ms));
     fleet_settings.mechanisms = mechanisms.fleet;
--- a/crates/sablebay-node/src/peers.rs
+++ b/crates/sablebay-node/src/peers.rs
@@ -20,6 +20,8 @@
 use sablebay_model::{FleetName, InstanceKey, Refusal};
 use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
 
+use crate::traffic::TrafficLedger;
+
 use connection::{Connection, open_connection};
 
 pub use connection::{PeerNews, PendingAnswer};
@@ -91,8 +93,6 @@
     pub wrong_proof: AtomicU64,
     /// Malformed or oversized.
     pub malformed: AtomicU64,
-    /// Bytes sent on the control lane.
-    pub control_bytes_sent: AtomicU64,
     /// Messages dropped because a peer's queue was full or its connection was closed.
     pub dropped: AtomicU64,
 }
@@ -109,6 +109,8 @@
     pub incoming: mpsc::Sender<Incoming>,
     /// Counts.
     pub counters: PeerCounters,
+    /// The bytes of all connections, by kind.
+    pub traffic: TrafficLedger,
 }
 
 /// How long a connection attempt may take.
@@ -138,6 +140,11 @@
         &self.context.counters
     }
 
+    /// The bytes of this node's connections, by kind.
+    pub fn traffic(&self) -> &TrafficLedger {
+        &self.context.traffic
+    }
+
     fn slot(&self, address: SocketAddr, lane: Lane) -> Slot {
         let mut slots = self.slots.lock();
         if slots.len() >= MAXIMUM_CONNECTIONS {
@@ -154,7 +161,7 @@
         if let Some(connection) = held.as_ref().filter(|connection| connection.is_open()) {
             return Some(connection.clone());
         }
-        let opening = open_connection(&self.context, address, lane);
+        let opening = open_connection(&self.context, address);
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()??;
         *held = Some(connection.clone());
         Some(connection)
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -14,7 +14,8 @@
 use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
 
 use super::handshake::{MessageReader, MessageWriter, handshake};
-use super::{Incoming, Lane, PeerContext};
+use super::{Incoming, PeerContext};
+use crate::traffic::{TrafficKind, TrafficSpan};
 
 /// Messages that wait to be written at the most; more are dropped.
 const QUEUE_LENGTH: usize = 8_192;
@@ -98,11 +99,7 @@
 }
 
 /// Opens a connection and starts its tasks.
-pub async fn open_connection(
-    context: &Arc<PeerContext>,
-    address: SocketAddr,
-    lane: Lane,
-) -> Option<Arc<Connection>> {
+pub async fn open_connection(context: &Arc<PeerContext>, address: SocketAddr) -> Option<Arc<Connection>> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (info, reader, writer) = handshake(context, stream).await?;
     let (queue, receiver) = mpsc::channel(QUEUE_LENGTH);
@@ -112,7 +109,8 @@
         open: Arc::new(AtomicBool::new(true)),
         last_used: Mutex::new(Instant::now()),
     });
-    tokio::spawn(run_writer(context.clone(), writer, receiver, lane));
+    let span = TrafficSpan::between(&context.info.zone, &info.zone);
+    tokio::spawn(run_writer(context.clone(), writer, receiver, span));
     tokio::spawn(run_reader(context.clone(), reader, info, connection.clone()));
     Some(connection)
 }
@@ -122,21 +120,19 @@
     context: Arc<PeerContext>,
     mut writer: MessageWriter,
     mut queue: mpsc::Receiver<PeerMessage>,
-    lane: Lane,
+    span: TrafficSpan,
 ) {
     const MESSAGES_PER_WRITE: usize = 64;
     let mut messages = Vec::with_capacity(MESSAGES_PER_WRITE);
     while queue.recv_many(&mut messages, MESSAGES_PER_WRITE).await > 0 {
         for message in messages.drain(..) {
-            if let Err(error) = writer.put(&message) {
-                log::warn!("peer: a message was not sent: {error}.");
+            match writer.put(&message) {
+                Ok(bytes) => context.traffic.sent(TrafficKind::of(&message), span, bytes as u64),
+                Err(error) => log::warn!("peer: a message was not sent: {error}."),
             }
         }
-        let Ok(bytes) = writer.flush().await else {
+        if writer.flush().await.is_err() {
             return;
-        };
-        if lane == Lane::Control {
-            context.counters.control_bytes_sent.fetch_add(bytes as u64, Ordering::Relaxed);
         }
     }
 }
--- a/crates/sablebay-node/src/peers/handshake.rs
+++ b/crates/sablebay-node/src/peers/handshake.rs
@@ -15,6 +15,7 @@
 
 use super::PeerContext;
 use crate::socket::prepare_socket;
+use crate::traffic::{TrafficKind, TrafficSpan};
 
 /// How long the other side has for its nonce and greeting.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,14 +25,20 @@
     half: OwnedReadHalf,
     buffer: BytesMut,
     frames: FrameReader,
+    /// Where the other side is; nothing before it has said who it is.
+    span: Option<TrafficSpan>,
 }
 
 impl MessageReader {
     /// The next message; nothing when the connection ended or turned bad.
     pub async fn next(&mut self, context: &PeerContext) -> Option<PeerMessage> {
         loop {
+            let held = self.buffer.len();
             match self.frames.next::<PeerMessage>(&mut self.buffer) {
-                Ok(Some(message)) => return Some(message),
+                Ok(Some(message)) => {
+                    self.count(context, &message, held - self.buffer.len());
+                    return Some(message);
+                }
                 Ok(None) => {}
                 Err(error) => {
                     count_bad_frame(context, &error);
@@ -44,6 +51,12 @@
             }
         }
     }
+
+    fn count(&self, context: &PeerContext, message: &PeerMessage, bytes: usize) {
+        if let Some(span) = self.span {
+            context.traffic.received(TrafficKind::of(message), span, bytes as u64);
+        }
+    }
 }
 
 fn count_bad_frame(context: &PeerContext, error: &ProtocolError) {
@@ -63,17 +76,18 @@
 }
 
 impl MessageWriter {
-    /// Puts a message into the buffer.
-    pub fn put(&mut self, message: &PeerMessage) -> Result<(), ProtocolError> {
-        encode_frame(message, &mut self.key, &mut self.buffer)
+    /// Puts a message into the buffer; returns the bytes of its frame.
+    pub fn put(&mut self, message: &PeerMessage) -> Result<usize, ProtocolError> {
+        let before = self.buffer.len();
+        encode_frame(message, &mut self.key, &mut self.buffer)?;
+        Ok(self.buffer.len() - before)
     }
 
-    /// Sends what is in the buffer; returns the bytes sent.
-    pub async fn flush(&mut self) -> std::io::Result<usize> {
-        let bytes = self.buffer.len();
+    /// Sends what is in the buffer.
+    pub async fn flush(&mut self) -> std::io::Result<()> {
         self.half.write_all(&self.buffer).await?;
         self.buffer.clear();
-        Ok(bytes)
+        Ok(())
     }
 }
 
@@ -107,9 +121,13 @@
         half: read_half,
         buffer: BytesMut::with_capacity(16 * 1024),
         frames: FrameReader::new(incoming),
+        span: None,
     };
     match reader.next(context).await? {
-        PeerMessage::Greeting(greeting) => Some((greeting.info, reader, writer)),
+        PeerMessage::Greeting(greeting) => {
+            reader.span = Some(TrafficSpan::between(&context.info.zone, &greeting.info.zone));
+            Some((greeting.info, reader, writer))
+        }
         _ => None,
     }
 }
--- a/crates/sablebay-node/src/peers/listener.rs
+++ b/crates/sablebay-node/src/peers/listener.rs
@@ -12,7 +12,8 @@
 
 use super::connection::{deliver, run_writer};
 use super::handshake::handshake;
-use super::{Lane, PeerContext, ProgressSender, RequestHandler};
+use super::{PeerContext, ProgressSender, RequestHandler};
+use crate::traffic::TrafficSpan;
 
 /// Connections accepted at the most.
 const MAXIMUM_ACCEPTED: usize = 8_192;
@@ -52,7 +53,8 @@
         return;
     };
     let (answers, receiver) = mpsc::channel(QUEUE_LENGTH);
-    tokio::spawn(run_writer(context.clone(), writer, receiver, Lane::Data));
+    let span = TrafficSpan::between(&context.info.zone, &peer.zone);
+    tokio::spawn(run_writer(context.clone(), writer, receiver, span));
     let running: Arc<Mutex<HashMap<u64, AbortHandle>>> = Arc::default();
     while let Some(message) = reader.next(&context).await {
         match message {
--- a/crates/sablebay/tests/platform/gathering.rs
+++ b/crates/sablebay/tests/platform/gathering.rs
@@ -95,6 +95,23 @@
     assert!(metric(&fleet.root, ANSWERED) > 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_are_counted_by_what_they_are_for_and_by_zone() {
+    let fleet = Fleet::start(1).await;
+    let counted = |node: &NodeProcess, direction: &str, kind: &str, zone: &str| {
+        let labels = format!("{{kind=\"{kind}\",zone=\"{zone}\"}}");
+        metric(node, &format!("sablebay_traffic_{direction}_bytes_total{labels}"))
+    };
+    let (root, gatherer) = (&fleet.root, &fleet.gatherers[0]);
+    let merged = counted(root, "received", "merged_part", "other");
+    assert!(merged > 0, "the gatherer is in another zone");
+    assert_eq!(counted(root, "received", "merged_part", "own"), 0);
+    assert!(counted(gatherer, "sent", "merged_part", "other") >= merged);
+    assert!(counted(gatherer, "received", "first_call", "own") > 0, "its replicas are in its zone");
+    assert!(counted(root, "sent", "gather_request", "other") > 0);
+    assert!(counted(root, "sent", "membership", "other") > 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_shards_of_a_gatherer_that_is_killed_are_called_by_the_root() {
     let fleet = Fleet::start(1).await;
