--- a/crates/sablebay-dispatch/src/gatherer_table.rs
+++ b/crates/sablebay-dispatch/src/gatherer_table.rs
@@ -61,10 +61,12 @@
         self.crowded.retain(|node, _| keep(node));
     }
 
-    /// The node to ask, of those that are neither silent nor left alone after failures.
+    /// The node to ask, of those that are neither silent nor left alone after failures. `given` says how
+    /// many parts as large as this one a node was given of the same request: its work on them adds up.
     pub fn choose<'a, R: Rng>(
         &self,
         nodes: impl Iterator<Item = &'a NodeId>,
+        given: impl Fn(&NodeId) -> f64,
         now: Micros,
         random: &mut R,
     ) -> Option<&'a NodeId> {
@@ -73,7 +75,7 @@
         });
         let weighed = fit.map(|node| {
             let cost = self.health.get(node).map_or(1.0, |health| health.cost(1, now));
-            (cost * (1.0 + SPREAD * random.random::<f64>()), node)
+            (cost * (1.0 + given(node)) * (1.0 + SPREAD * random.random::<f64>()), node)
         });
         weighed.min_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, node)| node)
     }
--- a/crates/sablebay-dispatch/src/gatherers.rs
+++ b/crates/sablebay-dispatch/src/gatherers.rs
@@ -5,10 +5,12 @@
 //! which gather it for all: an owner calls its replicas often, and knows them. Where every node of a
 //! zone calls often enough, all are owners, and each calls the replicas of its own zone itself.
 //!
-//! Shards without a replica in this node's zone are gathered in a zone that has one, and merged
-//! there: what crosses is one merged part.
+//! There, shards without a replica in this node's zone are gathered in a zone that has one, and merged
+//! there: what crosses is one merged part. An owner of a chunk calls the far replicas of its shards
+//! itself.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -56,31 +58,66 @@
 /// The delegations of a request; shards that stand in none are called directly.
 pub fn choose_gatherers<R: Rng>(inputs: &GathererInputs<'_>, random: &mut R) -> Vec<DelegatedShards> {
     let zones = zones_of(inputs.own, inputs.others);
-    let mut chosen: BTreeMap<(NodeId, &ZoneName), Vec<usize>> = BTreeMap::new();
-    let mut salt = None;
-    for chunk in chunks(inputs.shards.len(), &zones, inputs.own_rate) {
-        let mut by_zone: BTreeMap<&ZoneName, Vec<usize>> = BTreeMap::new();
-        for shard in chunk.clone() {
-            // One draw a request: its shards from one far zone travel together.
-            let draw = *salt.get_or_insert_with(|| random.random::<u64>());
-            if let Some(zone) = zone_for(inputs, &inputs.shards[shard], &zones, draw) {
-                by_zone.entry(zone).or_default().push(shard);
-            }
-        }
+    let chunks = chunks(inputs.shards.len(), &zones, inputs.own_rate);
+    if chunks.len() < 2 {
+        far_shards(inputs, &zones, random)
+    } else {
+        owned_chunks(inputs, &zones, chunks, random)
+    }
+}
+
+/// Where a few nodes own a chunk: each chunk whole, at one of its owners in this node's zone. An owner
+/// keeps connections to the replicas of its shards in every zone; shards apart, by the zones of their
+/// replicas, would be too few together for any node to keep connections for them.
+fn owned_chunks<R: Rng>(
+    inputs: &GathererInputs<'_>,
+    zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
+    chunks: Vec<Range<usize>>,
+    random: &mut R,
+) -> Vec<DelegatedShards> {
+    let zone = &inputs.own.zone;
+    let mut chosen: BTreeMap<NodeId, Vec<usize>> = BTreeMap::new();
+    for chunk in chunks {
         let name = inputs.shards[chunk.start].service.as_str();
-        for (zone, shards) in by_zone {
-            if let Some(node) = owner_in(inputs, zone, &zones[zone], name, random) {
-                chosen.entry((node, zone)).or_default().extend(shards);
-            }
+        let given = |node: &NodeId| chosen.get(node).map_or(0, Vec::len) as f64 / chunk.len() as f64;
+        if let Some(node) = owner_in(inputs, zone, &zones[zone], name, given, random) {
+            chosen.entry(node).or_default().extend(chunk);
         }
     }
-    let delegated = chosen.into_iter().filter(|(_, shards)| shards.len() >= FEWEST_DELEGATED);
-    let named = |((gatherer, zone), shards): ((NodeId, &ZoneName), _)| DelegatedShards {
-        gatherer,
-        zone: zone.clone(),
-        shards,
+    delegations(chosen.into_iter().map(|(node, shards)| (node, zone, shards)))
+}
+
+/// Where every node gathers the shards of its zone itself: those without a replica here, at one node
+/// of a zone that has one.
+fn far_shards<R: Rng>(
+    inputs: &GathererInputs<'_>,
+    zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
+    random: &mut R,
+) -> Vec<DelegatedShards> {
+    let Some(first) = inputs.shards.first() else {
+        return Vec::new();
     };
-    delegated.map(named).collect()
+    // One draw a request: its shards from one far zone travel together.
+    let draw = random.random::<u64>();
+    let mut by_zone: BTreeMap<&ZoneName, Vec<usize>> = BTreeMap::new();
+    for (shard, targets) in inputs.shards.iter().enumerate() {
+        if let Some(zone) = zone_for(inputs, targets, zones, draw) {
+            by_zone.entry(zone).or_default().push(shard);
+        }
+    }
+    by_zone.retain(|zone, _| **zone != inputs.own.zone);
+    let mut chosen = Vec::new();
+    for (zone, shards) in by_zone {
+        let node = owner_in(inputs, zone, &zones[zone], first.service.as_str(), |_| 0.0, random);
+        chosen.extend(node.map(|node| (node, zone, shards)));
+    }
+    delegations(chosen.into_iter())
+}
+
+/// Those of enough shards.
+fn delegations<'a>(chosen: impl Iterator<Item = (NodeId, &'a ZoneName, Vec<usize>)>) -> Vec<DelegatedShards> {
+    let enough = chosen.filter(|(_, _, shards)| shards.len() >= FEWEST_DELEGATED);
+    enough.map(|(gatherer, zone, shards)| DelegatedShards { gatherer, zone: zone.clone(), shards }).collect()
 }
 
 /// The nodes of each zone, this one among them.
@@ -110,7 +147,7 @@
     }
     let nodes = &zones[&own.zone];
     let kept = owners_wanted(nodes.len(), own_rate) + 1;
-    let owns = |chunk: &std::ops::Range<usize>| {
+    let owns = |chunk: &Range<usize>| {
         let owners = owners(shards[chunk.start].as_str(), nodes, kept);
         owners.contains(&&own.node)
     };
@@ -133,11 +170,7 @@
 
 /// The shards in chunks that have owners of their own: one where every node owns all, otherwise as
 /// many as there are shards in each, so that a request asks about as many nodes as each has calls.
-fn chunks(
-    count: usize,
-    zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
-    own_rate: f64,
-) -> Vec<std::ops::Range<usize>> {
+fn chunks(count: usize, zones: &BTreeMap<&ZoneName, Vec<&NodeId>>, own_rate: f64) -> Vec<Range<usize>> {
     let all_own = zones.values().all(|nodes| owners_wanted(nodes.len(), own_rate) == nodes.len());
     let length = if all_own { count } else { (count as f64).sqrt().ceil() as usize };
     (0..count).step_by(length.max(1)).map(|start| start..(start + length).min(count)).collect()
@@ -174,12 +207,14 @@
     None
 }
 
-/// The owner of a chunk that is asked; none when this node is one itself, or none is fit.
+/// The owner of a chunk that is asked; none when this node is one itself, or none is fit. `given` says
+/// how many chunks of the request a node has already.
 fn owner_in<R: Rng>(
     inputs: &GathererInputs<'_>,
     zone: &ZoneName,
     nodes: &[&NodeId],
     chunk: &str,
+    given: impl Fn(&NodeId) -> f64,
     random: &mut R,
 ) -> Option<NodeId> {
     let wanted = owners_wanted(nodes.len(), inputs.own_rate);
@@ -187,7 +222,7 @@
     if *zone == inputs.own.zone && owners.contains(&&inputs.own.node) {
         return None;
     }
-    inputs.table.choose(owners.into_iter(), inputs.now, random).cloned()
+    inputs.table.choose(owners.into_iter(), given, inputs.now, random).cloned()
 }
 
 /// The nodes with the highest weights for a chunk.
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -123,7 +123,7 @@
     span: TrafficSpan,
 ) {
     const MESSAGES_PER_WRITE: usize = 64;
-    let mut messages = Vec::with_capacity(MESSAGES_PER_WRITE);
+    let mut messages = Vec::new();
     while queue.recv_many(&mut messages, MESSAGES_PER_WRITE).await > 0 {
         for message in messages.drain(..) {
             match writer.put(&message) {
--- a/crates/sablebay-node/src/peers/handshake.rs
+++ b/crates/sablebay-node/src/peers/handshake.rs
@@ -20,6 +20,19 @@
 /// How long the other side has for its nonce and greeting.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Room for what comes in at first. Most frames are probes and signs of life of some hundred bytes; a node
+/// has a connection to nearly every other, so that what each keeps counts hundreds of times.
+const READ_BUFFER_BYTES: usize = 2 * 1024;
+/// A buffer that a large frame made grow beyond this is given back once it is empty.
+const KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Gives back the room of a large frame.
+fn shrink(buffer: &mut BytesMut) {
+    if buffer.is_empty() && buffer.capacity() > KEPT_BUFFER_BYTES {
+        *buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+    }
+}
+
 /// Reads messages of one connection.
 pub struct MessageReader {
     half: OwnedReadHalf,
@@ -39,7 +52,7 @@
                     self.count(context, &message, held - self.buffer.len());
                     return Some(message);
                 }
-                Ok(None) => {}
+                Ok(None) => shrink(&mut self.buffer),
                 Err(error) => {
                     count_bad_frame(context, &error);
                     return None;
@@ -87,6 +100,7 @@
     pub async fn flush(&mut self) -> std::io::Result<()> {
         self.half.write_all(&self.buffer).await?;
         self.buffer.clear();
+        shrink(&mut self.buffer);
         Ok(())
     }
 }
@@ -119,7 +133,7 @@
     writer.flush().await.ok()?;
     let mut reader = MessageReader {
         half: read_half,
-        buffer: BytesMut::with_capacity(16 * 1024),
+        buffer: BytesMut::with_capacity(READ_BUFFER_BYTES),
         frames: FrameReader::new(incoming),
         span: None,
     };
