--- a/crates/sablebay-bench/src/hollow.rs
+++ b/crates/sablebay-bench/src/hollow.rs
@@ -172,6 +172,8 @@
             caller_address: address,
             admin_address: address,
             gathers: false,
+            takes_over: false,
+            core_percent: 0,
         };
         let mut settings = FleetSettings::with_probe_period(self.options.probe_period);
         settings.mechanisms = self.options.mechanisms;
--- a/crates/sablebay-config/src/node_settings.rs
+++ b/crates/sablebay-config/src/node_settings.rs
@@ -67,6 +67,9 @@
     pub log_format: LogFormat,
     /// Where log lines go. Default `stderr`.
     pub log_target: LogTarget,
+    /// The share of a processor core that the node may use. Nodes gather for others in proportion.
+    /// Default 1.
+    pub core_share: f64,
     /// Queries that run at once on this node, over all services. Default 4,096.
     pub concurrency: u32,
     /// How long a planned stop may take, in milliseconds. Default 30,000.
@@ -174,6 +177,7 @@
         log_target: section
             .choice("log_target", &[("stdout", LogTarget::Stdout), ("stderr", LogTarget::Stderr)])
             .unwrap_or(LogTarget::Stderr),
+        core_share: section.number("core_share", 0.001..=1_024.0).unwrap_or(1.0),
         concurrency: section.integer("concurrency", 1..=1_000_000).unwrap_or(4_096) as u32,
         stop_timeout_ms: section.integer("stop_timeout_ms", 1..=3_600_000).unwrap_or(30_000),
         probe_period_ms: section.integer("probe_period_ms", 10..=60_000).unwrap_or(1_000),
--- a/crates/sablebay-dispatch/src/arrival_rate.rs
+++ b/crates/sablebay-dispatch/src/arrival_rate.rs
@@ -2,8 +2,11 @@
 
 use sablebay_model::Micros;
 
-/// Time over which what was counted falls to half.
-const HALF_LIFE: Micros = Micros::from_secs(3);
+/// Time over which what was counted falls to half. Where each of hundreds of nodes takes a request in six
+/// seconds, shorter ones see nothing but chance, and nodes would disagree on how many owners a shard has.
+const HALF_LIFE: Micros = Micros::from_secs(10);
+/// The shortest time that a rate is told of: the first arrival says little.
+const SHORTEST_SPAN: Micros = Micros::from_secs(3);
 
 /// A rate that forgets.
 #[derive(Clone, Copy, Debug, Default)]
@@ -30,7 +33,8 @@
         };
         // What a steady rate of one a second would have come to by now.
         let lifetime_s = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        let of_one = lifetime_s * (1.0 - 0.5f64.powf(half_lives(now.since(first_at)))) + 1.0;
+        let of_one =
+            lifetime_s * (1.0 - 0.5f64.powf(half_lives(now.since(first_at).max(SHORTEST_SPAN)))) + 1.0;
         self.weight_at(now) / of_one
     }
 
--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -66,8 +66,19 @@
 #[derive(Clone, Debug)]
 struct Delegation {
     delegated: DelegatedShards,
-    /// Whether the node has said anything yet.
-    heard: bool,
+    /// Its call, once the node was asked.
+    call: Option<CallNumber>,
+    /// When the node is given up unless it says something before.
+    due_at: Micros,
+    /// How often it has said something.
+    words: u32,
+}
+
+impl Delegation {
+    /// One that is still to be asked for.
+    fn new(delegated: DelegatedShards) -> Self {
+        Self { delegated, call: None, due_at: Micros::MAX, words: 0 }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,8 +99,8 @@
     hedge_at: Micros,
     /// Times that none of its replicas could be reached.
     rounds: u32,
-    /// The delegation that it waits for.
-    delegation: Option<usize>,
+    /// The delegations that it waits for: a second node may be asked while the first is silent.
+    gatherers: SmallVec<[usize; 2]>,
     /// The call whose answer was taken.
     answered_by: Option<CallNumber>,
     /// The replica that the last attempt is kept for: two nodes send the shard's calls, and neither
@@ -137,7 +148,7 @@
             open_calls: 0,
             hedge_at: Micros::MAX,
             rounds: 0,
-            delegation: None,
+            gatherers: SmallVec::new(),
             answered_by: None,
             spare: None,
             spare_alone: false,
@@ -155,6 +166,16 @@
         }
     }
 
+    /// Continues what another node began: it may have sent the first call of each shard, so that what is
+    /// sent here is paid for, and goes to the shard's spare replica where there is one.
+    pub fn continuing(mut self) -> Self {
+        for shard in &mut self.shards {
+            shard.attempts = 1;
+            shard.spare_alone = shard.spare.is_some();
+        }
+        self
+    }
+
     /// Keeps the last attempt of each shard for the replica named for it, as another node asks that
     /// may send the shard there too.
     pub fn keeping_spares(mut self, spares: Vec<Option<ReplicaId>>) -> Self {
@@ -166,11 +187,10 @@
 
     /// Has other nodes gather these shards. No shard may stand in two delegations.
     pub fn delegating(mut self, delegations: Vec<DelegatedShards>) -> Self {
-        let unheard = |delegated| Delegation { delegated, heard: false };
-        self.delegations = delegations.into_iter().map(unheard).collect();
+        self.delegations = delegations.into_iter().map(Delegation::new).collect();
         for (number, delegation) in self.delegations.iter().enumerate() {
             for shard in &delegation.delegated.shards {
-                self.shards[*shard].delegation = Some(number);
+                self.shards[*shard].gatherers.push(number);
             }
         }
         self
@@ -187,13 +207,29 @@
             self.delegate(turn);
         }
         for shard in 0..self.shards.len() {
-            if self.shards[shard].open_calls == 0 {
+            if self.shards[shard].open_calls > 0 {
+                continue;
+            }
+            if self.shards[shard].attempts == 0 {
                 self.send_first(shard, turn);
+            } else {
+                self.send_paid(shard, turn);
             }
         }
         self.settle(turn);
     }
 
+    /// Sends a further call of a shard that has none open here, once the budget allows it.
+    fn send_paid<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) {
+        if self.shards[shard].attempts >= self.settings.maximum_attempts {
+            self.close(shard);
+        } else if !turn.budgets.spend(&self.targets[shard].service, turn.allowance, turn.now) {
+            self.shards[shard].hedge_at = turn.now.plus(HEDGE_RECHECK);
+        } else if !self.send(shard, turn) {
+            self.close(shard);
+        }
+    }
+
     /// Sends the first call of a shard, which earns for the budget.
     fn send_first<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) {
         let service = &self.targets[shard].service;
@@ -379,13 +415,14 @@
             return;
         }
         if turn.now < self.settings.deadline {
+            self.replace_silent_gatherers(turn);
             let hedging = self.is_down_to_stragglers();
             for shard in 0..self.shards.len() {
                 let progress = &self.shards[shard];
                 if progress.state != ShardState::Open || turn.now < progress.hedge_at {
                     continue;
                 }
-                if progress.delegation.is_some() {
+                if !progress.gatherers.is_empty() {
                     self.rescue(shard, turn);
                 } else if progress.open_calls > 0 {
                     if hedging {
@@ -393,6 +430,8 @@
                     } else {
                         self.shards[shard].hedge_at = turn.now.plus(HEDGE_RECHECK);
                     }
+                } else if self.shards[shard].attempts > 0 {
+                    self.send_paid(shard, turn);
                 } else if !self.send(shard, turn) {
                     self.close(shard);
                 }
@@ -473,7 +512,8 @@
         let hedge_at = open.map(|shard| shard.hedge_at).min().unwrap_or(Micros::MAX);
         let enough = self.answered >= self.settings.minimum_shards;
         let partial_at = if enough { self.settings.partial_at } else { Micros::MAX };
-        hedge_at.min(partial_at).min(self.settings.deadline)
+        let due_at = self.delegations.iter().map(|delegation| delegation.due_at).min().unwrap_or(Micros::MAX);
+        hedge_at.min(due_at).min(partial_at).min(self.settings.deadline)
     }
 
     /// How the request ended, once it has.
--- a/crates/sablebay-dispatch/src/fanout/delegation.rs
+++ b/crates/sablebay-dispatch/src/fanout/delegation.rs
@@ -9,32 +9,128 @@
 use sablebay_model::{Micros, ZoneName};
 
 use super::call::{CallFailure, CallNumber, Execution};
-use super::terms::{FanoutAction, GatheredShards};
-use super::{Call, CallScope, Fanout, FanoutTurn, HEDGE_RECHECK, ShardState};
+use super::terms::{DelegatedShards, FanoutAction, GatheredShards};
+use super::{Call, CallScope, Delegation, Fanout, FanoutTurn, HEDGE_RECHECK, ShardState};
 
 impl Fanout {
     /// Asks each gatherer for its shards.
     pub(super) fn delegate<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
-        let rescue_at = turn.now.plus(self.settings.rescue_delay);
         for number in 0..self.delegations.len() {
-            let call = CallNumber(self.calls.len() as u32);
-            self.calls.push(Call { scope: CallScope::Delegation(number), open: true });
-            let delegated = self.delegations[number].delegated.clone();
-            let spares: Vec<Option<ReplicaId>> = delegated
-                .shards
-                .iter()
-                .map(|shard| self.choose_spare(*shard, &delegated.zone, turn))
-                .collect();
-            for (shard, spare) in delegated.shards.iter().zip(&spares) {
-                let progress = &mut self.shards[*shard];
-                progress.spare = spare.clone();
-                progress.spare_alone = spare.is_some();
-                // The gatherer's first call; its later ones are told.
-                progress.attempts = 1;
-                progress.open_calls = 1;
-                progress.hedge_at = rescue_at;
+            self.ask(number, turn);
+        }
+    }
+
+    /// Asks the gatherer of a delegation for its shards.
+    fn ask<R: Rng>(&mut self, number: usize, turn: &mut FanoutTurn<'_, R>) {
+        let call = CallNumber(self.calls.len() as u32);
+        self.calls.push(Call { scope: CallScope::Delegation(number), open: true });
+        let delegation = &mut self.delegations[number];
+        delegation.call = Some(call);
+        delegation.due_at = turn.now.plus(self.settings.rescue_delay);
+        let delegated = delegation.delegated.clone();
+        let mut spares = Vec::with_capacity(delegated.shards.len());
+        for shard in &delegated.shards {
+            // Both nodes that were asked for a shard must know the same spare.
+            let spare = match delegated.continued {
+                true => self.shards[*shard].spare.clone(),
+                false => self.choose_spare(*shard, &delegated.zone, turn),
+            };
+            let progress = &mut self.shards[*shard];
+            progress.spare = spare.clone();
+            progress.spare_alone = spare.is_some();
+            // The gatherer's first call; its later ones are told.
+            progress.attempts = progress.attempts.max(1);
+            progress.open_calls += 1;
+            progress.hedge_at = Micros::MAX;
+            spares.push(spare);
+        }
+        turn.actions.push(FanoutAction::Delegate { call, delegated, spares });
+    }
+
+    /// Has others do the work of gatherers that are past the time of their next word: the other owner of
+    /// the shards, or where there is none, this node. A gatherer that was only slow may still answer.
+    pub(super) fn replace_silent_gatherers<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        for number in 0..self.delegations.len() {
+            let delegation = &mut self.delegations[number];
+            if turn.now < delegation.due_at {
+                continue;
+            }
+            delegation.due_at = Micros::MAX;
+            if delegation.delegated.second.is_some() {
+                self.ask_second(number, Execution::Possible, turn);
+                continue;
+            }
+            for shard in delegation.delegated.shards.clone() {
+                if self.waits_for(shard, number) {
+                    self.shards[shard].hedge_at = turn.now;
+                }
+            }
+        }
+    }
+
+    /// Asks the second owner for what a gatherer still owes. Returns whether there is one.
+    fn ask_second<R: Rng>(
+        &mut self,
+        number: usize,
+        execution: Execution,
+        turn: &mut FanoutTurn<'_, R>,
+    ) -> bool {
+        let delegation = &mut self.delegations[number];
+        let Some(second) = delegation.delegated.second.take() else {
+            return false;
+        };
+        let zone = delegation.delegated.zone.clone();
+        let shards = delegation.delegated.shards.clone();
+        let owed: Vec<usize> = shards.into_iter().filter(|shard| self.waits_for(*shard, number)).collect();
+        if owed.is_empty() {
+            return true;
+        }
+        let next = self.delegations.len();
+        let continued = execution == Execution::Possible || self.delegations[number].delegated.continued;
+        for shard in &owed {
+            let progress = &mut self.shards[*shard];
+            if !continued {
+                progress.gatherers.retain(|waited_for| *waited_for != number);
+                progress.open_calls -= 1;
+            }
+            progress.gatherers.push(next);
+        }
+        let delegated = DelegatedShards { gatherer: second, zone, shards: owed, second: None, continued };
+        self.delegations.push(Delegation::new(delegated));
+        self.ask(next, turn);
+        true
+    }
+
+    /// Forgets that a gatherer was asked that refused; its shards are still owed.
+    fn take_back(&mut self, call: CallNumber, number: usize) {
+        self.calls[call.0 as usize].open = false;
+        self.delegations[number].call = None;
+        self.delegations[number].due_at = Micros::MAX;
+    }
+
+    /// Nothing that a gatherer says is wanted any more.
+    fn abandon_gatherer<R: Rng>(&mut self, number: usize, turn: &mut FanoutTurn<'_, R>) {
+        let delegation = &mut self.delegations[number];
+        delegation.due_at = Micros::MAX;
+        let Some(call) = delegation.call.take() else {
+            return;
+        };
+        let known = &mut self.calls[call.0 as usize];
+        if known.open {
+            known.open = false;
+            self.may_have_run = true;
+            turn.actions.push(FanoutAction::Abandon { call });
+        }
+    }
+
+    /// Gives up the gatherers whose shards have all come from others.
+    fn abandon_needless_gatherers<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        for number in 0..self.delegations.len() {
+            let mut shards = self.delegations[number].delegated.shards.iter();
+            if self.delegations[number].call.is_some() && !shards.any(|shard| self.waits_for(*shard, number))
+            {
+                self.abandon_gatherer(number, turn);
             }
-            turn.actions.push(FanoutAction::Delegate { call, delegated, spares });
         }
     }
 
@@ -70,7 +166,6 @@
         let Some(number) = self.open_delegation(call) else {
             return false;
         };
-        self.delegations[number].heard = true;
         for shard in &gathered.retried {
             if self.waits_for(*shard, number) {
                 self.shards[*shard].attempts = self.shards[*shard].attempts.max(2);
@@ -86,14 +181,15 @@
         }
         for shard in &gathered.closed {
             if self.waits_for(*shard, number) {
-                self.give_up_waiting(*shard, Execution::Possible, turn);
+                self.give_up_waiting(*shard, number, Execution::Possible, turn);
             }
         }
         if gathered.last {
             self.end_delegation(call, number, Execution::Possible, turn);
         } else {
-            self.leave_to_gatherer(number);
+            self.leave_to_gatherer(number, turn.now);
         }
+        self.abandon_needless_gatherers(turn);
         self.settle(turn);
         taken
     }
@@ -110,7 +206,16 @@
         };
         let execution = failure.execution();
         self.may_have_run |= execution == Execution::Possible;
-        self.end_delegation(call, number, execution, turn);
+        if execution == Execution::Possible {
+            self.ask_second(number, execution, turn);
+            self.end_delegation(call, number, execution, turn);
+        } else if self.delegations[number].delegated.second.is_some() {
+            // Nothing was sent: the other owner begins anew.
+            self.take_back(call, number);
+            self.ask_second(number, execution, turn);
+        } else {
+            self.end_delegation(call, number, execution, turn);
+        }
         self.settle(turn);
     }
 
@@ -124,14 +229,14 @@
     }
 
     fn waits_for(&self, shard: usize, delegation: usize) -> bool {
-        self.shards.get(shard).is_some_and(|progress| progress.delegation == Some(delegation))
+        self.shards.get(shard).is_some_and(|progress| progress.gatherers.contains(&delegation))
     }
 
     fn take_gathered<R: Rng>(&mut self, shard: usize, call: CallNumber, turn: &mut FanoutTurn<'_, R>) {
         self.may_have_run = true;
         let progress = &mut self.shards[shard];
-        progress.delegation = None;
-        progress.open_calls -= 1;
+        progress.open_calls -= progress.gatherers.len() as u32;
+        progress.gatherers.clear();
         progress.answered_by = Some(call);
         match progress.state {
             ShardState::Open => {
@@ -145,11 +250,17 @@
         self.abandon(turn, |open| open.scope == CallScope::Shard(shard));
     }
 
-    /// The gatherer lives: it hedges by itself what it still waits for.
-    fn leave_to_gatherer(&mut self, number: usize) {
+    /// The gatherer lives: it hedges by itself what it still waits for. Its first word says that it has
+    /// asked the replicas; the second tells what is in.
+    fn leave_to_gatherer(&mut self, number: usize, now: Micros) {
+        let delegation = &mut self.delegations[number];
+        delegation.words += 1;
+        let next_word = self.settings.report_at.max(now).plus(self.settings.rescue_delay);
+        delegation.due_at = if delegation.words == 1 { next_word } else { Micros::MAX };
         for shard in &self.delegations[number].delegated.shards {
             let progress = &mut self.shards[*shard];
-            if progress.delegation == Some(number) && progress.open_calls == 1 {
+            let direct_calls = progress.open_calls - progress.gatherers.len() as u32;
+            if progress.gatherers.contains(&number) && direct_calls == 0 {
                 progress.hedge_at = Micros::MAX;
             }
         }
@@ -163,20 +274,35 @@
         turn: &mut FanoutTurn<'_, R>,
     ) {
         self.calls[call.0 as usize].open = false;
+        self.delegations[number].call = None;
+        self.delegations[number].due_at = Micros::MAX;
         for shard in self.delegations[number].delegated.shards.clone() {
             if self.waits_for(shard, number) {
-                self.give_up_waiting(shard, execution, turn);
+                self.give_up_waiting(shard, number, execution, turn);
             }
         }
     }
 
-    /// Nothing more comes for a shard from its gatherer.
-    fn give_up_waiting<R: Rng>(&mut self, shard: usize, execution: Execution, turn: &mut FanoutTurn<'_, R>) {
+    /// Nothing more comes for a shard from one of its gatherers.
+    fn give_up_waiting<R: Rng>(
+        &mut self,
+        shard: usize,
+        number: usize,
+        execution: Execution,
+        turn: &mut FanoutTurn<'_, R>,
+    ) {
+        let continues = |known: &Delegation| {
+            known.delegated.continued && known.delegated.shards.binary_search(&shard).is_ok()
+        };
+        let continued = self.delegations.iter().any(continues);
         let progress = &mut self.shards[shard];
-        progress.delegation = None;
+        progress.gatherers.retain(|waited_for| *waited_for != number);
         progress.open_calls -= 1;
-        if execution != Execution::Possible {
-            // The gatherer sent nothing: every attempt is this node's own.
+        if !progress.gatherers.is_empty() {
+            return;
+        }
+        if execution != Execution::Possible && !continued {
+            // No gatherer sent anything: every attempt is this node's own.
             progress.attempts -= 1;
             progress.spare = None;
             progress.spare_alone = false;
--- a/crates/sablebay-dispatch/src/fanout/terms.rs
+++ b/crates/sablebay-dispatch/src/fanout/terms.rs
@@ -29,9 +29,11 @@
     pub deadline: Micros,
     /// When an answer that leaves shards out is worth more than a late whole one.
     pub partial_at: Micros,
+    /// When those who gather shards for this node tell what is in.
+    pub report_at: Micros,
     /// After how long a silent call is hedged.
     pub hedge_delay: Micros,
-    /// After how long the shards of a gatherer that gave no sign of life are called directly.
+    /// After how long a gatherer that gave no sign of life is given up.
     pub rescue_delay: Micros,
 }
 
@@ -44,6 +46,10 @@
     pub zone: ZoneName,
     /// Positions of the shards in the request, rising.
     pub shards: Vec<usize>,
+    /// The node that is asked in its place when it is of no use; another owner of the shards.
+    pub second: Option<NodeId>,
+    /// Whether a node was asked before that may have sent the first call of each of these shards.
+    pub continued: bool,
 }
 
 /// What a gatherer tells of the shards that it was asked for. Positions are those of the request.
--- a/crates/sablebay-dispatch/src/gatherers.rs
+++ b/crates/sablebay-dispatch/src/gatherers.rs
@@ -28,8 +28,25 @@
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneName,
+    /// Whether it can take over what another gatherer began; nodes of earlier releases cannot.
+    pub takes_over: bool,
+    /// Its share of a processor core, in percent; 0 when it did not say.
+    pub core_percent: u32,
 }
 
+impl GathererNode {
+    /// How much of the work it takes, against others. One that did not say counts as a whole core.
+    fn work_share(&self) -> f64 {
+        match self.core_percent {
+            0 => 100.0,
+            percent => f64::from(percent),
+        }
+    }
+}
+
+/// The nodes of each zone.
+type ZoneMembers<'a> = BTreeMap<&'a ZoneName, Vec<&'a GathererNode>>;
+
 /// What the choice is made from.
 #[derive(Clone, Copy, Debug)]
 pub struct GathererInputs<'a> {
@@ -71,27 +88,37 @@
 /// replicas, would be too few together for any node to keep connections for them.
 fn owned_chunks<R: Rng>(
     inputs: &GathererInputs<'_>,
-    zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
+    zones: &ZoneMembers<'_>,
     chunks: Vec<Range<usize>>,
     random: &mut R,
 ) -> Vec<DelegatedShards> {
     let zone = &inputs.own.zone;
-    let mut chosen: BTreeMap<NodeId, Vec<usize>> = BTreeMap::new();
+    let mut chosen: BTreeMap<GathererPair, Vec<usize>> = BTreeMap::new();
     for chunk in chunks {
         let name = inputs.shards[chunk.start].service.as_str();
-        let given = |node: &NodeId| chosen.get(node).map_or(0, Vec::len) as f64 / chunk.len() as f64;
-        if let Some(node) = owner_in(inputs, zone, &zones[zone], name, given, random) {
-            chosen.entry(node).or_default().extend(chunk);
+        let given = |node: &NodeId| {
+            let parts = chosen.iter().filter(|(pair, _)| pair.first == *node);
+            parts.map(|(_, shards)| shards.len()).sum::<usize>() as f64 / chunk.len() as f64
+        };
+        if let Some(pair) = owners_in(inputs, zone, &zones[zone], name, given, random) {
+            chosen.entry(pair).or_default().extend(chunk);
         }
     }
-    delegations(chosen.into_iter().map(|(node, shards)| (node, zone, shards)))
+    delegations(chosen.into_iter().map(|(pair, shards)| (pair, zone, shards)))
+}
+
+/// The node that is asked for some shards, and the one that is asked when it is of no use.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct GathererPair {
+    first: NodeId,
+    second: Option<NodeId>,
 }
 
 /// Where every node gathers the shards of its zone itself: those without a replica here, at one node
 /// of a zone that has one.
 fn far_shards<R: Rng>(
     inputs: &GathererInputs<'_>,
-    zones: &BTreeMap<&ZoneName, Vec<&NodeId>>,
+    zones: &ZoneMembers<'_>,
     random: &mut R,
 ) -> Vec<DelegatedShards> {
     let Some(first) = inputs.shards.first() else {
@@ -108,26 +135,32 @@
     by_zone.retain(|zone, _| **zone != inputs.own.zone);
     let mut chosen = Vec::new();
     for (zone, shards) in by_zone {
-        let node = owner_in(inputs, zone, &zones[zone], first.service.as_str(), |_| 0.0, random);
-        chosen.extend(node.map(|node| (node, zone, shards)));
+        let pair = owners_in(inputs, zone, &zones[zone], first.service.as_str(), |_| 0.0, random);
+        chosen.extend(pair.map(|pair| (pair, zone, shards)));
     }
     delegations(chosen.into_iter())
 }
 
 /// Those of enough shards.
-fn delegations<'a>(chosen: impl Iterator<Item = (NodeId, &'a ZoneName, Vec<usize>)>) -> Vec<DelegatedShards> {
+fn delegations<'a>(
+    chosen: impl Iterator<Item = (GathererPair, &'a ZoneName, Vec<usize>)>,
+) -> Vec<DelegatedShards> {
     let enough = chosen.filter(|(_, _, shards)| shards.len() >= FEWEST_DELEGATED);
-    enough.map(|(gatherer, zone, shards)| DelegatedShards { gatherer, zone: zone.clone(), shards }).collect()
+    let named = |(pair, zone, shards): (GathererPair, &ZoneName, _)| DelegatedShards {
+        gatherer: pair.first,
+        zone: zone.clone(),
+        shards,
+        second: pair.second,
+        continued: false,
+    };
+    enough.map(named).collect()
 }
 
 /// The nodes of each zone, this one among them.
-fn zones_of<'a>(
-    own: &'a GathererNode,
-    others: &'a [GathererNode],
-) -> BTreeMap<&'a ZoneName, Vec<&'a NodeId>> {
-    let mut zones: BTreeMap<&ZoneName, Vec<&NodeId>> = BTreeMap::new();
+fn zones_of<'a>(own: &'a GathererNode, others: &'a [GathererNode]) -> ZoneMembers<'a> {
+    let mut zones: ZoneMembers<'_> = BTreeMap::new();
     for known in others.iter().chain([own]) {
-        zones.entry(&known.zone).or_default().push(&known.node);
+        zones.entry(&known.zone).or_default().push(known);
     }
     zones
 }
@@ -149,7 +182,7 @@
     let kept = owners_wanted(nodes.len(), own_rate) + 1;
     let owns = |chunk: &Range<usize>| {
         let owners = owners(shards[chunk.start].as_str(), nodes, kept);
-        owners.contains(&&own.node)
+        owners.contains(&own)
     };
     let by_chunk = chunks.iter().map(|chunk| std::iter::repeat_n(owns(chunk), chunk.len()));
     Some(by_chunk.flatten().collect())
@@ -170,7 +203,7 @@
 
 /// The shards in chunks that have owners of their own: one where every node owns all, otherwise as
 /// many as there are shards in each, so that a request asks about as many nodes as each has calls.
-fn chunks(count: usize, zones: &BTreeMap<&ZoneName, Vec<&NodeId>>, own_rate: f64) -> Vec<Range<usize>> {
+fn chunks(count: usize, zones: &ZoneMembers<'_>, own_rate: f64) -> Vec<Range<usize>> {
     let all_own = zones.values().all(|nodes| owners_wanted(nodes.len(), own_rate) == nodes.len());
     let length = if all_own { count } else { (count as f64).sqrt().ceil() as usize };
     (0..count).step_by(length.max(1)).map(|start| start..(start + length).min(count)).collect()
@@ -180,7 +213,7 @@
 fn zone_for<'a>(
     inputs: &GathererInputs<'a>,
     shard: &ShardTargets,
-    zones: &BTreeMap<&'a ZoneName, Vec<&'a NodeId>>,
+    zones: &ZoneMembers<'a>,
     draw: u64,
 ) -> Option<&'a ZoneName> {
     let mut far: Vec<(&ZoneName, usize)> = Vec::new();
@@ -207,33 +240,45 @@
     None
 }
 
-/// The owner of a chunk that is asked; none when this node is one itself, or none is fit. `given` says
-/// how many chunks of the request a node has already.
-fn owner_in<R: Rng>(
+/// The owner of a chunk that is asked, and the one that takes over from it; none when this node is an
+/// owner itself, or none is fit. `given` says how many chunks of the request a node has already.
+fn owners_in<R: Rng>(
     inputs: &GathererInputs<'_>,
     zone: &ZoneName,
-    nodes: &[&NodeId],
+    nodes: &[&GathererNode],
     chunk: &str,
     given: impl Fn(&NodeId) -> f64,
     random: &mut R,
-) -> Option<NodeId> {
+) -> Option<GathererPair> {
     let wanted = owners_wanted(nodes.len(), inputs.own_rate);
-    let owners = owners(chunk, nodes, wanted);
-    if *zone == inputs.own.zone && owners.contains(&&inputs.own.node) {
+    // One more keeps connections to the replicas (`owned_shards`).
+    let owners = owners(chunk, nodes, wanted + 1);
+    let asked = &owners[..wanted.min(owners.len())];
+    if *zone == inputs.own.zone && asked.contains(&inputs.own) {
         return None;
     }
-    inputs.table.choose(owners.into_iter(), given, inputs.now, random).cloned()
+    let first = inputs.table.choose(asked.iter().map(|owner| &owner.node), &given, inputs.now, random)?;
+    let can_follow =
+        |owner: &&&GathererNode| owner.takes_over && owner.node != *first && owner.node != inputs.own.node;
+    let others = owners.iter().filter(can_follow).map(|owner| &owner.node);
+    let second = inputs.table.choose(others, &given, inputs.now, random);
+    Some(GathererPair { first: first.clone(), second: second.cloned() })
 }
 
 /// The nodes with the highest weights for a chunk.
-fn owners<'a>(chunk: &str, nodes: &[&'a NodeId], wanted: usize) -> Vec<&'a NodeId> {
-    let mut ranked: Vec<(u64, &NodeId)> = nodes.iter().map(|node| (weight(chunk, node), *node)).collect();
-    ranked.sort_by(|one, other| other.cmp(one));
+fn owners<'a>(chunk: &str, nodes: &[&'a GathererNode], wanted: usize) -> Vec<&'a GathererNode> {
+    let seed = xxh3_64_with_seed(chunk.as_bytes(), 0);
+    let mut ranked: Vec<(f64, &GathererNode)> =
+        nodes.iter().map(|node| (weight(seed, node), *node)).collect();
+    ranked.sort_by(|(one, first), (other, second)| other.total_cmp(one).then(first.node.cmp(&second.node)));
     ranked.into_iter().take(wanted).map(|(_, node)| node).collect()
 }
 
-/// The weight of a node for a chunk: the highest own it. A node that comes or goes moves its own
-/// chunks alone.
-fn weight(chunk: &str, node: &NodeId) -> u64 {
-    xxh3_64_with_seed(node.as_str().as_bytes(), xxh3_64_with_seed(chunk.as_bytes(), 0))
+/// The weight of a node for a chunk: the highest own it. A node owns chunks in proportion to its share of
+/// a core, and one that comes or goes moves its own chunks alone.
+fn weight(chunk: u64, node: &GathererNode) -> f64 {
+    let draw = xxh3_64_with_seed(node.node.as_str().as_bytes(), chunk);
+    // Above 0 and below 1.
+    let unit = (draw as f64 + 0.5) / (u64::MAX as f64 + 1.0);
+    -node.work_share() / unit.min(1.0 - f64::EPSILON).ln()
 }
--- a/crates/sablebay-dispatch/tests/delegation.rs
+++ b/crates/sablebay-dispatch/tests/delegation.rs
@@ -20,6 +20,7 @@
 const START: Micros = Micros::from_secs(10);
 const DEADLINE: Micros = Micros::from_secs(11);
 const PARTIAL_AT: Micros = Micros::from_millis(10_500);
+const REPORT_AT: Micros = Micros::from_millis(10_400);
 const RESCUE_DELAY: Micros = Micros::from_millis(100);
 
 /// Shards with one replica in each of the zones named for them.
@@ -46,7 +47,7 @@
 }
 
 fn node(name: &str, zone: &str) -> GathererNode {
-    GathererNode { node: NodeId::new(name), zone: ZoneName::new(zone) }
+    GathererNode { node: NodeId::new(name), zone: ZoneName::new(zone), takes_over: true, core_percent: 0 }
 }
 
 fn choose(
@@ -195,6 +196,63 @@
     assert_eq!(owned_shards(&nodes[0], &nodes[1..], &names, 30.0), None, "here every node owns all");
 }
 
+#[test]
+fn a_chunk_stays_whole_at_an_owner_of_the_own_zone_wherever_its_replicas_are() {
+    let zones = ["a", "b", "c", "d", "e", "f"];
+    let nodes: Vec<_> = (0..48).map(|number| node(&format!("n{number}"), zones[number % 6])).collect();
+    let standing: Vec<[&str; 3]> = (0..180)
+        .map(|shard| [shard % 6, (shard / 6 + 1) % 6, (shard / 36 + 3) % 6].map(|at| zones[at]))
+        .collect();
+    let shards = targets(&standing.iter().map(|zones| &zones[..]).collect::<Vec<_>>());
+    let names: Vec<_> = shards.iter().map(|shard| shard.service.clone()).collect();
+    for own in &nodes {
+        let others: Vec<_> = nodes.iter().filter(|other| *other != own).cloned().collect();
+        let chosen = choose(own, &others, &shards, 0.2, 1);
+        let kept = owned_shards(own, &others, &names, 0.2).expect("few nodes own a shard");
+        let mut direct: BTreeSet<usize> = (0..180).collect();
+        direct.retain(|shard| !chosen.iter().any(|delegated| delegated.shards.contains(shard)));
+        assert!(direct.iter().all(|shard| kept[*shard]), "only what this node owns is called directly");
+        for delegated in &chosen {
+            assert_eq!(delegated.zone, own.zone);
+            assert!(delegated.shards.len() >= 12, "whole chunks");
+            assert!(delegated.second.as_ref().is_some_and(|second| *second != delegated.gatherer));
+        }
+    }
+}
+
+#[test]
+fn the_chunks_of_a_request_are_spread_over_the_owners() {
+    let nodes: Vec<_> = (0..50).map(|number| node(&format!("n{number}"), "a")).collect();
+    let shards = targets(&[&["a", "b"][..]; 180]);
+    for own in &nodes {
+        let others: Vec<_> = nodes.iter().filter(|other| *other != own).cloned().collect();
+        let mut given: BTreeMap<NodeId, usize> = BTreeMap::new();
+        for delegated in choose(own, &others, &shards, 0.2, 1) {
+            *given.entry(delegated.gatherer).or_default() += delegated.shards.len();
+        }
+        assert!(given.values().all(|shards| *shards <= 2 * 14), "at most two chunks at one node: {given:?}");
+    }
+}
+
+#[test]
+fn nodes_own_chunks_in_proportion_to_their_share_of_a_core() {
+    let names: Vec<_> = (0..400).map(|shard| ServiceName::new(format!("s{shard}"))).collect();
+    let with_share = |number: usize| GathererNode {
+        core_percent: if number < 5 { 50 } else { 10 },
+        ..node(&format!("n{number}"), "a")
+    };
+    let nodes: Vec<_> = (0..50).map(with_share).collect();
+    let owned = |own: &GathererNode| {
+        let others: Vec<_> = nodes.iter().filter(|other| *other != own).cloned().collect();
+        owned_shards(own, &others, &names, 0.2).expect("few own a shard").iter().filter(|own| **own).count()
+    };
+    let large: usize = nodes[..5].iter().map(owned).sum();
+    let small: usize = nodes[5..].iter().map(owned).sum();
+    assert_eq!(large + small, 3 * 400, "two owners of each and a spare one");
+    // Five of 50 nodes have a third of the cores; draws without repetition even that out a little.
+    assert!((2.0..6.0).contains(&(9.0 * large as f64 / small as f64)), "{large} and {small}");
+}
+
 /// A request with everything around it, and a record of what was sent.
 struct Harness {
     fanout: Fanout,
@@ -205,18 +263,26 @@
     now: Micros,
     /// The shards of each call, and whether it went to a gatherer.
     sent: BTreeMap<CallNumber, (Vec<usize>, bool)>,
+    /// What the gatherers were asked for, by call.
+    asked: BTreeMap<CallNumber, DelegatedShards>,
     open: Vec<CallNumber>,
 }
 
 impl Harness {
     /// Eight shards; the first four are gathered by one node, the next two by another.
     fn new(minimum_shards: usize, fixed: f64) -> Self {
+        Self::with_second(minimum_shards, fixed, None)
+    }
+
+    /// The same; another node may take over from either gatherer.
+    fn with_second(minimum_shards: usize, fixed: f64, second: Option<&str>) -> Self {
         let settings = FanoutSettings {
             repeatability: Repeatability::Repeatable,
             maximum_attempts: 2,
             minimum_shards,
             deadline: DEADLINE,
             partial_at: PARTIAL_AT,
+            report_at: REPORT_AT,
             hedge_delay: Micros::from_millis(50),
             rescue_delay: RESCUE_DELAY,
         };
@@ -224,6 +290,8 @@
             gatherer: NodeId::new(name),
             zone: ZoneName::new("a"),
             shards: shards.collect(),
+            second: second.map(NodeId::new),
+            continued: false,
         };
         let delegations = vec![delegated("n1", 0..4), delegated("n2", 4..6)];
         let mut harness = Self {
@@ -234,6 +302,7 @@
             random: SmallRng::seed_from_u64(1),
             now: START,
             sent: BTreeMap::new(),
+            asked: BTreeMap::new(),
             open: Vec::new(),
         };
         harness.step(|fanout, turn| fanout.start(turn));
@@ -256,7 +325,10 @@
         for action in actions {
             let (call, sent) = match action {
                 FanoutAction::Send { call, shard, .. } => (call, (vec![shard], false)),
-                FanoutAction::Delegate { call, delegated, .. } => (call, (delegated.shards, true)),
+                FanoutAction::Delegate { call, delegated, .. } => {
+                    self.asked.insert(call, delegated.clone());
+                    (call, (delegated.shards, true))
+                }
                 FanoutAction::Abandon { call } => {
                     self.open.retain(|open| *open != call);
                     continue;
@@ -366,6 +438,82 @@
     assert!(!harness.open.contains(&rescue));
 }
 
+#[test]
+fn the_other_owner_takes_over_from_a_silent_gatherer() {
+    let mut harness = Harness::with_second(8, 100.0, Some("n3"));
+    harness.answer_replicas();
+    harness.gathered(1, &[], &[], false);
+    harness.wait(START.plus(RESCUE_DELAY));
+    assert!((0..8).all(|shard| harness.direct_calls_of(shard) == usize::from(shard >= 6)), "no direct call");
+    let (call, asked) = harness.asked.iter().next_back().expect("another gatherer is asked");
+    assert_eq!((asked.gatherer.as_str(), asked.shards.as_slice()), ("n3", &[0, 1, 2, 3][..]));
+    assert!(asked.continued, "the first may have sent something");
+    let call = *call;
+    assert!(harness.gathered(call.0, &[0, 1, 2], &[], false));
+    assert!(!harness.gathered(0, &[0, 1], &[], false), "a shard stands in one part");
+    assert!(harness.gathered(0, &[3], &[], true), "the first was only slow");
+    assert!(!harness.open.contains(&call), "nothing is left that it is needed for");
+    assert!(harness.gathered(1, &[4, 5], &[], true));
+    assert_eq!(harness.fanout.outcome(), Some(FanoutOutcome::Answered { missing: 0 }));
+}
+
+#[test]
+fn the_other_owner_takes_over_what_a_broken_gatherer_still_owes() {
+    let mut harness = Harness::with_second(8, 100.0, Some("n3"));
+    assert!(harness.gathered(0, &[0, 2], &[], false));
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Broken, turn));
+    let asked = harness.asked.values().next_back().expect("another gatherer is asked");
+    assert_eq!((asked.shards.as_slice(), asked.continued), (&[1, 3][..], true));
+}
+
+#[test]
+fn the_other_owner_begins_anew_where_the_first_refused() {
+    let mut harness = Harness::with_second(8, 0.0, Some("n3"));
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Rejected, turn));
+    let (call, asked) = harness.asked.iter().next_back().expect("another gatherer is asked");
+    assert_eq!((asked.shards.as_slice(), asked.continued), (&[0, 1, 2, 3][..], false));
+    let call = *call;
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(call, CallFailure::Rejected, turn));
+    assert!((0..4).all(|shard| harness.direct_calls_of(shard) == 1), "first calls, with no other owner left");
+}
+
+#[test]
+fn what_was_begun_elsewhere_is_paid_for_also_when_the_other_owner_refuses() {
+    let mut harness = Harness::with_second(4, 0.0, Some("n3"));
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Broken, turn));
+    let call = *harness.asked.keys().next_back().expect("another gatherer is asked");
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(call, CallFailure::Rejected, turn));
+    assert!(
+        (0..4).all(|shard| harness.direct_calls_of(shard) == 0),
+        "the calls of the first may have arrived"
+    );
+}
+
+#[test]
+fn what_another_gatherer_may_have_sent_counts_also_when_the_first_turns_out_to_refuse() {
+    let mut harness = Harness::with_second(4, 100.0, Some("n3"));
+    harness.wait(START.plus(RESCUE_DELAY));
+    let mut asked = harness.asked.iter().skip(2);
+    let second = *asked.find(|(_, asked)| asked.shards == [0, 1, 2, 3]).expect("another gatherer is asked").0;
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(second, CallFailure::Broken, turn));
+    harness.step(|fanout, turn| fanout.on_gatherer_failure(CallNumber(0), CallFailure::Rejected, turn));
+    let attempts: Vec<u32> = (0..4).map(|shard| harness.fanout.attempts(shard)).collect();
+    assert_eq!(attempts, [2; 4], "one there, and one here");
+}
+
+#[test]
+fn a_gatherer_that_falls_silent_after_its_first_word_is_replaced_when_it_should_tell_what_is_in() {
+    let mut harness = Harness::with_second(8, 100.0, Some("n3"));
+    harness.gathered(0, &[], &[], false);
+    harness.gathered(1, &[], &[], false);
+    harness.wait(START.plus(RESCUE_DELAY));
+    assert_eq!(harness.asked.len(), 2, "both live");
+    harness.gathered(1, &[4], &[], false);
+    harness.wait(REPORT_AT.plus(RESCUE_DELAY));
+    assert_eq!(harness.asked.len(), 3, "the one that has said nothing more");
+    assert_eq!(harness.asked.values().next_back().expect("three").shards, [0, 1, 2, 3]);
+}
+
 #[test]
 fn what_a_gatherer_may_not_say_is_not_taken() {
     let mut harness = Harness::new(8, 100.0);
@@ -415,15 +563,20 @@
     #[test]
     fn coverage_is_true_in_any_order_of_events(
         minimum in 1usize..9,
+        second in any::<bool>(),
         events in proptest::collection::vec(event(), 0..40),
     ) {
-        let mut harness = Harness::new(minimum, 20.0);
+        let mut harness = Harness::with_second(minimum, 20.0, second.then_some("n3"));
         // The shards of each taken part, by call, as a shell keeps them.
         let mut parts: Vec<(CallNumber, Vec<usize>)> = Vec::new();
         for event in events {
             match event {
                 Event::Gathered { first, answered, closed, retried, last } => {
-                    let (call, offset) = if first { (CallNumber(0), 0) } else { (CallNumber(1), 4) };
+                    // Of the nodes that were asked for these shards, the last: the one before is given up.
+                    let offset = if first { 0 } else { 4 };
+                    let of_these = |asked: &&DelegatedShards| asked.shards.iter().all(|shard| (*shard < 4) == first);
+                    let last_asked = harness.asked.iter().rfind(|(_, asked)| of_these(asked));
+                    let call = *last_asked.expect("each was asked once").0;
                     let named = |flags: Vec<bool>| -> Vec<usize> {
                         flags.iter().enumerate().filter(|(_, set)| **set).map(|(at, _)| at + offset).collect()
                     };
@@ -441,7 +594,9 @@
                     }
                 }
                 Event::GathererFailed(first, failure) => {
-                    let call = CallNumber(u32::from(!first));
+                    let of_these = |asked: &DelegatedShards| asked.shards.iter().all(|shard| (*shard < 4) == first);
+                    let last_asked = harness.asked.iter().rfind(|(_, asked)| of_these(asked));
+                    let call = *last_asked.expect("each was asked once").0;
                     harness.open.retain(|open| *open != call);
                     harness.step(|fanout, turn| fanout.on_gatherer_failure(call, failure, turn));
                 }
@@ -494,20 +649,25 @@
     random: SmallRng,
     used: BTreeSet<(usize, ReplicaId)>,
     open: Vec<CallNumber>,
-    spares: Option<Vec<Option<ReplicaId>>>,
+    /// What the node asks others for, the newest last, with its spares.
+    delegated: Vec<(CallNumber, DelegatedShards, Vec<Option<ReplicaId>>)>,
 }
 
 impl Sender {
-    fn new(fanout: Fanout, seed: u64) -> Self {
-        let random = SmallRng::seed_from_u64(seed);
-        let mut sender = Self {
+    /// One that was not started.
+    fn idle(fanout: Fanout) -> Self {
+        Self {
             fanout,
             budgets: RetryBudgets::default(),
-            random,
+            random: SmallRng::seed_from_u64(0),
             used: BTreeSet::new(),
             open: Vec::new(),
-            spares: None,
-        };
+            delegated: Vec::new(),
+        }
+    }
+
+    fn new(fanout: Fanout, seed: u64) -> Self {
+        let mut sender = Self { random: SmallRng::seed_from_u64(seed), ..Self::idle(fanout) };
         sender.step(START, |fanout, turn| fanout.start(turn));
         sender
     }
@@ -537,7 +697,9 @@
                     self.used.insert((shard, replica));
                     self.open.push(call);
                 }
-                FanoutAction::Delegate { spares, .. } => self.spares = Some(spares),
+                FanoutAction::Delegate { call, delegated, spares } => {
+                    self.delegated.push((call, delegated, spares));
+                }
                 FanoutAction::Abandon { call } => self.open.retain(|open| *open != call),
             }
         }
@@ -559,6 +721,7 @@
     RootCallFails(prop::sample::Index),
     GathererCallFails(prop::sample::Index),
     GathererBreaks,
+    GathererRefuses,
 }
 
 fn race() -> impl Strategy<Value = Race> {
@@ -568,6 +731,7 @@
         any::<prop::sample::Index>().prop_map(Race::RootCallFails),
         any::<prop::sample::Index>().prop_map(Race::GathererCallFails),
         Just(Race::GathererBreaks),
+        Just(Race::GathererRefuses),
     ]
 }
 
@@ -588,15 +752,21 @@
             minimum_shards: 0,
             deadline: DEADLINE,
             partial_at: DEADLINE,
+            report_at: DEADLINE,
             hedge_delay: Micros::from_millis(50),
             rescue_delay: RESCUE_DELAY,
         };
         let zones: [&[&str]; 3] = [&["a", "b", "c", "d"][..]; 3];
-        let delegated =
-            DelegatedShards { gatherer: NodeId::new("n1"), zone: ZoneName::new("a"), shards: vec![0, 1, 2] };
+        let delegated = DelegatedShards {
+            gatherer: NodeId::new("n1"),
+            zone: ZoneName::new("a"),
+            shards: vec![0, 1, 2],
+            second: None,
+            continued: false,
+        };
         let root = Fanout::new(settings, targets(&zones)).delegating(vec![delegated]);
         let mut root = Sender::new(root, seed);
-        let spares = root.spares.take().expect("the shards are delegated");
+        let (_, _, spares) = root.delegated[0].clone();
         let gatherer = Fanout::new(settings, targets(&zones)).keeping_spares(spares);
         let mut gatherer = Sender::new(gatherer, !seed);
         let (mut root_now, mut gatherer_now) = (START, START);
@@ -615,6 +785,7 @@
                 Race::GathererBreaks => root.step(root_now, |fanout, turn| {
                     fanout.on_gatherer_failure(CallNumber(0), CallFailure::Broken, turn);
                 }),
+                Race::GathererRefuses => {}
             }
             for shard in 0..3 {
                 let used = root.used.union(&gatherer.used).filter(|(known, _)| *known == shard).count();
@@ -622,4 +793,82 @@
             }
         }
     }
+    /// The same of three nodes: another gatherer takes over from the first, which may only be slow.
+    #[test]
+    fn no_more_replicas_are_used_than_the_route_allows_also_when_another_takes_over(
+        maximum_attempts in 1u32..4,
+        seed in any::<u64>(),
+        refuses in any::<bool>(),
+        events in proptest::collection::vec((any::<bool>(), race()), 0..40),
+    ) {
+        let settings = FanoutSettings {
+            repeatability: Repeatability::Repeatable,
+            maximum_attempts,
+            minimum_shards: 0,
+            deadline: DEADLINE,
+            partial_at: DEADLINE,
+            report_at: DEADLINE,
+            hedge_delay: Micros::from_millis(50),
+            rescue_delay: RESCUE_DELAY,
+        };
+        let zones: [&[&str]; 3] = [&["a", "b", "c", "d"][..]; 3];
+        let delegated = DelegatedShards {
+            gatherer: NodeId::new("n1"),
+            zone: ZoneName::new("a"),
+            shards: vec![0, 1, 2],
+            second: Some(NodeId::new("n2")),
+            continued: false,
+        };
+        let root = Fanout::new(settings, targets(&zones)).delegating(vec![delegated]);
+        let mut root = Sender::new(root, seed);
+        let gatherer_of = |root: &Sender, asked: usize| {
+            let (_, delegated, spares) = root.delegated[asked].clone();
+            let fanout = Fanout::new(settings, targets(&zones)).keeping_spares(spares);
+            let fanout = if delegated.continued { fanout.continuing() } else { fanout };
+            // Not one of the calls of a gatherer that turns out to refuse was sent.
+            let runs = delegated.continued || !refuses;
+            if runs { Sender::new(fanout, !seed ^ asked as u64) } else { Sender::idle(fanout) }
+        };
+        let mut gatherers = vec![gatherer_of(&root, 0)];
+        let mut now = START;
+        for (of_first, event) in events {
+            let last = gatherers.len() - 1;
+            let gatherer = &mut gatherers[if of_first { 0 } else { last }];
+            match event {
+                Race::RootWaits(wait) => {
+                    now = now.plus(Micros::from_millis(wait));
+                    root.step(now, |fanout, turn| fanout.on_wake(turn));
+                }
+                Race::GathererWaits(wait) => {
+                    now = now.plus(Micros::from_millis(wait));
+                    gatherer.step(now, |fanout, turn| fanout.on_wake(turn));
+                }
+                Race::RootCallFails(index) => root.fail_one(now, index),
+                Race::GathererCallFails(index) => gatherer.fail_one(now, index),
+                Race::GathererBreaks => {
+                    let call = root.delegated[if of_first { 0 } else { last }].0;
+                    root.step(now, |fanout, turn| {
+                        fanout.on_gatherer_failure(call, CallFailure::Broken, turn);
+                    });
+                }
+                // One that ran something does not say that it refuses.
+                Race::GathererRefuses if gatherer.used.is_empty() => {
+                    let call = root.delegated[if of_first { 0 } else { last }].0;
+                    root.step(now, |fanout, turn| {
+                        fanout.on_gatherer_failure(call, CallFailure::Rejected, turn);
+                    });
+                }
+                Race::GathererRefuses => {}
+            }
+            if root.delegated.len() > gatherers.len() {
+                gatherers.push(gatherer_of(&root, gatherers.len()));
+            }
+            for shard in 0..3 {
+                let senders = gatherers.iter().chain([&root]);
+                let used: BTreeSet<&(usize, ReplicaId)> =
+                    senders.flat_map(|sender| &sender.used).filter(|(known, _)| *known == shard).collect();
+                prop_assert!(used.len() <= maximum_attempts as usize, "{} replicas of shard {shard}", used.len());
+            }
+        }
+    }
 }
--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -48,6 +48,7 @@
         minimum_shards,
         deadline: DEADLINE,
         partial_at: PARTIAL_AT,
+        report_at: PARTIAL_AT,
         hedge_delay: Micros::from_millis(50),
         rescue_delay: Micros::from_millis(100),
     }
--- a/crates/sablebay-fleet/src/member.rs
+++ b/crates/sablebay-fleet/src/member.rs
@@ -28,6 +28,15 @@
     #[musli(default)]
     #[serde(default)]
     pub gathers: bool,
+    /// Whether it can take over from another gatherer. Nodes of releases that could not do it do not say
+    /// so.
+    #[musli(default)]
+    #[serde(default)]
+    pub takes_over: bool,
+    /// Its share of a processor core, in percent; 0 of releases that did not say it.
+    #[musli(default)]
+    #[serde(default)]
+    pub core_percent: u32,
 }
 
 /// What is believed of a member.
--- a/crates/sablebay-fleet/tests/members.rs
+++ b/crates/sablebay-fleet/tests/members.rs
@@ -29,6 +29,8 @@
         caller_address: address,
         admin_address: address,
         gathers: false,
+        takes_over: false,
+        core_percent: 0,
     };
     MemberClaim { info: Arc::new(info), status, refutation }
 }
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -150,6 +150,10 @@
     changed
 }
 
+/// How often it is looked at whether nodes that came or went make this one the owner of other shards. The
+/// spare owner keeps connections meanwhile.
+const OWNERSHIP_PERIOD: Duration = Duration::from_millis(500);
+
 /// Takes every change of the catalogue into use, until the node ends.
 pub async fn install_changes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut changes = context.node.catalogue.subscribe();
@@ -175,11 +179,23 @@
             context.metrics.configuration_version.set(routes as i64);
         }
         context.install(view);
-        let expiry = next_expiry.map_or(Micros::MAX, |at| at);
-        tokio::select! {
-            changed = changes.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep_until(context.clock().instant(expiry)) => {
-                context.node.catalogue.update(|view| { view.expire(now); false });
+        let expiry = context.clock().instant(next_expiry.unwrap_or(Micros::MAX));
+        loop {
+            tokio::select! {
+                changed = changes.changed() => match changed {
+                    Ok(()) => break,
+                    Err(_) => return,
+                },
+                () = tokio::time::sleep_until(expiry) => {
+                    context.node.catalogue.update(|view| { view.expire(now); false });
+                    break;
+                }
+                () = tokio::time::sleep(OWNERSHIP_PERIOD) => {
+                    context.fleet.lock().refresh(&context.node);
+                    if context.ownership_is_outdated() {
+                        break;
+                    }
+                }
             }
         }
     }
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -24,7 +24,7 @@
 use crate::fleet_view::FleetView;
 use crate::mechanisms::GatewayMechanisms;
 use crate::metrics::GatewayMetrics;
-use crate::ownership::Ownership;
+use crate::ownership::{Keepers, Ownership};
 
 /// The replicas that may get new work, at one moment.
 #[derive(Debug, Default)]
@@ -126,7 +126,7 @@
             answer_lag: AnswerLag::default(),
         };
         Self {
-            fleet: Mutex::new(FleetView::new(node.info.key.node.clone(), node.settings.zone.clone())),
+            fleet: Mutex::new(FleetView::new(&node.info)),
             node,
             callers,
             back_ends,
@@ -200,12 +200,11 @@
         connection_share(maximum, owners.unwrap_or(self.nodes.load(Ordering::Relaxed) as usize))
     }
 
-    /// Which shards this node gathers, where there are more nodes than connections and a few nodes of
-    /// each zone gather for the others.
+    /// Which shards this node gathers, and who keeps connections where there are more nodes than these.
     fn ownership(&self, view: &RoutingView) -> Ownership {
-        let Some(routes) = view.routes.as_ref().filter(|_| self.mechanisms.gathering) else {
+        if !self.mechanisms.gathering {
             return Ownership::default();
-        };
+        }
         let running_for = Micros::from(self.clock().running_for());
         let fleet = self.fleet.lock();
         let settled = fleet.size(running_for).0.is_settled();
@@ -216,18 +215,28 @@
         }
         let now = self.clock().now();
         let dispatch = self.dispatch.lock();
-        let mut ownership = Ownership::default();
-        for route in &routes.configuration().routes {
-            if let Destination::Gather(gather) = &route.destination
-                && let Some(first) = gather.shards.first()
-            {
-                let own_rate = dispatch.arrivals.get(first).map_or(0.0, |arrivals| arrivals.rate(now));
-                ownership.add(&gatherers, &gather.shards, own_rate);
-            }
+        let rate = |first: &ServiceName| dispatch.arrivals.get(first).map_or(0.0, |known| known.rate(now));
+        let mut ownership = Ownership::of_known_fleet();
+        for route in view.routes.iter().flat_map(|routes| &routes.configuration().routes) {
+            ownership.add(&gatherers, route, rate);
         }
         ownership
     }
 
+    /// Whether this node gathers other shards than when the view was installed: nodes come and go, and
+    /// requests come more or less often, while the catalogue stays as it is.
+    pub fn ownership_is_outdated(&self) -> bool {
+        self.ownership(&self.view.load()) != **self.ownership.load()
+    }
+
+    /// Whether this node keeps connections to a replica, by the view in force.
+    pub fn keeps_connections_to(&self, replica: &RoutableReplica) -> bool {
+        let view = self.view.load();
+        let mut known =
+            view.replicas.get(&replica.replica.service).into_iter().flat_map(|known| known.iter());
+        known.any(|known| known.replica.id == replica.replica.id && !known.beyond_share)
+    }
+
     /// Marks the replicas that have no room for a connection of this node.
     fn keep_to_share(&self, maximum: u32, ownership: &Ownership, replicas: &mut Arc<[RoutableReplica]>) {
         let own_zone = &self.node.settings.zone;
@@ -245,10 +254,10 @@
         if own.iter().all(|own| *own) {
             return;
         }
-        let owned = replicas.first().and_then(|known| ownership.owns(&known.replica.service));
-        let own = match owned {
-            Some(owned) => vec![owned; own.len()],
-            None => own,
+        let own = match replicas.first().map(|known| ownership.keepers(&known.replica.service)) {
+            Some(Keepers::Owners(owner)) => vec![owner; own.len()],
+            Some(Keepers::Nobody) => vec![false; own.len()],
+            Some(Keepers::ByPosition) | None => own,
         };
         let marked = replicas
             .iter()
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -26,12 +26,10 @@
 pub struct DelegationTimes {
     /// The route's target latency; 0 when there is none.
     pub target: Micros,
-    /// How long after the start a sign of life is due.
-    pub progress_delay: Micros,
-    /// After how long the shards are called directly when there was none.
+    /// After how long a node that gave no sign of life is given up.
     pub rescue_delay: Micros,
-    /// When the answer leaves, also without some shards.
-    pub partial_at: Micros,
+    /// When it tells what is in.
+    pub report_at: Micros,
     /// When the request is given up.
     pub deadline: Micros,
 }
@@ -155,10 +153,11 @@
         top: u32::try_from(delegation.top).unwrap_or(u32::MAX),
         maximum_attempts: delegation.maximum_attempts,
         target_us: times.target.0,
-        progress_us: times.progress_delay.0,
-        wanted_us: times.partial_at.since(now).since(WAY_BACK).0,
+        progress_us: 0,
+        wanted_us: times.report_at.since(now).since(WAY_BACK).0,
         limit_us: times.deadline.since(now).0,
         remaining_us: request.caller_deadline.since(now).0,
+        continued: delegation.delegated.continued,
     }
 }
 
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -21,12 +21,10 @@
 
 /// Events handled in one turn.
 const EVENTS_PER_TURN: usize = 32;
-/// The part of the target latency after which a gatherer that is not done gives a sign of life: by
-/// then most shards are in, and the last ones are being hedged.
-const PROGRESS_PART: f64 = 0.35;
-/// The part of the target latency after which the shards of a silent gatherer are called directly:
-/// late enough for a sign of life to have come, early enough for the calls to be in time.
-const RESCUE_PART: f64 = 0.5;
+/// The part of the target latency after which a gatherer without a sign of life is given up. It gives one as
+/// soon as it has asked its replicas, some milliseconds after it was asked itself; from then on there
+/// must be time for another to do the same.
+const RESCUE_PART: f64 = 0.3;
 /// The target assumed for these of a route that names none.
 const ASSUMED_TARGET: Micros = Micros::from_millis(500);
 
@@ -87,7 +85,7 @@
     let target = (route.target_latency_ms > 0).then(|| Micros::from_millis(route.target_latency_ms));
     let (usual, hedge_delay) = expected_times(context, &route.name, target);
     let settings = fanout_settings(context, route, targets.len(), &bounds, hedge_delay);
-    let terms = delegation_terms(route, target, &settings, &bounds);
+    let terms = delegation_terms(route, target, &settings);
     let fanout = Fanout::new(settings, targets).delegating(delegations);
     let mut run = RunningRequest::start(context, fanout, request, usual, terms);
     run.until(Micros::MAX).await;
@@ -105,21 +103,26 @@
     route: &Route,
     target: Option<Micros>,
     settings: &FanoutSettings,
-    bounds: &RequestBounds,
 ) -> Option<DelegationTerms> {
     let Destination::Gather(gather) = &route.destination else {
         return None;
     };
     let times = DelegationTimes {
         target: target.unwrap_or_default(),
-        progress_delay: part_of(target, bounds, PROGRESS_PART),
         rescue_delay: settings.rescue_delay,
-        partial_at: settings.partial_at,
+        report_at: settings.report_at,
         deadline: settings.deadline,
     };
     Some(DelegationTerms { gather: gather.clone(), maximum_attempts: settings.maximum_attempts, times })
 }
 
+/// When half of the time that a request has is over: a gatherer that has fallen silent by then can still be
+/// replaced.
+fn halfway(bounds: &RequestBounds) -> Micros {
+    let half = bounds.deadline.since(bounds.received_at).0 / 2;
+    bounds.received_at.plus(Micros(half))
+}
+
 /// A part of the time that a request has: its route's target latency, or half of what is left until
 /// it is given up where that is less.
 fn part_of(target: Option<Micros>, bounds: &RequestBounds, part: f64) -> Micros {
@@ -168,6 +171,7 @@
         minimum_shards,
         deadline: bounds.deadline,
         partial_at,
+        report_at: partial_at.min(halfway(bounds)),
         hedge_delay: match route.repeatability {
             Repeatability::Repeatable => hedge_delay,
             Repeatability::AtMostOnce => Micros::MAX,
@@ -268,11 +272,6 @@
         &self.work
     }
 
-    /// Whether parts have come in that were not taken out yet.
-    pub fn has_parts(&self) -> bool {
-        !self.parts.is_empty()
-    }
-
     /// Takes the parts that stand; those that others took the place of are dropped.
     pub fn take_parts(&mut self) -> Vec<TakenPart> {
         let parts = std::mem::take(&mut self.parts);
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -9,6 +9,7 @@
 
 use sablebay_catalogue::{READERS, RoutableReplica};
 use sablebay_dispatch::{FleetSize, GathererNode, ZoneNodes};
+use sablebay_fleet::MemberInfo;
 use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::Shared;
 
@@ -49,10 +50,21 @@
     xxh3_64(node.as_str().as_bytes())
 }
 
+/// A node as the choice of gatherers sees it.
+fn gatherer_node(info: &MemberInfo) -> GathererNode {
+    GathererNode {
+        node: info.key.node.clone(),
+        zone: info.zone.clone(),
+        takes_over: info.takes_over,
+        core_percent: info.core_percent,
+    }
+}
+
 impl FleetView {
     /// A view without peers.
-    pub fn new(own: NodeId, zone: ZoneName) -> Self {
-        let this = GathererNode { node: own.clone(), zone: zone.clone() };
+    pub fn new(info: &MemberInfo) -> Self {
+        let (own, zone) = (info.key.node.clone(), info.zone.clone());
+        let this = gatherer_node(info);
         Self {
             met: BTreeMap::from([(own.clone(), zone)]),
             own,
@@ -71,8 +83,7 @@
         let mut ranked: Vec<FleetPeer> = present
             .inspect(|member| {
                 if member.info.gathers {
-                    let (node, zone) = (member.info.key.node.clone(), member.info.zone.clone());
-                    gatherers.push(GathererNode { node, zone });
+                    gatherers.push(gatherer_node(&member.info));
                 }
                 self.met.insert(member.info.key.node.clone(), member.info.zone.clone());
             })
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -97,11 +97,16 @@
         minimum_shards: 0,
         deadline: times.deadline,
         partial_at: times.deadline,
+        // It asks no other node.
+        report_at: times.deadline,
         hedge_delay,
         rescue_delay: Micros::MAX,
     };
     let crowded = crowded(context, &targets, now);
-    let fanout = Fanout::new(settings, targets).keeping_spares(spares(&partial));
+    let mut fanout = Fanout::new(settings, targets).keeping_spares(spares(&partial));
+    if partial.continued {
+        fanout = fanout.continuing();
+    }
     let mut run = RunningRequest::start(context, fanout, Arc::new(request), usual, None);
     let mut told = Told::new(partial.shards.len(), partial.top as usize, crowded);
     run.until(times.progress_at).await;
@@ -110,9 +115,8 @@
         run.until(times.wanted_at).await;
     }
     if !run.is_finished() {
-        if run.has_parts() {
-            progress.send(told.part(&mut run)).await;
-        }
+        // Also when nothing is in: the root gives up a gatherer that says nothing when the answer is due.
+        progress.send(told.part(&mut run)).await;
         run.until(Micros::MAX).await;
     }
     let last = told.part(&mut run);
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod merge;
 mod metrics;
 mod ownership;
+#[cfg(test)]
+mod ownership_tests;
 mod peer_catalogue;
 mod readiness;
 mod request_body;
--- a/crates/sablebay-gateway/src/ownership.rs
+++ b/crates/sablebay-gateway/src/ownership.rs
@@ -1,20 +1,36 @@
-//! Which shards this node gathers for others, and with how many nodes it shares their replicas.
+//! Which shards this node gathers for others, with how many nodes it shares their replicas, and who keeps
+//! connections to the replicas of each service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
-use sablebay_catalogue::ServiceName;
+use sablebay_catalogue::{Destination, Route, ServiceName};
 use sablebay_dispatch::{gathering_nodes, owned_shards};
 
 use crate::fleet_view::Gatherers;
 
-/// The shards that a few nodes of each zone gather for the others. Shards that every node gathers
-/// itself are not in it.
-#[derive(Debug, Default)]
+/// Which nodes keep connections to the replicas of a service that not all nodes have room at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keepers {
+    /// The nodes that gather the shard; whether this one does.
+    Owners(bool),
+    /// Each node keeps to some of the replicas, by its position among all nodes.
+    ByPosition,
+    /// Nobody: no route names the service.
+    Nobody,
+}
+
+/// What this node gathers by the routes in force. Nothing is known before the fleet is.
+#[derive(Debug, Default, PartialEq)]
 pub struct Ownership {
+    /// Whether routes and nodes were known when it was made.
+    known: bool,
+    /// The shards that a few nodes of each zone gather for the others.
     shards: HashMap<ServiceName, Owned>,
+    /// The services that every node calls itself.
+    called_by_all: HashSet<ServiceName>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct Owned {
     /// Whether this node gathers the shard.
     own: bool,
@@ -23,9 +39,29 @@
 }
 
 impl Ownership {
-    /// Adds the shards of a route of which this node takes `own_rate` requests a second.
-    pub fn add(&mut self, gatherers: &Gatherers, shards: &[ServiceName], own_rate: f64) {
+    /// Of a node that knows the fleet; no route is added yet.
+    pub fn of_known_fleet() -> Self {
+        Self { known: true, ..Self::default() }
+    }
+
+    /// Adds a route; `rate` tells how many requests a second this node takes for shards that begin with
+    /// the one named.
+    pub fn add(&mut self, gatherers: &Gatherers, route: &Route, rate: impl FnOnce(&ServiceName) -> f64) {
+        match &route.destination {
+            Destination::Gather(gather) => {
+                if let Some(first) = gather.shards.first() {
+                    self.add_shards(gatherers, &gather.shards, rate(first));
+                }
+            }
+            Destination::Services(parts) => {
+                self.called_by_all.extend(parts.iter().map(|part| part.service.clone()));
+            }
+        }
+    }
+
+    fn add_shards(&mut self, gatherers: &Gatherers, shards: &[ServiceName], own_rate: f64) {
         let Some(owned) = owned_shards(&gatherers.own, &gatherers.others, shards, own_rate) else {
+            self.called_by_all.extend(shards.iter().cloned());
             return;
         };
         let owners = gathering_nodes(&gatherers.own, &gatherers.others, own_rate);
@@ -36,9 +72,15 @@
         }
     }
 
-    /// Whether this node gathers a shard; nothing where every node does.
-    pub fn owns(&self, shard: &ServiceName) -> Option<bool> {
-        self.shards.get(shard).map(|owned| owned.own)
+    /// Which nodes keep connections to the replicas of a service.
+    pub fn keepers(&self, service: &ServiceName) -> Keepers {
+        if let Some(owned) = self.shards.get(service) {
+            return Keepers::Owners(owned.own);
+        }
+        if !self.known || self.called_by_all.contains(service) {
+            return Keepers::ByPosition;
+        }
+        Keepers::Nobody
     }
 
     /// How many nodes share the replicas of a shard that this node gathers.
--- a/crates/sablebay-gateway/src/warm_up.rs
+++ b/crates/sablebay-gateway/src/warm_up.rs
@@ -13,8 +13,9 @@
 use crate::context::Context;
 use crate::edge::{BackendProtocol, CallerProtocol};
 
-/// The pause between two connections.
-const PAUSE: Duration = Duration::from_millis(20);
+/// The pause between two connections. Each holds a slot of its replica for some milliseconds, and an owner of
+/// a few chunks of an index that was cut anew has hundreds to open before requests need them.
+const PAUSE: Duration = Duration::from_millis(5);
 /// How often the replicas are looked at while nothing changes.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 
@@ -30,9 +31,17 @@
             continue;
         }
         let mut cold = cold_replicas(&context, &mut warmed);
+        if !cold.is_empty() && context.ownership_is_outdated() {
+            // The view is about to be installed anew, with other replicas marked as this node's own.
+            tokio::time::sleep(LOOK_PERIOD).await;
+            continue;
+        }
         // Nodes that start together do not open connections to one replica at one moment.
         cold.shuffle(&mut rand::rng());
         for replica in cold {
+            if !context.keeps_connections_to(&replica) {
+                continue;
+            }
             let connections = context.connections_to(&replica);
             warmed.insert(replica.replica.id.clone());
             connections.open_first().await;
@@ -48,10 +57,11 @@
     warmed: &mut HashSet<ReplicaId>,
 ) -> Vec<RoutableReplica> {
     let view = context.view.load();
-    let present: HashSet<&ReplicaId> =
-        view.replicas.values().flat_map(|r| r.iter()).map(|r| &r.replica.id).collect();
-    warmed.retain(|id| present.contains(id));
-    let own = view.replicas.values().flat_map(|replicas| replicas.iter());
-    let own = own.filter(|replica| !replica.beyond_share && !replica.last_resort);
-    own.filter(|replica| !warmed.contains(&replica.replica.id)).cloned().collect()
+    let all = view.replicas.values().flat_map(|replicas| replicas.iter());
+    let own: Vec<&RoutableReplica> =
+        all.filter(|replica| !replica.beyond_share && !replica.last_resort).collect();
+    let kept: HashSet<&ReplicaId> = own.iter().map(|replica| &replica.replica.id).collect();
+    // Connections to others are closed; one that becomes this node's own again is opened anew.
+    warmed.retain(|id| kept.contains(id));
+    own.into_iter().filter(|replica| !warmed.contains(&replica.replica.id)).cloned().collect()
 }
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -202,6 +202,8 @@
         caller_address: addresses.caller_address,
         admin_address: addresses.admin_address,
         gathers: settings.gateway.is_some(),
+        takes_over: settings.gateway.is_some(),
+        core_percent: (settings.core_share * 100.0).round().max(1.0) as u32,
     };
     let peer_context = Arc::new(PeerContext {
         fleet: settings.fleet.clone(),
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -143,7 +143,7 @@
     pub maximum_attempts: u32,
     /// The route's target latency, in microseconds; 0 when there is none.
     pub target_us: u64,
-    /// When a sign of life is due, in microseconds.
+    /// When a sign of life is due, in microseconds; 0: once the replicas are asked.
     pub progress_us: u64,
     /// When what is in is wanted, in microseconds.
     pub wanted_us: u64,
@@ -151,6 +151,9 @@
     pub limit_us: u64,
     /// How much longer the caller waits, in microseconds.
     pub remaining_us: u64,
+    /// Whether another gatherer was asked before that may have sent the first call of each shard.
+    #[musli(default)]
+    pub continued: bool,
 }
 
 /// What a node gathered of the shards asked for since it last said something. Shards are positions
