--- a/crates/sablebay-dispatch/src/connection_share.rs
+++ b/crates/sablebay-dispatch/src/connection_share.rs
@@ -43,6 +43,11 @@
     (share as usize).max(1)
 }
 
+/// Whether each of `nodes` can have a connection to a replica that takes `maximum` from all together.
+pub fn has_room_for_all(maximum: u32, nodes: usize) -> bool {
+    f64::from(maximum) * GIVEN_OUT >= nodes as f64
+}
+
 /// A zone as far as it matters for sharing the replicas of one service out.
 #[derive(Clone, Copy, Debug)]
 pub struct ZoneNodes {
@@ -102,7 +107,7 @@
 /// nodes, and a replica that comes or goes moves few connections.
 pub fn own_replicas(inputs: &ReplicaShareInputs<'_>) -> Vec<bool> {
     let replicas = inputs.local.len();
-    if inputs.room() >= inputs.nodes as f64 || replicas == 0 {
+    if has_room_for_all(inputs.maximum, inputs.nodes) || replicas == 0 {
         return vec![true; replicas];
     }
     let wanted = inputs.own_count();
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 pub use answer_lag::AnswerLag;
 pub use arrival_rate::ArrivalRate;
 pub use connection_share::{
-    FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, own_replicas,
+    FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, has_room_for_all, own_replicas,
 };
 pub use fanout::{
     CallFailure, CallNumber, DelegatedShards, Execution, Fanout, FanoutAction, FanoutOutcome, FanoutSettings,
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! What the requests of a gateway share.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -14,7 +14,7 @@
 use sablebay_dispatch::{
     AnswerLag, ArrivalRate, CallKey, DelegatedShards, GathererInputs, GathererTable, ReplicaShareInputs,
     ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, UsualPatience, WeightedChoice,
-    choose_gatherers, connection_share, own_replicas,
+    choose_gatherers, connection_share, has_room_for_all, own_replicas,
 };
 use sablebay_model::Micros;
 use sablebay_node::{Clock, Shared, TrafficSpan};
@@ -206,14 +206,14 @@
             return Ownership::default();
         }
         let running_for = Micros::from(self.clock().running_for());
+        let now = self.clock().now();
         let fleet = self.fleet.lock();
-        let settled = fleet.size(running_for).0.is_settled();
+        let known = fleet.knows_gatherers(now, running_for);
         let gatherers = fleet.gatherers();
         drop(fleet);
-        if !settled {
+        if !known {
             return Ownership::default();
         }
-        let now = self.clock().now();
         let dispatch = self.dispatch.lock();
         let rate = |first: &ServiceName| dispatch.arrivals.get(first).map_or(0.0, |known| known.rate(now));
         let mut ownership = Ownership::of_known_fleet();
@@ -239,31 +239,35 @@
 
     /// Marks the replicas that have no room for a connection of this node.
     fn keep_to_share(&self, maximum: u32, ownership: &Ownership, replicas: &mut Arc<[RoutableReplica]>) {
+        let nodes = self.nodes.load(Ordering::Relaxed) as usize;
+        let Some(first) = replicas.first().filter(|_| !has_room_for_all(maximum, nodes)) else {
+            return;
+        };
+        let own = match ownership.keepers(&first.replica.service) {
+            Keepers::Owners(owner) => vec![owner; replicas.len()],
+            Keepers::Nobody => vec![false; replicas.len()],
+            Keepers::ByPosition => self.own_by_position(maximum, nodes, replicas),
+        };
+        let marked = replicas
+            .iter()
+            .zip(own)
+            .map(|(replica, own)| RoutableReplica { beyond_share: !own, ..replica.clone() });
+        *replicas = marked.collect();
+    }
+
+    /// Which of a service's replicas this node keeps to by its position among all nodes.
+    fn own_by_position(&self, maximum: u32, nodes: usize, replicas: &[RoutableReplica]) -> Vec<bool> {
         let own_zone = &self.node.settings.zone;
         let local: Vec<bool> = replicas.iter().map(|known| known.replica.zone == *own_zone).collect();
         let (own_zone_nodes, other_zones) = self.fleet.lock().zones(own_zone, replicas);
-        let nodes = self.nodes.load(Ordering::Relaxed) as usize;
-        let own = own_replicas(&ReplicaShareInputs {
+        own_replicas(&ReplicaShareInputs {
             maximum,
             nodes,
             position: self.node_position.load(Ordering::Relaxed) as usize,
             local: &local,
             own_zone_nodes,
             other_zones: &other_zones,
-        });
-        if own.iter().all(|own| *own) {
-            return;
-        }
-        let own = match replicas.first().map(|known| ownership.keepers(&known.replica.service)) {
-            Some(Keepers::Owners(owner)) => vec![owner; own.len()],
-            Some(Keepers::Nobody) => vec![false; own.len()],
-            Some(Keepers::ByPosition) | None => own,
-        };
-        let marked = replicas
-            .iter()
-            .zip(own)
-            .map(|(replica, own)| RoutableReplica { beyond_share: !own, ..replica.clone() });
-        *replicas = marked.collect();
+        })
     }
 
     /// Takes a new view of routes and replicas into use.
@@ -281,10 +285,10 @@
         }
         self.refresh_connections();
         let view = self.view.load();
-        let known =
-            |id: &ReplicaId| view.replicas.values().flat_map(|r| r.iter()).any(|r| r.replica.id == *id);
+        let replicas = view.replicas.values().flat_map(|replicas| replicas.iter());
+        let known: HashSet<&ReplicaId> = replicas.map(|known| &known.replica.id).collect();
         let mut dispatch = self.dispatch.lock();
-        dispatch.table.retain(known);
+        dispatch.table.retain(|id| known.contains(id));
         if let Some(routes) = view.routes.as_ref() {
             let named = |name: &str| routes.configuration().routes.iter().any(|route| route.name == name);
             dispatch.latencies.retain(|name, _| named(name));
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -221,6 +221,7 @@
     if !mechanisms.claims {
         claims.turn_off_write_once();
     }
+    let listed_leaving = settings.platform_address.is_none().then(HashSet::new);
     let shared = Arc::new(Shared {
         slots: Semaphore::new(settings.concurrency as usize),
         settings,
@@ -233,7 +234,7 @@
         services: Mutex::default(),
         leaves: Mutex::default(),
         claims: Mutex::new(claims),
-        listed_leaving: Mutex::new(HashSet::new()),
+        listed_leaving: Mutex::new(listed_leaving),
         metrics: Metrics::new(),
         lifecycle: Lifecycle::default(),
         catalogue: CatalogueStore::default(),
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -59,8 +59,8 @@
     pub leaves: Mutex<HashMap<LeafId, Arc<LeafClient>>>,
     /// Claims that this node holds.
     pub claims: Mutex<ClaimHolder>,
-    /// Leaves that the platform's list names as leaving.
-    pub listed_leaving: Mutex<HashSet<LeafId>>,
+    /// Leaves that the platform's list names as leaving; nothing before a node that reads it has.
+    pub listed_leaving: Mutex<Option<HashSet<LeafId>>>,
     /// Metrics.
     pub metrics: Metrics,
     /// The catalogue of routes and replicas, for a node with a gateway.
