--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -208,10 +208,10 @@
         let running_for = Micros::from(self.clock().running_for());
         let now = self.clock().now();
         let fleet = self.fleet.lock();
-        let known = fleet.knows_gatherers(now, running_for);
+        let settled = fleet.size(running_for).0.is_settled();
         let gatherers = fleet.gatherers();
         drop(fleet);
-        if !known {
+        if !settled {
             return Ownership::default();
         }
         let dispatch = self.dispatch.lock();
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -13,11 +13,6 @@
 use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::Shared;
 
-/// How long nobody has come or gone when a starting node takes those that it has met for the fleet. The list
-/// of members comes whole from the first peer, and the last of hundreds of nodes that start together are met
-/// some hundred milliseconds later.
-const STEADY_TIME: Micros = Micros::from_secs(1);
-
 /// A node as the gateway sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetPeer {
@@ -47,8 +42,6 @@
     ranked: Vec<FleetPeer>,
     own_rank: usize,
     gatherers: Arc<Gatherers>,
-    /// When the nodes that gather last came or went.
-    gatherers_changed_at: Micros,
     told: Option<usize>,
 }
 
@@ -78,7 +71,6 @@
             ranked: Vec::new(),
             own_rank: 0,
             gatherers: Arc::new(Gatherers { own: this, others: Vec::new() }),
-            gatherers_changed_at: Micros(0),
             told: None,
         }
     }
@@ -100,7 +92,6 @@
         drop(fleet);
         if gatherers != self.gatherers.others {
             self.gatherers = Arc::new(Gatherers { own: self.gatherers.own.clone(), others: gatherers });
-            self.gatherers_changed_at = node.clock.now();
         }
         ranked.sort_by_cached_key(|peer| (rank_key(&peer.node), peer.node.clone()));
         let own_key = (rank_key(&self.own), self.own.clone());
@@ -114,13 +105,6 @@
         self.gatherers.clone()
     }
 
-    /// Whether this node knows who gathers: it knows the fleet, or has met others and nobody has come or gone
-    /// for a while. After a restart of all nodes that is seconds sooner.
-    pub fn knows_gatherers(&self, now: Micros, running_for: Micros) -> bool {
-        let steady = now.since(self.gatherers_changed_at) >= STEADY_TIME;
-        self.size(running_for).0.is_settled() || (steady && !self.gatherers.others.is_empty())
-    }
-
     /// Where a present peer listens.
     pub fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
         self.ranked.iter().find(|peer| peer.node == *node).map(|peer| peer.address)
--- a/crates/sablebay-gateway/src/warm_up.rs
+++ b/crates/sablebay-gateway/src/warm_up.rs
@@ -24,8 +24,8 @@
     let mut warmed: HashSet<ReplicaId> = HashSet::new();
     loop {
         let running_for = Micros::from(context.clock().running_for());
-        let known = context.fleet.lock().knows_gatherers(context.clock().now(), running_for);
-        if !known {
+        let (size, _) = context.fleet.lock().size(running_for);
+        if !size.is_settled() {
             // Which replicas are this node's own is not known yet.
             tokio::time::sleep(LOOK_PERIOD).await;
             continue;
