--- a/crates/sablebay/tests/true_coverage.rs
+++ b/crates/sablebay/tests/true_coverage.rs
@@ -89,7 +89,7 @@
     const RUNS: u64 = 6;
     for seed in 1..=RUNS {
         let broken = Some("partition-check".to_string());
-        let options = RunOptions { broken, seed, scale: 0.5, ..RunOptions::default() };
+        let options = RunOptions { broken, seed, scale: 0.5 };
         let result = run_experiment("repartition", &options).await.unwrap();
         if result.break_caught == Some(true) {
             return;
