Only a node that saw a leaf leave says that it is back

Cause, by reading: a node whose list of machines is older than another's polls the leaf's load, finds it neither draining nor listed, and tells the fleet that it is back; it gets new work (12 calls in the test). Change: each node remembers the leaves that it saw leaving itself, by their word or by its list, and speaks of these alone.

--- a/crates/sablebay-node/src/load_poll.rs
+++ b/crates/sablebay-node/src/load_poll.rs
@@ -84,10 +84,11 @@
             routing.balancer.reported(index, report_of(load), shared.clock.now());
         }
     }
-    let listed = shared.listed_leaving.lock().as_ref().map(|listed| listed.contains(leaf));
-    // A node that has not read the list yet cannot say that a leaf is back.
-    if draining || listed.is_some() {
-        note_leaf(shared, leaf, draining || listed == Some(true));
+    if draining || shared.listed_leaving.lock().contains(leaf) {
+        shared.seen_leaving.lock().insert(leaf.clone());
+        note_leaf(shared, leaf, true);
+    } else if shared.seen_leaving.lock().remove(leaf) {
+        note_leaf(shared, leaf, false);
     }
 }
 
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -1,6 +1,5 @@
 //! A node: opens its listeners, starts its tasks, and stops as planned.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, OnceLock};
@@ -221,7 +220,6 @@
     if !mechanisms.claims {
         claims.turn_off_write_once();
     }
-    let listed_leaving = settings.platform_address.is_none().then(HashSet::new);
     let shared = Arc::new(Shared {
         slots: Semaphore::new(settings.concurrency as usize),
         settings,
@@ -234,7 +232,8 @@
         services: Mutex::default(),
         leaves: Mutex::default(),
         claims: Mutex::new(claims),
-        listed_leaving: Mutex::new(listed_leaving),
+        listed_leaving: Mutex::default(),
+        seen_leaving: Mutex::default(),
         metrics: Metrics::new(),
         lifecycle: Lifecycle::default(),
         catalogue: CatalogueStore::default(),
--- a/crates/sablebay-node/src/platform.rs
+++ b/crates/sablebay-node/src/platform.rs
@@ -172,7 +172,8 @@
             .filter(|machine| machine.role == MachineRole::Leaf && machine.leaving)
             .map(|machine| LeafId::new(&machine.name))
             .collect();
-        *self.shared.listed_leaving.lock() = Some(leaving.iter().cloned().collect());
+        *self.shared.listed_leaving.lock() = leaving.iter().cloned().collect();
+        self.shared.seen_leaving.lock().extend(leaving.iter().cloned());
         for leaf in &leaving {
             note_leaf(&self.shared, leaf, true);
         }
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -59,8 +59,11 @@
     pub leaves: Mutex<HashMap<LeafId, Arc<LeafClient>>>,
     /// Claims that this node holds.
     pub claims: Mutex<ClaimHolder>,
-    /// Leaves that the platform's list names as leaving; nothing before a node that reads it has.
-    pub listed_leaving: Mutex<Option<HashSet<LeafId>>>,
+    /// Leaves that the platform's list names as leaving.
+    pub listed_leaving: Mutex<HashSet<LeafId>>,
+    /// Leaves that this node itself saw leaving, by their own word or by the list: only of these can it say
+    /// that they are back. The lists of other nodes may be newer than its own.
+    pub seen_leaving: Mutex<HashSet<LeafId>>,
     /// Metrics.
     pub metrics: Metrics,
     /// The catalogue of routes and replicas, for a node with a gateway.
