--- a/crates/sablebay-bench/src/gateway_cost.rs
+++ b/crates/sablebay-bench/src/gateway_cost.rs
@@ -7,7 +7,7 @@
 
 use sablebay_catalogue::{
     BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
-    ServiceName,
+    ServiceName, WarmUp,
 };
 use sablebay_platform_standin::{CallerCall, CallerStandIn, LeafStandIn, StoreStandIn};
 
@@ -51,7 +51,11 @@
         priority: 1,
         destination: Destination::Gather(gather),
     };
-    let services = (0..shards).map(|shard| BackendService { name: service(shard), maximum_connections: 64 });
+    let services = (0..shards).map(|shard| BackendService {
+        name: service(shard),
+        maximum_connections: 64,
+        warm_up: WarmUp::default(),
+    });
     RoutingConfiguration {
         version: 1,
         routes: vec![route],
--- a/crates/sablebay-bench/src/soak/routes.rs
+++ b/crates/sablebay-bench/src/soak/routes.rs
@@ -2,7 +2,7 @@
 
 use sablebay_catalogue::{
     BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
-    ServiceName, WeightedService,
+    ServiceName, WarmUp, WeightedService,
 };
 use sablebay_platform_standin::part_records;
 
@@ -88,7 +88,8 @@
         minimum_share: 0.5,
     };
     let all_services = (0..SETS).flat_map(|set| (0..SHARDS).map(move |shard| shard_service(set, shard)));
-    let service = |name| BackendService { name, maximum_connections: MAXIMUM_CONNECTIONS };
+    let service =
+        |name| BackendService { name, maximum_connections: MAXIMUM_CONNECTIONS, warm_up: WarmUp::default() };
     RoutingConfiguration {
         version,
         routes: vec![
--- a/crates/sablebay-catalogue/src/configuration.rs
+++ b/crates/sablebay-catalogue/src/configuration.rs
@@ -93,6 +93,20 @@
     pub name: ServiceName,
     /// Connections that one of its replicas takes from all callers together.
     pub maximum_connections: u32,
+    /// What its replicas bear after a start, and for how long.
+    #[musli(default)]
+    pub warm_up: WarmUp,
+}
+
+/// What the replicas of a service bear while they are cold: after a start, and whenever they turn cold
+/// again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Encode, Decode)]
+pub struct WarmUp {
+    /// How long a replica stays cold after its start, in milliseconds; 0 when it was not told.
+    pub lasts_ms: u64,
+    /// Requests a second that a cold replica bears from all callers together; 0 when it was not told,
+    /// and nothing is bounded.
+    pub requests_per_s: f64,
 }
 
 /// What bounds a caller.
--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -5,6 +5,7 @@
 //! here: how that source spells things, which is an adapter's matter. No I/O and no clock.
 
 mod configuration;
+mod evacuation;
 mod reading;
 mod replica;
 mod route_table;
@@ -12,9 +13,10 @@
 mod view;
 
 pub use configuration::{
-    BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
+    BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration, WarmUp,
     WeightedService,
 };
+pub use evacuation::{Evacuations, ZoneNotice};
 pub use reading::{
     LONGEST_UNAWARE, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
 };
--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -3,6 +3,7 @@
 use musli::{Decode, Encode};
 
 use crate::configuration::RoutingConfiguration;
+use crate::evacuation::ZoneNotice;
 use crate::replica::{Replica, ReplicaId};
 
 /// What one node knows, with the revisions that order it.
@@ -24,4 +25,8 @@
     /// The replicas whose entries went since the revision that the receiver knew, with the
     /// revisions at which they went.
     pub gone: Vec<(ReplicaId, u64)>,
+    /// What operators said of zones, all of it. Nothing from a node of an earlier release, which takes
+    /// the catalogue for confirmed without having read this.
+    #[musli(default)]
+    pub zones: Option<Vec<ZoneNotice>>,
 }
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -4,6 +4,8 @@
 //! - a configuration is replaced by one of a higher version alone (must-hold 8);
 //! - an entry is replaced by one of a higher revision alone, so that news may come in any order and
 //!   from several sources;
+//! - a replica of an evacuated zone gets no new work: [`CatalogueView::routable`] leaves it out, so that
+//!   nothing which is made from the view can send there;
 //! - a replica that drains or whose entry is gone for [`ABSENCE_PATIENCE`] gets no new work
 //!   (must-hold 6). An entry may also vanish while the source is in trouble and come back with the
 //!   replica's next heartbeat, so that a vanished replica stays a last resort until then.
@@ -11,15 +13,19 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use sablebay_model::Micros;
+use sablebay_model::{Micros, ZoneName};
 
 use crate::configuration::RoutingConfiguration;
+use crate::evacuation::{Evacuations, ZoneNotice};
 use crate::replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
 use crate::route_table::RouteTable;
 use crate::snapshot::CatalogueSnapshot;
 
 /// How long a replica whose entry vanished is a last resort.
 const ABSENCE_PATIENCE: Micros = Micros::from_millis(1_600);
+/// How long the replicas of a zone that was taken back are taken for cold where their service does not
+/// say how long that lasts: the three seconds that the users' sheets give for a started one.
+const ASSUMED_WARM_UP: Micros = Micros::from_secs(3);
 /// How long the revision of a vanished entry is remembered, against older news of it.
 const TOMBSTONE_LIFETIME: Micros = Micros::from_secs(60);
 
@@ -39,6 +45,8 @@
     pub at: u64,
     /// The replicas with the revisions of their entries.
     pub replicas: Vec<(Replica, u64)>,
+    /// The evacuated zones with the revisions at which that was said.
+    pub evacuated: Vec<(ZoneName, u64)>,
 }
 
 /// A replica that may get new work.
@@ -51,7 +59,7 @@
     /// Whether this node keeps no connections to it, for want of room there: it is used when the
     /// others are in trouble. Set by whoever shares connections out.
     pub beyond_share: bool,
-    /// Until when it is slow from its start.
+    /// Until when it is cold: slow from its start, or from its zone's return.
     pub warm_at: Micros,
 }
 
@@ -71,8 +79,11 @@
     replicas_at: u64,
     /// The highest revision of an entry that vanished and was forgotten.
     forgotten_up_to: u64,
+    evacuations: Evacuations,
     /// Whether leaving replicas get work; in the soak alone.
     keeps_leaving: bool,
+    /// Whether replicas of evacuated zones get work; in the soak alone.
+    keeps_evacuated: bool,
 }
 
 impl CatalogueView {
@@ -81,7 +92,7 @@
         self.routes.as_ref()
     }
 
-    /// The revision up to which the replicas are known; 0 when nothing is known.
+    /// The revision up to which replicas and zones are known; 0 when nothing is known.
     pub fn replicas_at(&self) -> u64 {
         self.replicas_at
     }
@@ -91,6 +102,28 @@
         self.keeps_leaving = true;
     }
 
+    /// Gives replicas of evacuated zones work like others, which the soak must notice.
+    pub fn keep_evacuated(&mut self) {
+        self.keeps_evacuated = true;
+    }
+
+    /// What operators said of zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Takes what the operator said of a zone. Returns whether it changed anything. Everything up to the
+    /// revision that this node knows the catalogue at was heard: what else comes of before was overruled,
+    /// also where this node never heard of it.
+    pub fn apply_notice(&mut self, notice: &ZoneNotice, now: Micros) -> bool {
+        notice.revision > self.replicas_at && self.evacuations.apply(notice, now)
+    }
+
+    /// Whether the operator lets no new work to a zone's replicas.
+    pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        !self.keeps_evacuated && self.evacuations.is_evacuated(zone)
+    }
+
     /// Takes a configuration into force if it is newer. Returns whether it was.
     pub fn offer_configuration(&mut self, configuration: RoutingConfiguration) -> bool {
         let newer = self.routes.as_ref().is_none_or(|routes| configuration.version > routes.version());
@@ -113,25 +146,41 @@
         self.replicas_at = self.replicas_at.max(revision);
     }
 
-    /// Takes a listing of every replica: those that it leaves out, and that were written before it,
-    /// are gone. Returns whether it changed anything.
+    /// Takes a listing of everything: replicas that it leaves out, and that were written before it, are
+    /// gone, and zones are taken back. Returns whether it changed anything.
     pub fn replace(&mut self, listing: Listing, now: Micros) -> bool {
+        let mut changed = self.replace_zones(&listing, now);
+        changed |= self.replace_replicas(listing.at, listing.replicas, now);
+        self.advance(listing.at);
+        changed
+    }
+
+    fn replace_zones(&mut self, listing: &Listing, now: Micros) -> bool {
+        let mut changed = false;
+        for (zone, revision) in &listing.evacuated {
+            let notice = ZoneNotice { zone: zone.clone(), evacuated: true, revision: *revision };
+            changed |= self.apply_notice(&notice, now);
+        }
+        let listed = |zone: &ZoneName| listing.evacuated.iter().any(|(named, _)| named == zone);
+        self.evacuations.take_back_others(listed, listing.at, now) || changed
+    }
+
+    fn replace_replicas(&mut self, at: u64, replicas: Vec<(Replica, u64)>, now: Micros) -> bool {
         let mut changed = false;
         let listed: std::collections::HashSet<ReplicaId> =
-            listing.replicas.iter().map(|(replica, _)| replica.id.clone()).collect();
-        for (replica, revision) in listing.replicas {
+            replicas.iter().map(|(replica, _)| replica.id.clone()).collect();
+        for (replica, revision) in replicas {
             changed |= self.write(replica, revision, now);
         }
         let missing: Vec<ReplicaId> = self
             .entries
             .iter()
-            .filter(|(id, entry)| entry.revision < listing.at && !listed.contains(*id))
+            .filter(|(id, entry)| entry.revision < at && !listed.contains(*id))
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
-            changed |= self.vanish(&id, listing.at, now);
+            changed |= self.vanish(&id, at, now);
         }
-        self.advance(listing.at);
         changed
     }
 
@@ -183,6 +232,9 @@
             let Some(replica) = entry.replica.as_ref().filter(takes_work) else {
                 continue;
             };
+            if self.is_evacuated(&replica.zone) {
+                continue;
+            }
             let vanished_for = entry.vanished_at.map(|vanished_at| now.since(vanished_at));
             if vanished_for.is_some_and(|absence| absence >= ABSENCE_PATIENCE) {
                 continue;
@@ -191,7 +243,7 @@
                 replica: replica.clone(),
                 last_resort: vanished_for.is_some(),
                 beyond_share: false,
-                warm_at: entry.warm_at,
+                warm_at: self.warm_at(entry, replica),
             });
         }
         for replicas in services.values_mut() {
@@ -200,6 +252,18 @@
         services
     }
 
+    /// Until when a replica is cold: by its own word, and after its zone was taken back, when nothing was
+    /// sent to it for long.
+    fn warm_at(&self, entry: &Entry, replica: &Replica) -> Micros {
+        let Some(returned_at) = self.evacuations.taken_back_at(&replica.zone) else {
+            return entry.warm_at;
+        };
+        let service = self.routes.as_ref().and_then(|routes| routes.service(&replica.service));
+        let told = service.map_or(0, |service| service.warm_up.lasts_ms);
+        let lasts = if told > 0 { Micros::from_millis(told) } else { ASSUMED_WARM_UP };
+        entry.warm_at.max(returned_at.plus(lasts))
+    }
+
     /// When [`CatalogueView::routable`] next changes by itself.
     pub fn next_expiry(&self, now: Micros) -> Option<Micros> {
         let expiries = self.entries.values().filter_map(|entry| entry.vanished_at);
@@ -222,6 +286,7 @@
             configuration: routes.map(|routes| routes.configuration().clone()),
             replicas_at: self.replicas_at,
             whole,
+            zones: Some(self.evacuations.notices()),
             ..CatalogueSnapshot::default()
         };
         if self.replicas_at <= replicas_at {
@@ -239,24 +304,31 @@
     /// Takes what a peer knows. Returns whether it changed anything.
     ///
     /// A peer's list stands for the revision that it is at; an older one than this node's says
-    /// nothing new and is left.
+    /// nothing new and is left. One that does not tell of zones is left as well: this node would not ask
+    /// for them any more.
     pub fn merge(&mut self, snapshot: CatalogueSnapshot, now: Micros) -> bool {
         let mut changed =
             snapshot.configuration.is_some_and(|configuration| self.offer_configuration(configuration));
+        let Some(zones) = snapshot.zones else {
+            return changed;
+        };
+        for notice in &zones {
+            changed |= self.apply_notice(notice, now);
+        }
         if snapshot.replicas_at <= self.replicas_at {
             return changed;
         }
         for (id, revision) in snapshot.gone {
             changed |= self.vanish(&id, revision, now);
         }
-        let listing = Listing { at: snapshot.replicas_at, replicas: snapshot.replicas };
         if snapshot.whole {
-            return self.replace(listing, now) || changed;
-        }
-        for (replica, revision) in listing.replicas {
-            changed |= self.write(replica, revision, now);
+            changed |= self.replace_replicas(snapshot.replicas_at, snapshot.replicas, now);
+        } else {
+            for (replica, revision) in snapshot.replicas {
+                changed |= self.write(replica, revision, now);
+            }
         }
-        self.advance(listing.at);
+        self.advance(snapshot.replicas_at);
         changed
     }
 }
--- /dev/null
+++ b/crates/sablebay-catalogue/tests/evacuation.rs
@@ -0,0 +1,172 @@
+//! Replicas of an evacuated zone get no work, whoever tells of the evacuation and in whatever order.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use sablebay_catalogue::{
+    BackendService, CallerLimits, CatalogueView, Listing, Replica, ReplicaChange, ReplicaId, ReplicaPhase,
+    RoutingConfiguration, ServiceName, WarmUp, ZoneNotice,
+};
+use sablebay_model::{Micros, ZoneName};
+
+const START: Micros = Micros::from_secs(10);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+fn replica(zone: &str) -> Replica {
+    Replica {
+        id: ReplicaId::new(format!("r-{zone}")),
+        service: ServiceName::new("s"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::new(zone),
+        slots: 2,
+        phase: ReplicaPhase::Ready,
+        warm_up_left_ms: 0,
+    }
+}
+
+fn notice(zone: &str, evacuated: bool, revision: u64) -> ZoneNotice {
+    ZoneNotice { zone: ZoneName::new(zone), evacuated, revision }
+}
+
+fn view_of_three_zones() -> CatalogueView {
+    let mut view = CatalogueView::default();
+    for (revision, zone) in ZONES.iter().enumerate() {
+        view.apply(ReplicaChange::Written(replica(zone)), revision as u64 + 1, START);
+    }
+    view.advance(3);
+    view
+}
+
+fn zones_in_use(view: &CatalogueView, now: Micros) -> Vec<String> {
+    let services = view.routable(now);
+    let replicas = services.get(&ServiceName::new("s")).map(Vec::as_slice).unwrap_or_default();
+    replicas.iter().map(|known| known.replica.zone.to_string()).collect()
+}
+
+#[test]
+fn replicas_of_an_evacuated_zone_get_no_work_until_it_is_taken_back() {
+    let mut view = view_of_three_zones();
+    assert!(view.apply_notice(&notice("b", true, 4), START));
+    assert_eq!(zones_in_use(&view, START), ["a", "c"]);
+    // An entry that is written meanwhile changes nothing about it.
+    view.apply(ReplicaChange::Written(replica("b")), 5, START);
+    assert_eq!(zones_in_use(&view, START), ["a", "c"]);
+    assert!(view.apply_notice(&notice("b", false, 6), START));
+    assert_eq!(zones_in_use(&view, START), ["a", "b", "c"]);
+    assert!(!view.apply_notice(&notice("b", true, 4), START), "an older word comes late");
+    assert_eq!(zones_in_use(&view, START), ["a", "b", "c"]);
+}
+
+#[test]
+fn a_listing_takes_back_what_it_does_not_name_and_nothing_newer() {
+    let mut view = view_of_three_zones();
+    view.apply_notice(&notice("a", true, 4), START);
+    view.apply_notice(&notice("b", true, 9), START);
+    let replicas = ZONES.iter().zip(1..).map(|(zone, revision)| (replica(zone), revision));
+    view.replace(Listing { at: 8, replicas: replicas.collect(), evacuated: Vec::new() }, START);
+    assert_eq!(zones_in_use(&view, START), ["a", "c"], "b was evacuated after the listing");
+}
+
+#[test]
+fn a_node_that_starts_learns_of_evacuations_from_a_peer() {
+    let mut peer = view_of_three_zones();
+    peer.apply_notice(&notice("c", true, 4), START);
+    peer.advance(4);
+    let mut started = CatalogueView::default();
+    assert!(started.merge(peer.snapshot(0, 0), START));
+    assert_eq!(zones_in_use(&started, START), ["a", "b"]);
+    // Afterwards a peer that lags does not bring the zone back.
+    started.merge(view_of_three_zones().snapshot(0, 0), START);
+    assert_eq!(zones_in_use(&started, START), ["a", "b"]);
+}
+
+#[test]
+fn a_peer_of_an_earlier_release_does_not_stand_for_what_it_cannot_tell() {
+    let mut peer = view_of_three_zones();
+    peer.advance(20);
+    let mut snapshot = peer.snapshot(0, 0);
+    snapshot.zones = None;
+    let mut view = CatalogueView::default();
+    view.merge(snapshot, START);
+    assert_eq!(view.replicas_at(), 0, "this node still asks the source for everything");
+}
+
+#[test]
+fn replicas_of_a_zone_that_was_taken_back_count_as_cold_for_as_long_as_their_service_says() {
+    let mut view = view_of_three_zones();
+    let warm_up = WarmUp { lasts_ms: 7_000, requests_per_s: 0.0 };
+    view.offer_configuration(RoutingConfiguration {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![BackendService { name: ServiceName::new("s"), maximum_connections: 4, warm_up }],
+        limits: CallerLimits::default(),
+    });
+    view.apply_notice(&notice("b", true, 4), START);
+    let returned_at = START.plus(Micros::from_secs(30));
+    view.apply_notice(&notice("b", false, 5), returned_at);
+    let services = view.routable(returned_at);
+    let warm_at: Vec<Micros> = services[&ServiceName::new("s")].iter().map(|known| known.warm_at).collect();
+    assert_eq!(warm_at, [START, returned_at.plus(Micros::from_millis(7_000)), START]);
+}
+
+/// One thing that a node hears.
+#[derive(Clone, Debug)]
+enum News {
+    /// The change with this number, by itself.
+    Change(usize),
+    /// Everything as it was after this many changes.
+    Listing(usize),
+}
+
+fn history() -> impl Strategy<Value = Vec<(usize, bool)>> {
+    prop::collection::vec((0..ZONES.len(), any::<bool>()), 1..12)
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(14), cases: 512, ..Config::default() })]
+
+    /// Whatever comes twice, late or not at all: who has heard the last word on a zone goes by it from then
+    /// on, and nothing older overrules it.
+    #[test]
+    fn the_last_word_that_was_heard_stands(
+        said in history(),
+        heard in prop::collection::vec((any::<bool>(), any::<prop::sample::Index>()), 1..30),
+    ) {
+        let mut view = view_of_three_zones();
+        let mut newest = [0u64; ZONES.len()];
+        for (by_listing, index) in heard {
+            let number = index.index(said.len());
+            let news = if by_listing { News::Listing(number) } else { News::Change(number) };
+            match news {
+                News::Change(number) => {
+                    let (zone, evacuated) = said[number];
+                    let revision = 10 + number as u64;
+                    view.apply_notice(&notice(ZONES[zone], evacuated, revision), START);
+                    newest[zone] = newest[zone].max(revision);
+                }
+                News::Listing(number) => {
+                    let at = 10 + number as u64;
+                    let mut evacuated = Vec::new();
+                    for (zone, name) in ZONES.iter().enumerate() {
+                        let last = (0..=number).rev().find(|change| said[*change].0 == zone);
+                        if let Some(last) = last.filter(|change| said[*change].1) {
+                            evacuated.push((ZoneName::new(name), 10 + last as u64));
+                        }
+                    }
+                    let replicas = ZONES.iter().zip(1..).map(|(zone, revision)| (replica(zone), revision));
+                    view.replace(Listing { at, replicas: replicas.collect(), evacuated }, START);
+                    for known in &mut newest {
+                        *known = (*known).max(at);
+                    }
+                }
+            }
+            for (zone, name) in ZONES.iter().enumerate() {
+                let last = said.iter().enumerate().rev()
+                    .find(|(number, (said_of, _))| *said_of == zone && 10 + *number as u64 <= newest[zone]);
+                let expected = last.is_some_and(|(_, (_, evacuated))| *evacuated);
+                prop_assert_eq!(view.is_evacuated(&ZoneName::new(name)), expected);
+                prop_assert_eq!(zones_in_use(&view, START).contains(&name.to_string()), !expected);
+            }
+        }
+    }
+}
--- a/crates/sablebay-catalogue/tests/view.rs
+++ b/crates/sablebay-catalogue/tests/view.rs
@@ -69,7 +69,10 @@
     let mut view = CatalogueView::default();
     view.apply(ReplicaChange::Written(replica("old", ReplicaPhase::Ready)), 1, START);
     view.apply(ReplicaChange::Written(replica("new", ReplicaPhase::Ready)), 9, START);
-    view.replace(Listing { at: 5, replicas: vec![(replica("kept", ReplicaPhase::Ready), 4)] }, START);
+    view.replace(
+        Listing { at: 5, replicas: vec![(replica("kept", ReplicaPhase::Ready), 4)], evacuated: Vec::new() },
+        START,
+    );
     let known = routable(&view, START);
     assert_eq!(known, [("kept".to_string(), false), ("new".to_string(), false), ("old".to_string(), true)]);
 }
@@ -88,10 +91,16 @@
 fn a_peer_that_knows_less_changes_nothing() {
     let mut newer = CatalogueView::default();
     newer.offer_configuration(configuration(4));
-    newer.replace(Listing { at: 20, replicas: vec![(replica("a", ReplicaPhase::Draining), 18)] }, START);
+    newer.replace(
+        Listing { at: 20, replicas: vec![(replica("a", ReplicaPhase::Draining), 18)], evacuated: Vec::new() },
+        START,
+    );
     let mut older = CatalogueView::default();
     older.offer_configuration(configuration(3));
-    older.replace(Listing { at: 10, replicas: vec![(replica("a", ReplicaPhase::Ready), 5)] }, START);
+    older.replace(
+        Listing { at: 10, replicas: vec![(replica("a", ReplicaPhase::Ready), 5)], evacuated: Vec::new() },
+        START,
+    );
     assert!(!newer.merge(older.snapshot(0, 0), START));
     assert!(older.merge(newer.snapshot(3, 10), START));
     assert!(routable(&older, START).is_empty());
--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -8,6 +8,8 @@
 //! - every call after the first of its shard is paid from the service's budget, unless no byte of
 //!   the one before can have arrived;
 //! - nothing is sent at or after the deadline, also when the process was paused;
+//! - a request whose least share cannot be reached with the replicas that take work is refused before
+//!   anything is sent;
 //! - a shard is in one part of the answer alone: a merged part cannot be taken apart, so that the
 //!   answers of single replicas give way to it.
 //!
@@ -22,7 +24,7 @@
 use rand::Rng;
 use smallvec::SmallVec;
 
-use sablebay_catalogue::{Repeatability, ReplicaId};
+use sablebay_catalogue::{Repeatability, ReplicaId, RoutableReplica};
 use sablebay_model::Micros;
 
 use crate::replica_table::ReplicaTable;
@@ -203,11 +205,16 @@
 
     /// Sends the first call of each shard, or asks the node that gathers it.
     pub fn start<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
+        self.close_unservable(turn.table);
+        if self.open < self.settings.minimum_shards {
+            self.settle(turn);
+            return;
+        }
         if turn.now < self.settings.deadline {
             self.delegate(turn);
         }
         for shard in 0..self.shards.len() {
-            if self.shards[shard].open_calls > 0 {
+            if self.shards[shard].open_calls > 0 || self.shards[shard].state != ShardState::Open {
                 continue;
             }
             if self.shards[shard].attempts == 0 {
@@ -219,6 +226,19 @@
         self.settle(turn);
     }
 
+    /// Gives up the shards without a replica that takes work; no other node is asked for them either.
+    fn close_unservable(&mut self, table: &ReplicaTable) {
+        for shard in 0..self.shards.len() {
+            if self.targets[shard].replicas.iter().any(|replica| table.takes_work(replica)) {
+                continue;
+            }
+            self.close(shard);
+            for number in std::mem::take(&mut self.shards[shard].gatherers) {
+                self.delegations[number].delegated.shards.retain(|delegated| *delegated != shard);
+            }
+        }
+    }
+
     /// Sends a further call of a shard that has none open here, once the budget allows it.
     fn send_paid<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) {
         if self.shards[shard].attempts >= self.settings.maximum_attempts {
@@ -243,7 +263,7 @@
     fn send<R: Rng>(&mut self, shard: usize, turn: &mut FanoutTurn<'_, R>) -> bool {
         let replicas = &self.targets[shard].replicas;
         let chosen = match self.reserved(shard) {
-            Some(spare) => self.untried_position(shard, &spare),
+            Some(spare) => self.untried_position(shard, &spare, turn.table),
             None => turn.table.choose(replicas, &self.shards[shard].tried, turn.now, turn.random),
         };
         let Some(index) = chosen else {
@@ -271,8 +291,9 @@
         kept.then(|| spare.clone())
     }
 
-    fn untried_position(&self, shard: usize, replica: &ReplicaId) -> Option<usize> {
-        let known = self.targets[shard].replicas.iter().position(|known| known.replica.id == *replica);
+    fn untried_position(&self, shard: usize, replica: &ReplicaId, table: &ReplicaTable) -> Option<usize> {
+        let is_meant = |known: &RoutableReplica| known.replica.id == *replica && table.takes_work(known);
+        let known = self.targets[shard].replicas.iter().position(is_meant);
         known.filter(|_| !self.shards[shard].tried.contains(replica))
     }
 
@@ -455,7 +476,7 @@
         }
         let candidates = match self.reserved(shard) {
             None => &replicas[..],
-            Some(spare) => match self.untried_position(shard, &spare) {
+            Some(spare) => match self.untried_position(shard, &spare, turn.table) {
                 Some(position) => &replicas[position..=position],
                 None => &[],
             },
--- a/crates/sablebay-dispatch/src/fanout/delegation.rs
+++ b/crates/sablebay-dispatch/src/fanout/delegation.rs
@@ -16,7 +16,9 @@
     /// Asks each gatherer for its shards.
     pub(super) fn delegate<R: Rng>(&mut self, turn: &mut FanoutTurn<'_, R>) {
         for number in 0..self.delegations.len() {
-            self.ask(number, turn);
+            if !self.delegations[number].delegated.shards.is_empty() {
+                self.ask(number, turn);
+            }
         }
     }
 
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -1,6 +1,6 @@
 //! The choice of a replica, from what this node's own calls have shown.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use rand::{Rng, RngExt};
 
@@ -41,12 +41,13 @@
 pub struct ReplicaTable {
     zone: ZoneName,
     health: HashMap<ReplicaId, ReplicaHealth>,
+    evacuated: BTreeSet<ZoneName>,
 }
 
 impl ReplicaTable {
     /// A table of a node in `zone`.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, health: HashMap::new() }
+        Self { zone, health: HashMap::new(), evacuated: BTreeSet::new() }
     }
 
     fn health(&mut self, replica: &ReplicaId) -> &mut ReplicaHealth {
@@ -66,6 +67,17 @@
         self.health.retain(|replica, health| keep(replica) || health.open_calls() > 0);
     }
 
+    /// Sets the zones whose replicas get nothing new. Requests in progress hold the replicas that there
+    /// were when they came in.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<ZoneName>) {
+        self.evacuated = zones;
+    }
+
+    /// Whether a replica may get new work, as far as its zone goes.
+    pub fn takes_work(&self, candidate: &RoutableReplica) -> bool {
+        !self.evacuated.contains(&candidate.replica.zone)
+    }
+
     /// A call is sent that usually takes `usual`.
     pub fn sent(&mut self, replica: &ReplicaId, key: CallKey, usual: Micros, now: Micros) {
         self.health(replica).sent(key, usual, now);
@@ -123,7 +135,7 @@
     ) -> Option<usize> {
         let mut best: Option<(Fitness, f64, usize)> = None;
         for (index, candidate) in candidates.iter().enumerate() {
-            if tried.contains(&candidate.replica.id) {
+            if tried.contains(&candidate.replica.id) || !self.takes_work(candidate) {
                 continue;
             }
             let fitness = self.fitness(candidate, now);
@@ -141,7 +153,8 @@
     /// Whether one of the replicas not in `tried` would likely answer in good time.
     pub fn has_fit(&self, candidates: &[RoutableReplica], tried: &[ReplicaId], now: Micros) -> bool {
         let untried = candidates.iter().filter(|candidate| !tried.contains(&candidate.replica.id));
-        untried.into_iter().any(|candidate| self.fitness(candidate, now) <= Fitness::BeyondShare)
+        let mut usable = untried.filter(|candidate| self.takes_work(candidate));
+        usable.any(|candidate| self.fitness(candidate, now) <= Fitness::BeyondShare)
     }
 
     /// Whether work queues, or nothing moves, at every one of the replicas. Replicas of which nothing
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -125,6 +125,12 @@
         let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
         return;
     };
+    if !context.may_send_to(&replica) {
+        withhold(&context, &connections, lease, &replica, key, &request);
+        let unsent = CallResult::Failure(CallFailure::NoConnection, None);
+        let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unsent) });
+        return;
+    }
     let mut exchange =
         std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, extra, deadline));
     let finished = tokio::select! {
@@ -141,6 +147,23 @@
     let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
 
+/// Gives up a call before anything of it was sent: its replica takes no new work any more. Every first call,
+/// hedge, retry and gathered part passes here, after it waited for a connection.
+fn withhold<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    connections: &ReplicaConnections,
+    lease: Lease,
+    replica: &RoutableReplica,
+    key: CallKey,
+    request: &ForwardedRequest,
+) {
+    connections.give_back(lease);
+    context.dispatch.lock().table.forget(&replica.replica.id, key);
+    let evacuated = context.view.load().evacuated.contains(&replica.replica.zone);
+    let request = request.id.to_str().unwrap_or("unreadable");
+    log::info!(request = request, replica = replica.replica.id.as_str(), zone = replica.replica.zone.as_str(), evacuated = evacuated, catalogue_age_ms = context.catalogue_age().as_millis(); "gateway: a call is withheld; its replica takes no new work any more.");
+}
+
 /// Tells the replica table how a call went.
 fn note<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -146,6 +146,9 @@
     for (change, revision) in news.replicas {
         changed |= view.apply(change, revision, now);
     }
+    for notice in &news.zones {
+        changed |= view.apply_notice(notice, now);
+    }
     view.advance(news.at);
     changed
 }
@@ -158,12 +161,7 @@
 pub async fn install_changes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut changes = context.node.catalogue.subscribe();
     let mut version = 0;
-    if !context.mechanisms.leaving {
-        context.node.catalogue.update(|view| {
-            view.keep_leaving();
-            false
-        });
-    }
+    break_mechanisms(&context);
     loop {
         let now = context.clock().now();
         let read = |catalogue: &CatalogueView| (routing_view(catalogue, now), catalogue.next_expiry(now));
@@ -178,6 +176,7 @@
             version = routes;
             context.metrics.configuration_version.set(routes as i64);
         }
+        note_evacuations(&context.view.load(), &view);
         context.install(view);
         let expiry = context.clock().instant(next_expiry.unwrap_or(Micros::MAX));
         loop {
@@ -201,11 +200,36 @@
     }
 }
 
+/// Turns off what the soak breaks.
+fn break_mechanisms<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
+    let (leaving, evacuation) = (context.mechanisms.leaving, context.mechanisms.evacuation);
+    context.node.catalogue.update(|view| {
+        if !leaving {
+            view.keep_leaving();
+        }
+        if !evacuation {
+            view.keep_evacuated();
+        }
+        false
+    });
+}
+
+/// Says which zones get nothing new from now on, and which do again.
+fn note_evacuations(before: &RoutingView, next: &RoutingView) {
+    for zone in next.evacuated.difference(&before.evacuated) {
+        log::info!(zone = zone.as_str(); "catalogue: a zone is evacuated; its replicas get nothing new.");
+    }
+    for zone in before.evacuated.difference(&next.evacuated) {
+        log::info!(zone = zone.as_str(); "catalogue: a zone is taken back; its replicas count as cold at first.");
+    }
+}
+
 fn routing_view(catalogue: &CatalogueView, now: Micros) -> RoutingView {
     let replicas: HashMap<ServiceName, Arc<[RoutableReplica]>> = catalogue
         .routable(now)
         .into_iter()
         .map(|(service, replicas)| (service, Arc::from(replicas)))
         .collect();
-    RoutingView { routes: catalogue.routes().cloned(), replicas }
+    let evacuated = catalogue.evacuations().evacuated().filter(|zone| catalogue.is_evacuated(zone));
+    RoutingView { routes: catalogue.routes().cloned(), replicas, evacuated: evacuated.cloned().collect() }
 }
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! What the requests of a gateway share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -16,7 +16,7 @@
     ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, UsualPatience, WeightedChoice,
     choose_gatherers, connection_share, has_room_for_all, own_replicas,
 };
-use sablebay_model::Micros;
+use sablebay_model::{Micros, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
 
 use crate::connections::ReplicaConnections;
@@ -31,8 +31,10 @@
 pub struct RoutingView {
     /// The routes; none before a configuration is known.
     pub routes: Option<Arc<RouteTable>>,
-    /// The replicas by service.
+    /// The replicas by service; none of an evacuated zone is among them.
     pub replicas: HashMap<ServiceName, Arc<[RoutableReplica]>>,
+    /// The zones whose replicas get nothing new.
+    pub evacuated: BTreeSet<ZoneName>,
 }
 
 impl RoutingView {
@@ -41,6 +43,12 @@
         let replicas = self.replicas.get(service).cloned().unwrap_or_else(|| Arc::from([]));
         ShardTargets { service: service.clone(), replicas }
     }
+
+    /// A replica as it may get new work now; nothing when it may not.
+    fn routable(&self, replica: &RoutableReplica) -> Option<&RoutableReplica> {
+        let known = self.replicas.get(&replica.replica.service)?;
+        known.iter().find(|known| known.replica.id == replica.replica.id)
+    }
 }
 
 /// The connections that a replica of a service takes from all nodes together.
@@ -231,10 +239,13 @@
 
     /// Whether this node keeps connections to a replica, by the view in force.
     pub fn keeps_connections_to(&self, replica: &RoutableReplica) -> bool {
-        let view = self.view.load();
-        let mut known =
-            view.replicas.get(&replica.replica.service).into_iter().flat_map(|known| known.iter());
-        known.any(|known| known.replica.id == replica.replica.id && !known.beyond_share)
+        self.view.load().routable(replica).is_some_and(|known| !known.beyond_share)
+    }
+
+    /// Whether a replica that was chosen a while ago may still get new work: meanwhile it may have begun to
+    /// leave, or its zone may have been evacuated.
+    pub fn may_send_to(&self, replica: &RoutableReplica) -> bool {
+        self.view.load().routable(replica).is_some()
     }
 
     /// Marks the replicas that have no room for a connection of this node.
@@ -289,6 +300,7 @@
         let known: HashSet<&ReplicaId> = replicas.map(|known| &known.replica.id).collect();
         let mut dispatch = self.dispatch.lock();
         dispatch.table.retain(|id| known.contains(id));
+        dispatch.table.set_evacuated(view.evacuated.clone());
         if let Some(routes) = view.routes.as_ref() {
             let named = |name: &str| routes.configuration().routes.iter().any(|route| route.name == name);
             dispatch.latencies.retain(|name, _| named(name));
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -6,7 +6,7 @@
 use http::HeaderValue;
 use tokio::sync::{mpsc, oneshot};
 
-use sablebay_catalogue::{Gather, ReplicaId, ServiceName};
+use sablebay_catalogue::{Gather, ReplicaId, ServiceName, ZoneNotice};
 use sablebay_dispatch::{CallFailure, CallKey, CallNumber, DelegatedShards, GatheredShards, RECORD_BYTES};
 use sablebay_model::Micros;
 use sablebay_node::{Lane, PeerFailure, PeerNews, PendingAnswer};
@@ -127,7 +127,9 @@
     delegation: &OutgoingDelegation,
 ) -> Result<PendingAnswer, CallFailure> {
     let address = delegation.address.ok_or(CallFailure::NoConnection)?;
-    let request = PeerRequest::PartialGather(Box::new(partial_gather(delegation, context.clock().now())));
+    let zones = context.node.catalogue.read(|view| view.evacuations().notices());
+    let partial = partial_gather(delegation, zones, context.clock().now());
+    let request = PeerRequest::PartialGather(Box::new(partial));
     let until = context.clock().instant(delegation.times.deadline);
     let asked = context.node.peers.open_request(address, Lane::Data, request, until).await;
     asked.map_err(|failure| match failure {
@@ -137,7 +139,7 @@
     })
 }
 
-fn partial_gather(delegation: &OutgoingDelegation, now: Micros) -> PartialGather {
+fn partial_gather(delegation: &OutgoingDelegation, zones: Vec<ZoneNotice>, now: Micros) -> PartialGather {
     let OutgoingDelegation { request, times, .. } = delegation;
     let headers = request.headers.iter();
     let headers = headers.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec()));
@@ -158,6 +160,7 @@
         limit_us: times.deadline.since(now).0,
         remaining_us: request.caller_deadline.since(now).0,
         continued: delegation.delegated.continued,
+        zones,
     }
 }
 
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 
-use sablebay_catalogue::{Listing, Replica, ReplicaChange, RoutingConfiguration};
+use sablebay_catalogue::{Listing, Replica, ReplicaChange, RoutingConfiguration, ZoneNotice};
 use sablebay_dispatch::LoadHint;
 
 /// What the gateway needs to know of a request's head.
@@ -141,7 +141,7 @@
 pub struct CatalogueListing {
     /// The configuration; none before the first was published.
     pub configuration: Option<RoutingConfiguration>,
-    /// The replicas, and the revision that the listing was begun at.
+    /// The replicas and the evacuated zones, and the revision that the listing was begun at.
     pub listing: Listing,
     /// What could not be read and was left out, one sentence each.
     pub rejected: Vec<String>,
@@ -154,6 +154,8 @@
     pub configuration: Option<RoutingConfiguration>,
     /// Changes of replicas with their revisions, in order.
     pub replicas: Vec<(ReplicaChange, u64)>,
+    /// What the operator said of zones, in order.
+    pub zones: Vec<ZoneNotice>,
     /// What could not be read and was left out, one sentence each.
     pub rejected: Vec<String>,
     /// The revision to go on from.
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 
-use sablebay_catalogue::{Repeatability, ReplicaId};
+use sablebay_catalogue::{CatalogueView, Repeatability, ReplicaId, RoutableReplica};
 use sablebay_dispatch::{Fanout, FanoutSettings, ShardTargets};
 use sablebay_model::{InstanceKey, Micros, Reason, Refusal};
 use sablebay_node::{PartialGatherer, ProgressSender};
 use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerResponse};
 
 use crate::call::ForwardedRequest;
-use crate::context::Context;
+use crate::context::{Context, RoutingView};
 use crate::driver::{RunningRequest, expected_times};
 use crate::edge::{BackendProtocol, CallerProtocol};
 use crate::merge::merge_parts;
@@ -73,7 +73,7 @@
         return refuse(Reason::Stopping, "the node is stopping");
     };
     let view = context.view.load_full();
-    let targets: Vec<ShardTargets> = partial.shards.iter().map(|shard| view.targets(shard)).collect();
+    let targets = targets_of(context, &view, &partial);
     if targets.iter().any(|target| target.replicas.is_empty()) {
         return refuse(Reason::NoReplica, "no replica of some shard is known here");
     }
@@ -128,6 +128,30 @@
     last
 }
 
+/// The replicas of the shards. Where the root has heard of an evacuation that this node has not, the root's
+/// word counts, for this request and from now on.
+fn targets_of<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    view: &RoutingView,
+    partial: &PartialGather,
+) -> Vec<ShardTargets> {
+    let mut targets: Vec<ShardTargets> = partial.shards.iter().map(|shard| view.targets(shard)).collect();
+    let now = context.clock().now();
+    let hear = |view: &mut CatalogueView| {
+        partial.zones.iter().fold(false, |changed, notice| view.apply_notice(notice, now) || changed)
+    };
+    if partial.zones.is_empty() || !context.node.catalogue.update(hear) {
+        return targets;
+    }
+    context.node.catalogue.read(|known| {
+        for target in &mut targets {
+            let takes_work = |replica: &&RoutableReplica| !known.is_evacuated(&replica.replica.zone);
+            target.replicas = target.replicas.iter().filter(takes_work).cloned().collect();
+        }
+    });
+    targets
+}
+
 /// The spare replica of each shard, where there is one.
 fn spares(partial: &PartialGather) -> Vec<Option<ReplicaId>> {
     partial.spares.iter().map(|text| (!text.is_empty()).then(|| ReplicaId::new(text))).collect()
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -33,6 +33,10 @@
 /// When to come back after every replica rejected a request.
 const REJECTED_RETRY: Duration = Duration::from_millis(150);
 
+/// When to come back where no replica takes work: a replica whose entry was lost writes it anew within about
+/// two heartbeats, and an evacuated zone stays so for longer.
+const NO_REPLICA_RETRY: Duration = Duration::from_millis(2_000);
+
 /// Routes of the callers' listener: everything goes through the gateway.
 pub fn caller_routes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) -> Router {
     Router::new().fallback(handle::<C, B>).with_state(context)
@@ -184,7 +188,10 @@
             note_lag(context, partial_at, missing);
             return response;
         }
-        FanoutOutcome::NotRun => Refusal::NotRun { retry_after: REJECTED_RETRY },
+        FanoutOutcome::NotRun => {
+            let nobody_to_ask = work.calls == 0 && work.gatherers == 0;
+            Refusal::NotRun { retry_after: if nobody_to_ask { NO_REPLICA_RETRY } else { REJECTED_RETRY } }
+        }
         FanoutOutcome::Unknown if !context.mechanisms.not_run => {
             Refusal::NotRun { retry_after: REJECTED_RETRY }
         }
--- a/crates/sablebay-gateway/src/mechanisms.rs
+++ b/crates/sablebay-gateway/src/mechanisms.rs
@@ -13,6 +13,8 @@
     pub not_run: bool,
     /// Giving leaving replicas no work. Off: they get it like others.
     pub leaving: bool,
+    /// Giving replicas of evacuated zones no work. Off: they get it like others.
+    pub evacuation: bool,
     /// Taking all shards of an answer from one configuration. Off: every other one from the one
     /// before.
     pub pinning: bool,
@@ -33,6 +35,7 @@
             at_most_once: true,
             not_run: true,
             leaving: true,
+            evacuation: true,
             pinning: true,
             configuration: true,
             planned_stop: true,
@@ -43,12 +46,13 @@
 
 impl GatewayMechanisms {
     /// The names of the mechanisms.
-    pub const NAMES: [&'static str; 8] = [
+    pub const NAMES: [&'static str; 9] = [
         "correlation",
         "coverage",
         "at-most-once",
         "not-run",
         "leaving",
+        "evacuation",
         "pinning",
         "configuration",
         "planned-stop",
@@ -63,6 +67,7 @@
             "at-most-once" => &mut mechanisms.at_most_once,
             "not-run" => &mut mechanisms.not_run,
             "leaving" => &mut mechanisms.leaving,
+            "evacuation" => &mut mechanisms.evacuation,
             "pinning" => &mut mechanisms.pinning,
             "configuration" => &mut mechanisms.configuration,
             "planned-stop" => &mut mechanisms.planned_stop,
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -79,7 +79,8 @@
     let now = context.clock().now();
     let told =
         (snapshot.configuration.as_ref().map(|configuration| configuration.version), snapshot.replicas_at);
-    let confirmed_ago = snapshot.confirmed_ms_ago;
+    // A node of an earlier release does not know which zones are evacuated: it confirms nothing.
+    let confirmed_ago = snapshot.confirmed_ms_ago.filter(|_| snapshot.zones.is_some());
     context.fleet.lock().note_told(snapshot.nodes_met);
     if context.node.catalogue.update(|view| view.merge(*snapshot, now)) {
         log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1, had = replicas_at, confirmed_ms_ago = confirmed_ago.unwrap_or(0); "catalogue: news from a peer.");
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -3,7 +3,7 @@
 
 use musli::{Decode, Encode};
 
-use sablebay_catalogue::{CatalogueSnapshot, ServiceName};
+use sablebay_catalogue::{CatalogueSnapshot, ServiceName, ZoneNotice};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -154,6 +154,10 @@
     /// Whether another gatherer was asked before that may have sent the first call of each shard.
     #[musli(default)]
     pub continued: bool,
+    /// What the sender knows that operators said of zones: a gatherer that has not heard of an
+    /// evacuation goes by this.
+    #[musli(default)]
+    pub zones: Vec<ZoneNotice>,
 }
 
 /// What a node gathered of the shards asked for since it last said something. Shards are positions
--- /dev/null
+++ b/crates/sablebay/tests/platform/evacuation.rs
@@ -0,0 +1,166 @@
+//! A zone that the operator evacuates: nothing new reaches its back ends, from any node, until it is taken
+//! back.
+
+use std::time::Duration;
+
+use sablebay_model::ZoneName;
+use sablebay_platform_standin::{CallerCall, LeafBehaviour, StoreMode};
+
+use crate::support::{
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered, eventually,
+};
+
+const EVACUATED: &str = "zone-a";
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name)
+}
+
+/// Makes some requests of each kind through a node.
+async fn some_requests(node: &NodeProcess, name: &str) {
+    for number in 0..10 {
+        let id = format!("{name}-{number}");
+        assert_eq!(node.get(SAFE_PATH, &format!("{id}-one")).await.status.as_u16(), 200);
+        assert_eq!(node.get(UNSAFE_PATH, &format!("{id}-once")).await.status.as_u16(), 200);
+        let gathered = format!("{id}-all");
+        check_gathered(&node.get(GATHER_PATH, &gathered).await, &gathered);
+    }
+}
+
+/// Waits until requests through a node reach no back end of the evacuated zone.
+async fn until_empty(deployment: &Deployment, node: &NodeProcess, name: &str) {
+    let round = std::sync::atomic::AtomicU32::new(0);
+    eventually("the zone gets nothing new", || async {
+        let before = deployment.arrivals_in(EVACUATED);
+        let round = round.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        some_requests(node, &format!("{name}-{round}")).await;
+        deployment.arrivals_in(EVACUATED) == before
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_new_reaches_an_evacuated_zone_until_it_is_taken_back() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    some_requests(&node, "before").await;
+    assert!(deployment.arrivals_in(EVACUATED) > 0, "the node prefers back ends of its own zone");
+    deployment.store.evacuate(&zone(EVACUATED));
+    until_empty(&deployment, &node, "during").await;
+    let before = deployment.arrivals_in(EVACUATED);
+    some_requests(&node, "empty").await;
+    assert_eq!(deployment.arrivals_in(EVACUATED), before);
+    eventually("no connection is kept to it", || async {
+        let in_zone = deployment.leaves().filter(|leaf| leaf.replica.zone.as_str() == EVACUATED);
+        in_zone.map(|leaf| leaf.record().open_connections).sum::<u64>() == 0
+    })
+    .await;
+    deployment.store.take_back(&zone(EVACUATED));
+    eventually("the zone gets requests again", || async {
+        some_requests(&node, "after").await;
+        deployment.arrivals_in(EVACUATED) > before
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_flight_is_finished_in_the_evacuated_zone() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    for leaf in deployment.leaves() {
+        leaf.behave(LeafBehaviour::Slow(Duration::from_secs(3)));
+    }
+    let call = CallerCall { patience: Duration::from_secs(60), ..CallerCall::get(HOST, UNSAFE_PATH, "slow") };
+    let caller = node.caller;
+    let asked = tokio::spawn(async move { caller.call(&call).await.expect("an answer") });
+    eventually("the request runs", || async { deployment.runs_of("slow") == 1 }).await;
+    deployment.store.evacuate(&zone(EVACUATED));
+    deployment.store.evacuate(&zone("zone-b"));
+    assert_eq!(asked.await.expect("the call ends").status.as_u16(), 200);
+    assert_eq!(deployment.runs_of("slow"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_every_zone_evacuated_requests_are_refused_at_once_and_did_not_run() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.store.evacuate(&zone(EVACUATED));
+    deployment.store.evacuate(&zone("zone-b"));
+    eventually("requests are refused", || async {
+        node.get(SAFE_PATH, "probe").await.status.as_u16() == 503
+            && node.get(GATHER_PATH, "probe").await.status.as_u16() == 503
+    })
+    .await;
+    for path in [SAFE_PATH, UNSAFE_PATH, GATHER_PATH] {
+        let id = format!("refused{}", path.replace('/', "-"));
+        let answer = node.get(path, &id).await;
+        assert_eq!(answer.status.as_u16(), 503);
+        assert!(answer.retry_after.is_some());
+        assert_eq!(deployment.runs_of(&id), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_and_its_end_are_learnt_although_history_was_lost_between() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.store.set_mode(StoreMode::Refusing);
+    deployment.store.evacuate(&zone(EVACUATED));
+    deployment.store.forget_history();
+    deployment.store.set_mode(StoreMode::Serving);
+    until_empty(&deployment, &node, "during").await;
+    let before = deployment.arrivals_in(EVACUATED);
+    deployment.store.set_mode(StoreMode::Refusing);
+    deployment.store.take_back(&zone(EVACUATED));
+    deployment.store.forget_history();
+    deployment.store.set_mode(StoreMode::Serving);
+    eventually("the zone gets requests again", || async {
+        some_requests(&node, "after").await;
+        deployment.arrivals_in(EVACUATED) > before
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_while_the_store_is_down_knows_of_the_evacuation_from_a_peer() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let first = NodeProcess::start("node-1", deployment.store.address, &[]);
+    first.wait_ready().await;
+    deployment.store.evacuate(&zone(EVACUATED));
+    until_empty(&deployment, &first, "first").await;
+    deployment.store.set_mode(StoreMode::Silent);
+    let second = NodeProcess::start("node-2", deployment.store.address, &[first.peers]);
+    second.wait_ready().await;
+    let before = deployment.arrivals_in(EVACUATED);
+    some_requests(&second, "second").await;
+    assert_eq!(deployment.arrivals_in(EVACUATED), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shards_that_another_node_gathers_pass_over_the_evacuated_zone() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let first = NodeProcess::start("node-1", deployment.store.address, &[]);
+    let second = NodeProcess::start_in("zone-b", "node-2", deployment.store.address, &[first.peers]);
+    // No back end stands in its zone: it has others gather.
+    let root =
+        NodeProcess::start_in("zone-c", "root", deployment.store.address, &[first.peers, second.peers]);
+    for node in [&first, &second, &root] {
+        node.wait_ready().await;
+    }
+    some_requests(&root, "before").await;
+    deployment.store.evacuate(&zone(EVACUATED));
+    until_empty(&deployment, &root, "during").await;
+    let before = deployment.arrivals_in(EVACUATED);
+    for number in 0..20 {
+        let id = format!("empty-{number}");
+        let answer = root.get(GATHER_PATH, &id).await;
+        check_gathered(&answer, &id);
+        assert_eq!(answer.missing, 0);
+        assert_eq!(deployment.runs_of(&id), u32::from(SHARDS));
+    }
+    assert_eq!(deployment.arrivals_in(EVACUATED), before);
+}
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod callers;
 mod catalogue;
+mod evacuation;
 mod gathering;
 mod life;
 mod odd_answers;
--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -11,7 +11,7 @@
 
 use sablebay_catalogue::{
     BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration,
-    ServiceName, WeightedService,
+    ServiceName, WarmUp, WeightedService,
 };
 use sablebay_platform_standin::{
     CallerAnswer, CallerCall, CallerStandIn, LeafStandIn, StoreStandIn, part_records,
@@ -78,7 +78,9 @@
             route("one", "/one/", Repeatability::Repeatable, single()),
             route("once", "/once/", Repeatability::AtMostOnce, single()),
         ],
-        services: services.map(|name| BackendService { name, maximum_connections: 64 }).collect(),
+        services: services
+            .map(|name| BackendService { name, maximum_connections: 64, warm_up: WarmUp::default() })
+            .collect(),
         limits: CallerLimits { body_bytes: 4_096, ..CallerLimits::default() },
     }
 }
@@ -102,21 +104,26 @@
 }
 
 impl Deployment {
-    /// Starts and announces everything, and publishes the first configuration.
+    /// Starts and announces everything in one zone, and publishes the first configuration.
     pub async fn start() -> Self {
+        Self::start_over(["zone-a", "zone-a"]).await
+    }
+
+    /// The same with the two back ends of each service in these zones.
+    pub async fn start_over(zones: [&str; 2]) -> Self {
         let store = StoreStandIn::start().await.expect("a store");
         let mut shards = Vec::new();
         for shard in 0..SHARDS {
-            for copy in 0..2 {
+            for (copy, zone) in zones.into_iter().enumerate() {
                 let id = format!("i-{shard}-{copy}");
-                let leaf = LeafStandIn::start(&id, &shard_service(shard), shard, "zone-a").await;
+                let leaf = LeafStandIn::start(&id, &shard_service(shard), shard, zone).await;
                 shards.push(leaf.expect("a back end"));
             }
         }
         let mut singles = Vec::new();
-        for copy in 0..2 {
+        for (copy, zone) in (0..).zip(zones) {
             let id = format!("i-single-{copy}");
-            let leaf = LeafStandIn::start(&id, &single_service(), 200 + copy, "zone-a").await;
+            let leaf = LeafStandIn::start(&id, &single_service(), 200 + copy, zone).await;
             singles.push(leaf.expect("a back end"));
         }
         let deployment = Self { store, shards, singles };
@@ -132,6 +139,12 @@
         self.shards.iter().chain(&self.singles)
     }
 
+    /// Requests that arrived at the back ends of a zone.
+    pub fn arrivals_in(&self, zone: &str) -> u64 {
+        let in_zone = self.leaves().filter(|leaf| leaf.replica.zone.as_str() == zone);
+        in_zone.map(|leaf| leaf.record().arrivals).sum()
+    }
+
     /// How often a request ran, over all back ends.
     pub fn runs_of(&self, id: &str) -> u32 {
         self.leaves().map(|leaf| leaf.runs_of(id)).sum()
