Cold replicas get no more than they bear, over all nodes together

The share is taken just before a request is sent, after the wait for a connection; the choice passes over a replica whose share is used up. The health answers also tell how long a replica is cold; they are not asked for, since each waits for a slot and is paid for, and the entry in the catalogue tells the same.

--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -61,6 +61,9 @@
     pub beyond_share: bool,
     /// Until when it is cold: slow from its start, or from its zone's return.
     pub warm_at: Micros,
+    /// Requests that this node may send it in any second until then; nothing when that is not bounded.
+    /// Set by whoever shares connections out.
+    pub cold_calls_per_s: Option<u32>,
 }
 
 #[derive(Debug)]
@@ -244,6 +247,7 @@
                 last_resort: vanished_for.is_some(),
                 beyond_share: false,
                 warm_at: self.warm_at(entry, replica),
+                cold_calls_per_s: None,
             });
         }
         for replicas in services.values_mut() {
--- a/crates/sablebay-config/src/gateway_settings.rs
+++ b/crates/sablebay-config/src/gateway_settings.rs
@@ -21,6 +21,11 @@
     pub retry_fixed: f64,
     /// The window of these, in milliseconds. Default 10,000.
     pub retry_window_ms: u64,
+    /// How many times the requests a second that its service names a cold replica bears for a moment.
+    /// Default 1.
+    pub warm_up_overage: f64,
+    /// Requests in a second that a cold replica bears beyond that. Default 0.
+    pub warm_up_slack: f64,
     /// Nodes that are assumed to share budgets and connections before any was met. Default 64.
     pub assumed_nodes: u32,
     /// How long a starting node leaves the reading of the catalogue to others, in milliseconds.
@@ -48,6 +53,8 @@
         retry_ratio: section.number("retry_ratio", 0.0..=10.0).unwrap_or(0.1),
         retry_fixed: section.number("retry_fixed", 0.0..=1_000_000.0).unwrap_or(10.0),
         retry_window_ms: section.integer("retry_window_ms", 100..=3_600_000).unwrap_or(10_000),
+        warm_up_overage: section.number("warm_up_overage", 0.0..=100.0).unwrap_or(1.0),
+        warm_up_slack: section.number("warm_up_slack", 0.0..=1_000_000.0).unwrap_or(0.0),
         assumed_nodes: section.integer("assumed_nodes", 1..=100_000).unwrap_or(64) as u32,
         start_patience_ms: section.integer("start_patience_ms", 0..=60_000).unwrap_or(0),
         partial_margin_ms: section.integer("partial_margin_ms", 0..=10_000).unwrap_or(13),
--- a/crates/sablebay-dispatch/src/gatherers.rs
+++ b/crates/sablebay-dispatch/src/gatherers.rs
@@ -188,6 +188,27 @@
     Some(by_chunk.flatten().collect())
 }
 
+/// The nodes that keep connections to the replicas of one shard, in all zones. Nothing where every node
+/// gathers every shard itself.
+pub fn shard_owners(
+    own: &GathererNode,
+    others: &[GathererNode],
+    shards: &[ServiceName],
+    shard: usize,
+    own_rate: f64,
+) -> Option<Vec<NodeId>> {
+    let zones = zones_of(own, others);
+    let chunks = chunks(shards.len(), &zones, own_rate);
+    if chunks.len() < 2 {
+        return None;
+    }
+    let chunk = chunks.iter().find(|chunk| chunk.contains(&shard))?;
+    let name = shards[chunk.start].as_str();
+    let owners =
+        zones.values().flat_map(|nodes| owners(name, nodes, owners_wanted(nodes.len(), own_rate) + 1));
+    Some(owners.map(|owner| owner.node.clone()).collect())
+}
+
 /// How many nodes gather a shard in all zones together, spare owners among them.
 pub fn gathering_nodes(own: &GathererNode, others: &[GathererNode], own_rate: f64) -> usize {
     let zones = zones_of(own, others);
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod answer_lag;
 mod arrival_rate;
+mod cold_rate;
 mod connection_share;
 mod fanout;
 mod gatherer_table;
@@ -23,6 +24,7 @@
 pub use admission::{Admission, AdmissionInputs, UsualPatience, admit, refusal_probability};
 pub use answer_lag::AnswerLag;
 pub use arrival_rate::ArrivalRate;
+pub use cold_rate::{COLD_WINDOW, Callers, ColdBearing, cold_share};
 pub use connection_share::{
     FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, has_room_for_all, own_replicas,
 };
@@ -31,7 +33,9 @@
     FanoutTurn, GatheredShards, ShardTargets,
 };
 pub use gatherer_table::GathererTable;
-pub use gatherers::{GathererInputs, GathererNode, choose_gatherers, gathering_nodes, owned_shards};
+pub use gatherers::{
+    GathererInputs, GathererNode, choose_gatherers, gathering_nodes, owned_shards, shard_owners,
+};
 pub use records::{RECORD_BYTES, TopRecords};
 pub use replica_health::{LoadHint, ReplicaHealth};
 pub use replica_table::{CallKey, ReplicaTable};
--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -4,6 +4,7 @@
 
 use sablebay_model::Micros;
 
+use crate::cold_rate::COLD_WINDOW;
 use crate::replica_table::CallKey;
 
 /// What a replica says of its load with an answer.
@@ -60,9 +61,23 @@
     paused_until: Micros,
     rejected_until: Micros,
     hint: Option<(LoadHint, Micros)>,
+    /// When requests were sent while the replica was cold, the latest last.
+    cold_calls: SmallVec<[Micros; 4]>,
 }
 
 impl ReplicaHealth {
+    /// Whether one more request fits into the `most` that the cold replica gets from this node in any second.
+    pub fn has_cold_room(&self, most: u32, now: Micros) -> bool {
+        let recent = self.cold_calls.iter().filter(|at| now.since(**at) <= COLD_WINDOW);
+        recent.count() < most as usize
+    }
+
+    /// Notes that a request is sent while the replica is cold.
+    pub fn sent_cold(&mut self, now: Micros) {
+        self.cold_calls.retain(|at| now.since(*at) <= COLD_WINDOW);
+        self.cold_calls.push(now);
+    }
+
     /// A call is sent that usually takes `usual`.
     pub fn sent(&mut self, key: CallKey, usual: Micros, now: Micros) {
         self.open.push(OpenCall { key, sent_at: now, usual });
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -78,6 +78,25 @@
         !self.evacuated.contains(&candidate.replica.zone)
     }
 
+    /// Whether one more request to a replica stays within this node's share while the replica is cold.
+    fn has_cold_room(&self, candidate: &RoutableReplica, now: Micros) -> bool {
+        let Some(most) = candidate.cold_calls_per_s.filter(|_| candidate.warm_at > now) else {
+            return true;
+        };
+        let health = self.health.get(&candidate.replica.id);
+        most > 0 && health.is_none_or(|health| health.has_cold_room(most, now))
+    }
+
+    /// Takes one request out of this node's share of what a cold replica bears; false when nothing is left of
+    /// it. Asked just before a request is sent.
+    pub fn take_cold_call(&mut self, candidate: &RoutableReplica, now: Micros) -> bool {
+        let granted = self.has_cold_room(candidate, now);
+        if granted && candidate.cold_calls_per_s.is_some() && candidate.warm_at > now {
+            self.health(&candidate.replica.id).sent_cold(now);
+        }
+        granted
+    }
+
     /// A call is sent that usually takes `usual`.
     pub fn sent(&mut self, replica: &ReplicaId, key: CallKey, usual: Micros, now: Micros) {
         self.health(replica).sent(key, usual, now);
@@ -135,7 +154,8 @@
     ) -> Option<usize> {
         let mut best: Option<(Fitness, f64, usize)> = None;
         for (index, candidate) in candidates.iter().enumerate() {
-            if tried.contains(&candidate.replica.id) || !self.takes_work(candidate) {
+            let usable = self.takes_work(candidate) && self.has_cold_room(candidate, now);
+            if tried.contains(&candidate.replica.id) || !usable {
                 continue;
             }
             let fitness = self.fitness(candidate, now);
@@ -153,7 +173,8 @@
     /// Whether one of the replicas not in `tried` would likely answer in good time.
     pub fn has_fit(&self, candidates: &[RoutableReplica], tried: &[ReplicaId], now: Micros) -> bool {
         let untried = candidates.iter().filter(|candidate| !tried.contains(&candidate.replica.id));
-        let mut usable = untried.filter(|candidate| self.takes_work(candidate));
+        let mut usable =
+            untried.filter(|candidate| self.takes_work(candidate) && self.has_cold_room(candidate, now));
         usable.any(|candidate| self.fitness(candidate, now) <= Fitness::BeyondShare)
     }
 
--- a/crates/sablebay-dispatch/tests/delegation.rs
+++ b/crates/sablebay-dispatch/tests/delegation.rs
@@ -38,6 +38,7 @@
         last_resort: false,
         beyond_share: false,
         warm_at: Micros(0),
+        cold_calls_per_s: None,
     };
     let shard = |(shard, zones): (usize, &&[&str])| ShardTargets {
         service: ServiceName::new(format!("s{shard}")),
--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -33,6 +33,7 @@
         last_resort: false,
         beyond_share: false,
         warm_at: Micros(0),
+        cold_calls_per_s: None,
     };
     let shard = |shard: usize| ShardTargets {
         service: ServiceName::new(format!("s{shard}")),
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -26,6 +26,7 @@
         last_resort: false,
         beyond_share: false,
         warm_at: Micros(0),
+        cold_calls_per_s: None,
     }
 }
 
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -14,7 +14,7 @@
 use sablebay_model::Micros;
 
 use crate::connections::{Lease, ReplicaConnections};
-use crate::context::Context;
+use crate::context::{Context, Withheld};
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, WholeAnswer};
 use crate::merge::MergedPart;
 
@@ -125,8 +125,9 @@
         let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
         return;
     };
-    if !context.may_send_to(&replica) {
-        withhold(&context, &connections, lease, &replica, key, &request);
+    if let Err(why) = context.permit_sending(&replica) {
+        connections.give_back(lease);
+        note_withheld(&context, &replica, key, &request, why);
         let unsent = CallResult::Failure(CallFailure::NoConnection, None);
         let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unsent) });
         return;
@@ -147,21 +148,19 @@
     let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
 
-/// Gives up a call before anything of it was sent: its replica takes no new work any more. Every first call,
-/// hedge, retry and gathered part passes here, after it waited for a connection.
-fn withhold<C: CallerProtocol, B: BackendProtocol>(
+/// Notes that a call was given up before anything of it was sent.
+fn note_withheld<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
-    connections: &ReplicaConnections,
-    lease: Lease,
     replica: &RoutableReplica,
     key: CallKey,
     request: &ForwardedRequest,
+    why: Withheld,
 ) {
-    connections.give_back(lease);
     context.dispatch.lock().table.forget(&replica.replica.id, key);
-    let evacuated = context.view.load().evacuated.contains(&replica.replica.zone);
-    let request = request.id.to_str().unwrap_or("unreadable");
-    log::info!(request = request, replica = replica.replica.id.as_str(), zone = replica.replica.zone.as_str(), evacuated = evacuated, catalogue_age_ms = context.catalogue_age().as_millis(); "gateway: a call is withheld; its replica takes no new work any more.");
+    if context.metrics.log_budget.take(context.clock().now()) {
+        let request = request.id.to_str().unwrap_or("unreadable");
+        log::info!(request = request, replica = replica.replica.id.as_str(), zone = replica.replica.zone.as_str(), catalogue_age_ms = context.catalogue_age().as_millis(); "gateway: nothing is sent to a replica that was chosen before: {why}.");
+    }
 }
 
 /// Tells the replica table how a call went.
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
+use derive_more::Display;
 use parking_lot::Mutex;
 
 use sablebay_catalogue::{
@@ -12,11 +13,12 @@
 };
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
-    AnswerLag, ArrivalRate, CallKey, DelegatedShards, GathererInputs, GathererTable, ReplicaShareInputs,
-    ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets, UsualPatience, WeightedChoice,
-    choose_gatherers, connection_share, has_room_for_all, own_replicas,
+    AnswerLag, ArrivalRate, CallKey, Callers, ColdBearing, DelegatedShards, GathererInputs, GathererTable,
+    ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets,
+    UsualPatience, WeightedChoice, choose_gatherers, cold_share, connection_share, has_room_for_all,
+    own_replicas, shard_owners,
 };
-use sablebay_model::{Micros, ZoneName};
+use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
 
 use crate::connections::ReplicaConnections;
@@ -51,6 +53,20 @@
     }
 }
 
+/// Why nothing is sent to a replica that was chosen a while ago.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Withheld {
+    /// Its zone was evacuated meanwhile.
+    #[display("its zone is evacuated")]
+    Evacuated,
+    /// It is leaving, or its entry is gone.
+    #[display("it takes no new work any more")]
+    Leaving,
+    /// It is cold, and this node's share of what it bears is used up.
+    #[display("it is cold")]
+    Cold,
+}
+
 /// The connections that a replica of a service takes from all nodes together.
 fn maximum_connections(routes: Option<&RouteTable>, service: &ServiceName) -> u32 {
     /// Assumed of a service that the configuration does not name.
@@ -242,10 +258,19 @@
         self.view.load().routable(replica).is_some_and(|known| !known.beyond_share)
     }
 
-    /// Whether a replica that was chosen a while ago may still get new work: meanwhile it may have begun to
-    /// leave, or its zone may have been evacuated.
-    pub fn may_send_to(&self, replica: &RoutableReplica) -> bool {
-        self.view.load().routable(replica).is_some()
+    /// Whether a request may be sent now to a replica that was chosen a while ago. Every first call, hedge,
+    /// retry and gathered part asks, after it waited for a connection.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn permit_sending(&self, replica: &RoutableReplica) -> Result<(), Withheld> {
+        let view = self.view.load();
+        let Some(known) = view.routable(replica) else {
+            let evacuated = view.evacuated.contains(&replica.replica.zone);
+            return Err(if evacuated { Withheld::Evacuated } else { Withheld::Leaving });
+        };
+        let granted = self.dispatch.lock().table.take_cold_call(known, self.clock().now());
+        if granted { Ok(()) } else { Err(Withheld::Cold) }
     }
 
     /// Marks the replicas that have no room for a connection of this node.
@@ -266,6 +291,53 @@
         *replicas = marked.collect();
     }
 
+    /// Shares out what the cold replicas of a service bear, among the nodes that may call them.
+    fn bound_cold_calls(
+        &self,
+        routes: &RouteTable,
+        ownership: &Ownership,
+        service: &ServiceName,
+        replicas: &mut Arc<[RoutableReplica]>,
+    ) {
+        let now = self.clock().now();
+        let requests_per_s = routes.service(service).map_or(0.0, |known| known.warm_up.requests_per_s);
+        if requests_per_s <= 0.0 || replicas.iter().all(|replica| replica.warm_at <= now) {
+            return;
+        }
+        let settings = self.settings.load();
+        let (overage, slack) = (settings.warm_up_overage, settings.warm_up_slack);
+        let bearing = ColdBearing { requests_per_s, overage, slack };
+        let (known, at_least) = match ownership.keepers(service) {
+            Keepers::Owners(false) | Keepers::Nobody => (Vec::new(), usize::MAX),
+            Keepers::Owners(true) => (self.owners_of(routes, service), 0),
+            Keepers::ByPosition => (self.fleet.lock().names(), self.nodes.load(Ordering::Relaxed) as usize),
+        };
+        let callers = Callers { own: &self.node.info.key.node, known: &known, at_least };
+        let bounded = |replica: &RoutableReplica| RoutableReplica {
+            cold_calls_per_s: Some(cold_share(&replica.replica.id, &bearing, &callers)),
+            ..replica.clone()
+        };
+        *replicas = replicas.iter().map(bounded).collect();
+    }
+
+    /// The nodes that gather a shard, in all zones.
+    fn owners_of(&self, routes: &RouteTable, shard: &ServiceName) -> Vec<NodeId> {
+        let gatherers = self.fleet.lock().gatherers();
+        let now = self.clock().now();
+        let dispatch = self.dispatch.lock();
+        let rate = |first: &ServiceName| dispatch.arrivals.get(first).map_or(0.0, |known| known.rate(now));
+        let gathers = routes.configuration().routes.iter().filter_map(|route| match &route.destination {
+            Destination::Gather(gather) => Some(gather),
+            Destination::Services(_) => None,
+        });
+        let mut owners = gathers.filter_map(|gather| {
+            let position = gather.shards.iter().position(|known| known == shard)?;
+            let rate = gather.shards.first().map_or(0.0, rate);
+            shard_owners(&gatherers.own, &gatherers.others, &gather.shards, position, rate)
+        });
+        owners.next().unwrap_or_default()
+    }
+
     /// Which of a service's replicas this node keeps to by its position among all nodes.
     fn own_by_position(&self, maximum: u32, nodes: usize, replicas: &[RoutableReplica]) -> Vec<bool> {
         let own_zone = &self.node.settings.zone;
@@ -284,9 +356,13 @@
     /// Takes a new view of routes and replicas into use.
     pub fn install(&self, mut view: RoutingView) {
         let ownership = self.ownership(&view);
+        let routes = view.routes.clone();
         for (service, replicas) in &mut view.replicas {
-            let maximum = maximum_connections(view.routes.as_deref(), service);
+            let maximum = maximum_connections(routes.as_deref(), service);
             self.keep_to_share(maximum, &ownership, replicas);
+            if let Some(routes) = &routes {
+                self.bound_cold_calls(routes, &ownership, service, replicas);
+            }
         }
         self.ownership.store(Arc::new(ownership));
         let before = self.view.swap(Arc::new(view));
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -105,6 +105,11 @@
         self.gatherers.clone()
     }
 
+    /// Every node met in this life, this one among them.
+    pub fn names(&self) -> Vec<NodeId> {
+        self.met.keys().cloned().collect()
+    }
+
     /// Where a present peer listens.
     pub fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
         self.ranked.iter().find(|peer| peer.node == *node).map(|peer| peer.address)
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -138,7 +138,8 @@
     let mut targets: Vec<ShardTargets> = partial.shards.iter().map(|shard| view.targets(shard)).collect();
     let now = context.clock().now();
     let hear = |view: &mut CatalogueView| {
-        partial.zones.iter().fold(false, |changed, notice| view.apply_notice(notice, now) || changed)
+        let changes = partial.zones.iter().filter(|notice| view.apply_notice(notice, now));
+        changes.count() > 0
     };
     if partial.zones.is_empty() || !context.node.catalogue.update(hear) {
         return targets;
--- a/crates/sablebay/tests/platform/evacuation.rs
+++ b/crates/sablebay/tests/platform/evacuation.rs
@@ -3,11 +3,13 @@
 
 use std::time::Duration;
 
+use sablebay_catalogue::WarmUp;
 use sablebay_model::ZoneName;
 use sablebay_platform_standin::{CallerCall, LeafBehaviour, StoreMode};
 
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered, eventually,
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered,
+    configuration, eventually,
 };
 
 const EVACUATED: &str = "zone-a";
@@ -164,3 +166,47 @@
     }
     assert_eq!(deployment.arrivals_in(EVACUATED), before);
 }
+
+/// Requests a second that a cold back end bears in this test.
+const BEARS_PER_S: u32 = 6;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn back_ends_that_come_back_cold_are_not_sent_more_than_they_bear() {
+    let deployment = Deployment::start_over([EVACUATED, "zone-b"]).await;
+    let mut bounded = configuration(2);
+    for service in &mut bounded.services {
+        service.warm_up = WarmUp { lasts_ms: 60_000, requests_per_s: f64::from(BEARS_PER_S) };
+    }
+    deployment.store.publish(&bounded);
+    let mut nodes: Vec<NodeProcess> = Vec::new();
+    for number in 0..3 {
+        let seeds: Vec<_> = nodes.iter().map(|node| node.peers).collect();
+        nodes.push(NodeProcess::start(&format!("node-{number}"), deployment.store.address, &seeds));
+    }
+    for node in &nodes {
+        node.wait_ready().await;
+    }
+    deployment.store.evacuate(&zone(EVACUATED));
+    for (number, node) in nodes.iter().enumerate() {
+        until_empty(&deployment, node, &format!("during-{number}")).await;
+    }
+    let returning = || deployment.leaves().filter(|leaf| leaf.replica.zone.as_str() == EVACUATED);
+    for leaf in returning() {
+        leaf.behave(LeafBehaviour::Cold(BEARS_PER_S));
+    }
+    let before = deployment.arrivals_in(EVACUATED);
+    deployment.store.take_back(&zone(EVACUATED));
+    // The nodes prefer back ends of their own zone, and there are far more requests than these bear.
+    eventually("the zone gets requests again", || async {
+        tokio::join!(
+            some_requests(&nodes[0], "after-0"),
+            some_requests(&nodes[1], "after-1"),
+            some_requests(&nodes[2], "after-2"),
+        );
+        deployment.arrivals_in(EVACUATED) >= before + 12
+    })
+    .await;
+    for leaf in returning() {
+        assert!(!leaf.record().fell_over, "{} got more than it bears", leaf.replica.id);
+    }
+}
