Second calls are sent while up to 0.6 of a request's shards are open

Cause: the rule that hedging stops where more than 0.3 of the shards are slow held a gatherer of ten shards back until three were open; with 40 in 100 of the replicas slow or dark more than that are, most of the time. Two ways: 0.3 against 0.6 (and all shards, 1.0).

--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -121,8 +121,11 @@
 /// How soon a hedge that was not possible is looked at again.
 const HEDGE_RECHECK: Micros = Micros::from_millis(15);
 /// The part of a request's shards that may be slow for hedging to help. Where more are, the load is
-/// everywhere: second calls find the same queues and make them longer.
-const STRAGGLING_PART: f64 = 0.3;
+/// everywhere: second calls find the same queues and make them longer. A node that gathers nine or ten shards
+/// has four slow ones when 40 in 100 of the replicas are slow or dark; with 0.3 it waited for one of them
+/// before it sent any second call. Against 0.3, 0.6 served 2 in 100 more requests in time in the worst seconds
+/// of such days, and in bursts.
+const STRAGGLING_PART: f64 = 0.6;
 /// Shards that may always be hedged, so that small requests are.
 const STRAGGLING_FLOOR: usize = 2;
 
