--- a/crates/sablebay-config/src/gateway_settings.rs
+++ b/crates/sablebay-config/src/gateway_settings.rs
@@ -21,6 +21,9 @@
     pub retry_fixed: f64,
     /// The window of these, in milliseconds. Default 10,000.
     pub retry_window_ms: u64,
+    /// How long a connection to a replica may take to open, in milliseconds. It should cover a few ways there
+    /// and back; a replica that takes longer is taken for lost, and nothing was sent to it. Default 100.
+    pub connect_timeout_ms: u64,
     /// How many times the requests a second that its service names a cold replica bears for a moment.
     /// Default 1.
     pub warm_up_overage: f64,
@@ -53,6 +56,7 @@
         retry_ratio: section.number("retry_ratio", 0.0..=10.0).unwrap_or(0.1),
         retry_fixed: section.number("retry_fixed", 0.0..=1_000_000.0).unwrap_or(10.0),
         retry_window_ms: section.integer("retry_window_ms", 100..=3_600_000).unwrap_or(10_000),
+        connect_timeout_ms: section.integer("connect_timeout_ms", 1..=60_000).unwrap_or(100),
         warm_up_overage: section.number("warm_up_overage", 0.0..=100.0).unwrap_or(1.0),
         warm_up_slack: section.number("warm_up_slack", 0.0..=1_000_000.0).unwrap_or(0.0),
         assumed_nodes: section.integer("assumed_nodes", 1..=100_000).unwrap_or(64) as u32,
--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -20,8 +20,6 @@
 
 use crate::counted_stream::{CallTraffic, CountedStream};
 
-/// How long a connection may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// The longest head of an answer.
 const MAXIMUM_HEAD_BYTES: usize = 64 * 1024;
 /// How long before a replica closes an idle connection it is no longer used.
@@ -76,6 +74,8 @@
     opened: Counter,
     ledger: TrafficLedger,
     span: TrafficSpan,
+    /// How long a connection may take to open.
+    connect_timeout: Duration,
 }
 
 impl ReplicaConnections {
@@ -83,6 +83,7 @@
     pub fn new(
         address: SocketAddr,
         limit: usize,
+        connect_timeout: Duration,
         opened: Counter,
         ledger: TrafficLedger,
         span: TrafficSpan,
@@ -95,6 +96,7 @@
             opened,
             ledger,
             span,
+            connect_timeout,
         }
     }
 
@@ -120,7 +122,7 @@
             }
         }
         self.opened.inc();
-        let connection = tokio::time::timeout(CONNECT_TIMEOUT, self.open()).await.ok()??;
+        let connection = tokio::time::timeout(self.connect_timeout, self.open()).await.ok()??;
         Some(Lease { connection, _permit: permit })
     }
 
@@ -147,7 +149,7 @@
             return;
         }
         self.opened.inc();
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open()).await;
+        let opened = tokio::time::timeout(self.connect_timeout, self.open()).await;
         if let Ok(Some(connection)) = opened {
             self.idle.lock().push(connection);
         }
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use derive_more::Display;
@@ -213,7 +214,9 @@
         let opened = self.metrics.connections_opened.clone();
         let span = TrafficSpan::between(&self.node.settings.zone, &replica.replica.zone);
         let ledger = self.node.peers.traffic().clone();
-        let made = Arc::new(ReplicaConnections::new(replica.replica.address, limit, opened, ledger, span));
+        let timeout = Duration::from_millis(self.settings.load().connect_timeout_ms);
+        let address = replica.replica.address;
+        let made = Arc::new(ReplicaConnections::new(address, limit, timeout, opened, ledger, span));
         connections.insert(replica.replica.id.clone(), made.clone());
         made
     }
