Reverted: nodes tell each other of replicas in trouble

Why it does not help, by arithmetic: with 17 in 100 of the replicas dark and 27 slow by nine, 8 of 90 shards have three bad replicas, of which 4 may be missing; what is left there is not a matter of knowing.

--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -54,11 +54,6 @@
 const LONGEST_PAUSE: Micros = Micros::from_millis(2_400);
 /// An open call that took this many times its usual time says that the replica stands still.
 pub(crate) const SILENT_RATIO: f64 = 3.0;
-/// How long a sign of trouble at a replica, seen by another node, counts here. Trouble lasts some seconds; a
-/// pause is over long before. Each sign is passed on for as long as it counts, by those who saw it alone.
-const SIGN_LIFETIME: Micros = Micros::from_millis(2_000);
-/// What a replica costs more while such a sign counts: as much as the slowest answer says.
-const TOLD_COST: f64 = HIGHEST_OBSERVATION;
 /// A silence shorter than this says nothing.
 const SHORTEST_SILENCE: Micros = Micros::from_millis(12);
 
@@ -75,10 +70,6 @@
     paused_until: Micros,
     rejected_until: Micros,
     hint: Option<(LoadHint, Micros)>,
-    /// The last sign of trouble that this node's own calls gave; nothing since an answer in good time.
-    trouble_seen_at: Option<Micros>,
-    /// The last one that another node told of.
-    trouble_told_at: Option<Micros>,
     /// When requests were sent while the replica was cold, the latest last.
     cold_calls: SmallVec<[Micros; 4]>,
 }
@@ -131,7 +122,6 @@
     /// A call failed for the replica's reasons.
     pub fn failed(&mut self, key: CallKey, now: Micros) {
         self.take(key);
-        self.trouble_seen_at = Some(now);
         self.failures += 1;
         if self.failures >= FAILURES_BEFORE_PAUSE {
             let doublings = (self.failures - FAILURES_BEFORE_PAUSE).min(8);
@@ -149,28 +139,6 @@
         self.failed(key, now);
     }
 
-    /// Another node saw a sign of trouble at `at`. What this node's own calls show outranks it.
-    pub fn told_of_trouble(&mut self, at: Micros) {
-        let answered_since = self.trouble_seen_at.is_none() && self.observed_at > at;
-        if !answered_since {
-            self.trouble_told_at = self.trouble_told_at.max(Some(at));
-        }
-    }
-
-    /// How old the last sign of trouble is that this node's own calls gave; nothing when it counts no more.
-    pub fn trouble_seen_ago(&self, now: Micros) -> Option<Micros> {
-        if self.is_silent(now) {
-            return Some(Micros(0));
-        }
-        self.trouble_seen_at.map(|at| now.since(at)).filter(|ago| *ago < SIGN_LIFETIME)
-    }
-
-    /// The same, of what others told as well.
-    pub fn trouble_known_ago(&self, now: Micros) -> Option<Micros> {
-        let told = self.trouble_told_at.map(|at| now.since(at)).filter(|ago| *ago < SIGN_LIFETIME);
-        self.trouble_seen_ago(now).into_iter().chain(told).min()
-    }
-
     fn take(&mut self, key: CallKey) -> Option<OpenCall> {
         let position = self.open.iter().position(|call| call.key == key)?;
         Some(self.open.swap_remove(position))
@@ -182,11 +150,6 @@
         let weight = if ratio > known { SLOWER_WEIGHT } else { FASTER_WEIGHT };
         self.slowness = known + weight * (ratio - known);
         self.observed_at = now;
-        if ratio >= SILENT_RATIO {
-            self.trouble_seen_at = Some(now);
-        } else {
-            (self.trouble_seen_at, self.trouble_told_at) = (None, None);
-        }
         self.slow_in_a_row = if ratio >= SILENT_RATIO { self.slow_in_a_row + 1 } else { 0 };
     }
 
@@ -194,8 +157,7 @@
         if self.slowness == 0.0 {
             return 1.0;
         }
-        let half_life =
-            if self.slow_in_a_row >= SLOW_IN_A_ROW { SLOWNESS_HALF_LIFE } else { PAUSE_HALF_LIFE };
+        let half_life = if self.slow_in_a_row >= SLOW_IN_A_ROW { SLOWNESS_HALF_LIFE } else { PAUSE_HALF_LIFE };
         let half_lives = now.since(self.observed_at).as_secs_f64() / half_life.as_secs_f64();
         1.0 + (self.slowness - 1.0) * 0.5f64.powf(half_lives)
     }
@@ -247,8 +209,6 @@
         let told = self.recent_hint(now).map_or(0, |hint| hint.running + hint.waiting);
         let load = f64::from(told.max(self.open.len() as u32)) / f64::from(slots.max(1));
         let rejected = if self.rejected_until > now { REJECTED_COST } else { 1.0 };
-        let told = self.trouble_told_at.is_some_and(|at| now.since(at) < SIGN_LIFETIME);
-        let told = if told && self.trouble_seen_ago(now).is_none() { TOLD_COST } else { 1.0 };
-        slowness * (1.0 + load) * rejected * (1.0 + f64::from(self.failures)) * told
+        slowness * (1.0 + load) * rejected * (1.0 + f64::from(self.failures))
     }
 }
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -133,26 +133,6 @@
         self.health(replica).timed_out(key, now);
     }
 
-    /// Another node saw a sign of trouble at a replica, so long ago.
-    pub fn told_of_trouble(&mut self, replica: &ReplicaId, ago: Micros, now: Micros) {
-        self.health(replica).told_of_trouble(now.since(ago));
-    }
-
-    /// The replicas among these that gave this node's own calls a sign of trouble of late, with how long ago.
-    /// `told` adds those that other nodes told of.
-    pub fn troubled<'a>(
-        &'a self,
-        candidates: &'a [RoutableReplica],
-        told: bool,
-        now: Micros,
-    ) -> impl Iterator<Item = (&'a ReplicaId, Micros)> {
-        candidates.iter().filter_map(move |candidate| {
-            let health = self.health.get(&candidate.replica.id)?;
-            let ago = if told { health.trouble_known_ago(now) } else { health.trouble_seen_ago(now) };
-            Some((&candidate.replica.id, ago?))
-        })
-    }
-
     /// How long a call goes on that nobody waits for any more.
     ///
     /// Most end soon, and their connection is kept. Where work queues, or nothing has come for long,
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -21,7 +21,6 @@
 };
 use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
-use sablebay_protocol::peer::TroubledReplica;
 
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
@@ -257,30 +256,6 @@
         self.ownership(&self.view.load()) != **self.ownership.load()
     }
 
-    /// The replicas of some shards that are in trouble, as other nodes are told. `told` adds what this node
-    /// was told itself, so that one who gathers learns from another's calls; a gatherer tells what it saw
-    /// alone, and nothing is passed on in a circle.
-    pub fn troubled(&self, targets: &[ShardTargets], told: bool) -> Vec<TroubledReplica> {
-        let now = self.clock().now();
-        let dispatch = self.dispatch.lock();
-        let troubled = targets.iter().flat_map(|target| dispatch.table.troubled(&target.replicas, told, now));
-        let named =
-            troubled.map(|(replica, ago)| TroubledReplica { replica: replica.clone(), seen_us_ago: ago.0 });
-        named.collect()
-    }
-
-    /// Takes what another node says of replicas in trouble.
-    pub fn hear_of_trouble(&self, troubled: &[TroubledReplica]) {
-        if troubled.is_empty() {
-            return;
-        }
-        let now = self.clock().now();
-        let mut dispatch = self.dispatch.lock();
-        for known in troubled {
-            dispatch.table.told_of_trouble(&known.replica, Micros(known.seen_us_ago), now);
-        }
-    }
-
     /// Whether this node keeps connections to a replica, by the view in force.
     pub fn keeps_connections_to(&self, replica: &RoutableReplica) -> bool {
         self.view.load().routable(replica).is_some_and(|known| !known.beyond_share)
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -7,12 +7,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use sablebay_catalogue::{Gather, ReplicaId, ServiceName, ZoneNotice};
-use sablebay_dispatch::{
-    CallFailure, CallKey, CallNumber, DelegatedShards, GatheredShards, RECORD_BYTES, ShardTargets,
-};
+use sablebay_dispatch::{CallFailure, CallKey, CallNumber, DelegatedShards, GatheredShards, RECORD_BYTES};
 use sablebay_model::Micros;
 use sablebay_node::{Lane, PeerFailure, PeerNews, PendingAnswer};
-use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerRequest, PeerResponse, TroubledReplica};
+use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerRequest, PeerResponse};
 
 use crate::call::{CallEvent, CallNews, ForwardedRequest};
 use crate::context::Context;
@@ -48,8 +46,6 @@
     pub address: Option<SocketAddr>,
     /// The names of the shards.
     pub shards: Vec<ServiceName>,
-    /// Their replicas.
-    pub targets: Vec<ShardTargets>,
     /// The spare replica of each, where there is one.
     pub spares: Vec<Option<ReplicaId>>,
     /// Records wanted at the most.
@@ -132,8 +128,7 @@
 ) -> Result<PendingAnswer, CallFailure> {
     let address = delegation.address.ok_or(CallFailure::NoConnection)?;
     let zones = context.node.catalogue.read(|view| view.evacuations().notices());
-    let troubled = context.troubled(&delegation.targets, true);
-    let partial = partial_gather(delegation, zones, troubled, context.clock().now());
+    let partial = partial_gather(delegation, zones, context.clock().now());
     let request = PeerRequest::PartialGather(Box::new(partial));
     let until = context.clock().instant(delegation.times.deadline);
     let asked = context.node.peers.open_request(address, Lane::Data, request, until).await;
@@ -144,12 +139,7 @@
     })
 }
 
-fn partial_gather(
-    delegation: &OutgoingDelegation,
-    zones: Vec<ZoneNotice>,
-    troubled: Vec<TroubledReplica>,
-    now: Micros,
-) -> PartialGather {
+fn partial_gather(delegation: &OutgoingDelegation, zones: Vec<ZoneNotice>, now: Micros) -> PartialGather {
     let OutgoingDelegation { request, times, .. } = delegation;
     let headers = request.headers.iter();
     let headers = headers.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec()));
@@ -171,7 +161,6 @@
         remaining_us: request.caller_deadline.since(now).0,
         continued: delegation.delegated.continued,
         zones,
-        troubled,
     }
 }
 
@@ -185,7 +174,6 @@
     part: &GatheredPart,
 ) {
     let now = context.clock().now();
-    context.hear_of_trouble(&part.troubled);
     let crowded = f64::from(part.crowded) / delegation.shards.len().max(1) as f64;
     let gatherer = &delegation.delegated.gatherer;
     context.dispatch.lock().gatherers.heard(gatherer, delegation.key, crowded, now);
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -12,7 +12,6 @@
     FanoutTurn, ShardTargets,
 };
 use sablebay_model::Micros;
-use sablebay_protocol::peer::TroubledReplica;
 
 use crate::call::{CallEvent, CallNews, CallResult, ForwardedRequest, OutgoingCall, run_call};
 use crate::context::Context;
@@ -268,11 +267,6 @@
         &self.fanout
     }
 
-    /// The replicas of its shards that gave this node's own calls a sign of trouble of late.
-    pub fn troubled(&self) -> Vec<TroubledReplica> {
-        self.context.troubled(self.fanout.targets(), false)
-    }
-
     /// What was needed so far.
     pub fn work(&self) -> &DriverWork {
         &self.work
@@ -401,7 +395,6 @@
             key,
             address: self.context.fleet.lock().address_of(&delegated.gatherer),
             shards: names_of(&terms.gather, &delegated),
-            targets: delegated.shards.iter().map(|shard| self.fanout.targets()[*shard].clone()).collect(),
             spares,
             top: terms.gather.top,
             maximum_attempts: terms.maximum_attempts,
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -77,7 +77,6 @@
     if targets.iter().any(|target| target.replicas.is_empty()) {
         return refuse(Reason::NoReplica, "no replica of some shard is known here");
     }
-    context.hear_of_trouble(&partial.troubled);
     let now = context.clock().now();
     let Some(request) = forwarded(&partial, now) else {
         return refuse(Reason::BadRequest, "the request cannot be read");
@@ -228,7 +227,6 @@
             retried,
             crowded: self.crowded as u32,
             calls: run.work().calls,
-            troubled: run.troubled(),
         }))
     }
 }
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -3,7 +3,7 @@
 
 use musli::{Decode, Encode};
 
-use sablebay_catalogue::{CatalogueSnapshot, ReplicaId, ServiceName, ZoneNotice};
+use sablebay_catalogue::{CatalogueSnapshot, ServiceName, ZoneNotice};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -158,18 +158,6 @@
     /// evacuation goes by this.
     #[musli(default)]
     pub zones: Vec<ZoneNotice>,
-    /// Replicas of these shards that are in trouble, as far as the sender saw or was told.
-    #[musli(default)]
-    pub troubled: Vec<TroubledReplica>,
-}
-
-/// A replica that was slow beyond the usual, silent, or failed a call.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub struct TroubledReplica {
-    /// The replica.
-    pub replica: ReplicaId,
-    /// How long ago that was seen, in microseconds, when this was sent.
-    pub seen_us_ago: u64,
 }
 
 /// What a node gathered of the shards asked for since it last said something. Shards are positions
@@ -190,9 +178,6 @@
     pub crowded: u32,
     /// Calls to replicas so far.
     pub calls: u32,
-    /// Replicas of these shards that gave the sender's own calls a sign of trouble of late.
-    #[musli(default)]
-    pub troubled: Vec<TroubledReplica>,
 }
 
 /// The result of a partial search.
