The product's own configuration names evacuated zones; status shows them; the soak watches them

Change: [zones.NAME] evacuated = true in a configuration, checked with findings (a zone without leaves, every zone evacuated, an unknown key), carried by deltas and by whole documents; a search in progress sends nothing more to a leaf of such a zone, and one whose zone is taken back is warmed up like a new one. status names each evacuated zone with the number of nodes that know it.

--- a/crates/sablebay-bench/src/soak/checker.rs
+++ b/crates/sablebay-bench/src/soak/checker.rs
@@ -27,6 +27,8 @@
     AtMostOnce,
     /// A leaving back end gets no new work.
     Leaving,
+    /// A back end of an evacuated zone gets no new work.
+    Evacuation,
     /// A planned stop cuts no request in flight.
     PlannedStop,
     /// An accepted configuration is in force everywhere, and never reverts.
--- a/crates/sablebay-bench/src/soak/deployment.rs
+++ b/crates/sablebay-bench/src/soak/deployment.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use sablebay_catalogue::{Replica, ReplicaPhase, ServiceName};
+use sablebay_model::ZoneName;
 use sablebay_platform_standin::{
     CallerCall, CallerStandIn, LeafBehaviour, LeafRecord, LeafStandIn, StoreMode, StoreStandIn,
 };
@@ -25,6 +26,8 @@
 pub const NODES: usize = 3;
 /// Replicas of each shard, and of the service of single requests.
 const COPIES: u8 = 2;
+/// The zones of back ends; the nodes are in the first.
+pub const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 /// All back ends.
 pub const LEAVES: usize = (SETS * SHARDS * COPIES + COPIES) as usize;
 /// What the records of single requests are made from; unlike every shard's.
@@ -136,7 +139,8 @@
         self.lives += 1;
         let id = format!("{set}-{shard}-{copy}-{}", self.lives);
         let seed = if set < SETS { ShardIdentity { set, shard }.seed() } else { SINGLE_SEED + copy };
-        let leaf = LeafStandIn::start(&id, service, seed, "zone-a").await?;
+        let zone = ZONES[usize::from(copy) % ZONES.len()];
+        let leaf = LeafStandIn::start(&id, service, seed, zone).await?;
         let proxy = Proxy::start(leaf.address(), self.seed.wrapping_add(u64::from(self.lives))).await?;
         let announced = Replica { address: proxy.address, ..leaf.replica.clone() };
         self.store.announce(&announced);
@@ -358,6 +362,22 @@
         Ok(LeavingLeaf { leaf: leaving })
     }
 
+    /// The operator evacuates a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.store.evacuate(&ZoneName::new(zone));
+    }
+
+    /// The operator takes a zone back.
+    pub fn take_back(&self, zone: &str) {
+        self.store.take_back(&ZoneName::new(zone));
+    }
+
+    /// Requests that arrived at the back ends of a zone.
+    pub fn arrivals_in(&self, zone: &str) -> u64 {
+        let in_zone = self.leaves.iter().filter(|known| known.announced.zone.as_str() == zone);
+        in_zone.map(|known| known.leaf.record().arrivals).sum()
+    }
+
     /// A back end that left ends.
     pub fn retire(&mut self, leaving: LeavingLeaf) {
         self.store.remove(&leaving.leaf.announced.id);
--- a/crates/sablebay-bench/src/soak/operations.rs
+++ b/crates/sablebay-bench/src/soak/operations.rs
@@ -9,11 +9,12 @@
 use sablebay_platform_standin::CallerCall;
 
 use super::checker::{Checker, Promise};
-use super::deployment::{NODES, SoakDeployment};
+use super::deployment::{NODES, SoakDeployment, ZONES};
 use super::routes::{HOST, SHARDS, marker_path};
 use crate::error::BenchError;
 
-/// How long a configuration may take to be in force, and a leaving back end may get new work.
+/// How long a configuration may take to be in force, and a leaving back end or an evacuated zone may get new
+/// work.
 const BOUND: Duration = Duration::from_secs(3);
 /// What the soak's own machine may add to that.
 const MACHINE_SLACK: Duration = Duration::from_secs(1);
@@ -36,10 +37,11 @@
     bounds: bool,
     random: &mut impl Rng,
 ) -> Result<(), BenchError> {
-    match random.random_range(0..3) {
+    match random.random_range(0..4) {
         _ if !bounds => watch_planned_stop(deployment, checker, random.random_range(0..NODES)).await,
         0 => watch_configuration(deployment, checker).await,
         1 => watch_leaving(deployment, checker, random.random_range(0..SHARDS)).await,
+        2 => watch_evacuation(deployment, checker).await,
         _ => watch_planned_stop(deployment, checker, random.random_range(0..NODES)).await,
     }
 }
@@ -110,6 +112,21 @@
     Ok(())
 }
 
+async fn watch_evacuation(deployment: &SoakDeployment, checker: &Checker) -> Result<(), BenchError> {
+    let zone = ZONES[0];
+    deployment.evacuate(zone);
+    tokio::time::sleep(BOUND + MACHINE_SLACK).await;
+    let before = deployment.arrivals_in(zone);
+    tokio::time::sleep(WATCHED).await;
+    let after = deployment.arrivals_in(zone);
+    if after > before {
+        let seen = format!("back ends of {zone} got {} requests after it was evacuated", after - before);
+        checker.violated(Promise::Evacuation, seen);
+    }
+    deployment.take_back(zone);
+    Ok(())
+}
+
 async fn watch_planned_stop(
     deployment: &mut SoakDeployment,
     checker: &Checker,
--- a/crates/sablebay-config/src/configuration.rs
+++ b/crates/sablebay-config/src/configuration.rs
@@ -1,11 +1,11 @@
 //! A whole configuration: everything that is in force under one revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::Serialize;
 
-use sablebay_model::{IndexId, ServiceId};
+use sablebay_model::{IndexId, ServiceId, ZoneName};
 
 use crate::document::{Delta, Document, Version};
 use crate::entry::{EntryKey, EntryKind};
@@ -13,6 +13,7 @@
 use crate::index::IndexLayout;
 use crate::reader::{read, read_in_parts, read_layout, read_services};
 use crate::service::ServiceSettings;
+use crate::zone::evacuated_zones;
 
 /// Everything that is in force under one revision. Immutable; a query pins one for its life.
 #[derive(Clone, Debug, Serialize)]
@@ -21,6 +22,8 @@
     pub version: Version,
     /// The services.
     pub services: BTreeMap<ServiceId, Arc<ServiceSettings>>,
+    /// The zones whose leaves get nothing new.
+    pub evacuated_zones: BTreeSet<ZoneName>,
     /// The document, from which peers are sent deltas. Index maps and leaves are kept as its entries
     /// alone: a node connects to few of the fleet's leaves, and reads just those.
     #[serde(skip)]
@@ -58,6 +61,7 @@
     fn new(document: Document, services: Vec<ServiceSettings>) -> Self {
         Self {
             version: document.version(),
+            evacuated_zones: evacuated_zones(&document),
             services: services.into_iter().map(|s| (s.service.clone(), Arc::new(s))).collect(),
             document: Arc::new(document),
         }
@@ -77,6 +81,7 @@
             next.services.remove(&ServiceId::new(&key.name));
         }
         next.version = document.version();
+        next.evacuated_zones = evacuated_zones(&document);
         next.document = Arc::new(document);
         for service in services {
             next.services.insert(service.service.clone(), Arc::new(service));
--- a/crates/sablebay-config/src/document.rs
+++ b/crates/sablebay-config/src/document.rs
@@ -278,7 +278,7 @@
         name.map(|name| EntryKey::new(kind, name))
     };
     match kind {
-        EntryKind::Leaf => Vec::new(),
+        EntryKind::Leaf | EntryKind::Zone => Vec::new(),
         EntryKind::Template => {
             let mut keys: Vec<EntryKey> = named("extends", EntryKind::Template).into_iter().collect();
             keys.extend(named("index", EntryKind::Index));
--- a/crates/sablebay-config/src/entry.rs
+++ b/crates/sablebay-config/src/entry.rs
@@ -25,12 +25,14 @@
     Index,
     /// A leaf.
     Leaf,
+    /// What operators say of a zone.
+    Zone,
 }
 
 impl EntryKind {
     /// Every kind.
-    pub const ALL: [EntryKind; 4] =
-        [EntryKind::Template, EntryKind::Instance, EntryKind::Index, EntryKind::Leaf];
+    pub const ALL: [EntryKind; 5] =
+        [EntryKind::Template, EntryKind::Instance, EntryKind::Index, EntryKind::Leaf, EntryKind::Zone];
 
     /// The name of the kind's table in a document.
     pub const fn section(self) -> &'static str {
@@ -39,6 +41,7 @@
             EntryKind::Instance => "instances",
             EntryKind::Index => "indexes",
             EntryKind::Leaf => "leaves",
+            EntryKind::Zone => "zones",
         }
     }
 }
--- a/crates/sablebay-config/src/lib.rs
+++ b/crates/sablebay-config/src/lib.rs
@@ -18,6 +18,7 @@
 mod service;
 mod split;
 mod template;
+mod zone;
 
 pub use configuration::Configuration;
 pub use document::{Delta, Digest, Document, Version};
--- a/crates/sablebay-config/src/reader.rs
+++ b/crates/sablebay-config/src/reader.rs
@@ -20,6 +20,7 @@
 use crate::service::ServiceSettings;
 use crate::split::split_entries;
 use crate::template::{Templates, check_templates, read_instance};
+use crate::zone::{check_zones, read_zone};
 
 /// The key of the document's revision.
 const REVISION: &str = "revision";
@@ -36,6 +37,8 @@
 #[derive(Default)]
 struct Known<'a> {
     leaves: BTreeSet<&'a str>,
+    /// The zones that leaves stand in, of a document that is read whole; nothing of a part of one.
+    zones: Option<BTreeSet<ZoneName>>,
     indexes: BTreeMap<IndexId, IndexSummary>,
 }
 
@@ -52,6 +55,7 @@
 struct Tables<'a> {
     revision: Revision,
     leaves: Vec<NamedTable<'a>>,
+    zones: Vec<NamedTable<'a>>,
     indexes: Vec<NamedTable<'a>>,
     templates: Vec<NamedTable<'a>>,
     instances: Vec<NamedTable<'a>>,
@@ -68,7 +72,7 @@
     like: &Document,
 ) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
     // A text that cannot be taken in parts is read again as a whole, which tells why and where.
-    read_split(file, text, like).map_or_else(|| read_whole(file, text), Ok)
+    read_split(file, text, like).map_or_else(|| read_whole(file, text, Some(BTreeSet::new())), Ok)
 }
 
 /// Reads a text in parts. Nothing when it is small, or when anything at all is amiss with a part.
@@ -101,11 +105,16 @@
     Some(Revision(value))
 }
 
-/// Reads a whole text at once.
-fn read_whole(file: &str, text: &str) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
+/// Reads a whole text at once. `zones` is there when it holds all leaves, so that zones can be checked against
+/// theirs.
+fn read_whole(
+    file: &str,
+    text: &str,
+    zones: Option<BTreeSet<ZoneName>>,
+) -> Result<(Document, Vec<ServiceSettings>), ConfigurationError> {
     read_text(file, text, |findings, root| {
         let tables = read_tables(findings, root);
-        let mut known = Known { leaves: names(&tables.leaves), ..Known::default() };
+        let mut known = Known { leaves: names(&tables.leaves), zones, ..Known::default() };
         let services = validate(findings, &tables, &mut known);
         // Nothing is made of a text with findings.
         if !findings.is_empty() {
@@ -124,7 +133,7 @@
 /// # Errors
 /// As [`read`].
 pub fn read_services(file: &str, text: &str) -> Result<Vec<ServiceSettings>, ConfigurationError> {
-    read_whole(file, text).map(|(_, services)| services)
+    read_whole(file, text, None).map(|(_, services)| services)
 }
 
 /// Reads the index maps and leaves of a small document.
@@ -152,12 +161,17 @@
 pub fn read_in_parts(file: &str, document: &Document) -> Result<Vec<ServiceSettings>, ConfigurationError> {
     let entries = document.sorted();
     let of_kind = |kind: EntryKind| entries.iter().copied().filter(move |entry| entry.kind() == kind);
-    let mut known = Known { leaves: of_kind(EntryKind::Leaf).map(Entry::name).collect(), ..Known::default() };
+    let mut known = Known {
+        leaves: of_kind(EntryKind::Leaf).map(Entry::name).collect(),
+        zones: Some(BTreeSet::new()),
+        ..Known::default()
+    };
     let templates: Vec<&Entry> = of_kind(EntryKind::Template).collect();
     let mut services = Vec::new();
-    // In this order, since indexes name leaves and services name indexes.
+    // In this order, since zones are those of leaves, indexes name leaves and services name indexes.
     for (kind, shared) in [
         (EntryKind::Leaf, &[] as &[&Entry]),
+        (EntryKind::Zone, &[]),
         (EntryKind::Index, &[]),
         (EntryKind::Instance, templates.as_slice()),
     ] {
@@ -199,7 +213,16 @@
 /// Validates every table, notes the indexes, and returns the services.
 fn validate(findings: &Findings, tables: &Tables<'_>, known: &mut Known<'_>) -> Vec<ServiceSettings> {
     for table in &tables.leaves {
-        read_leaf(findings, table.name, &table.place, &table.keys());
+        let leaf = read_leaf(findings, table.name, &table.place, &table.keys());
+        if let Some(zones) = &mut known.zones {
+            zones.insert(leaf.zone);
+        }
+    }
+    for table in &tables.zones {
+        read_zone(findings, table.name, &table.place, &table.keys());
+    }
+    if let Some(zones) = &known.zones {
+        check_zones(findings, &tables.zones, zones);
     }
     for table in &tables.indexes {
         let map = read_index(findings, table.name, &table.place, &table.keys(), &known.leaves);
@@ -232,6 +255,7 @@
     let tables = Tables {
         revision,
         leaves: section.named_tables(EntryKind::Leaf.section()),
+        zones: section.named_tables(EntryKind::Zone.section()),
         indexes: section.named_tables(EntryKind::Index.section()),
         templates: section.named_tables(EntryKind::Template.section()),
         instances: section.named_tables(EntryKind::Instance.section()),
--- a/crates/sablebay-config/tests/documents.rs
+++ b/crates/sablebay-config/tests/documents.rs
@@ -120,7 +120,8 @@
 
 /// Enough text that it is read in several parts, in forms that a cut must not be misled by.
 fn large_text() -> String {
-    let mut text = String::from("revision = 1 # [leaves.not-a-header]\n[templates.t]\n");
+    let mut text =
+        String::from("revision = 1 # [leaves.not-a-header]\n[templates.t]\n[zones.z]\nevacuated = false\n");
     for index in 0..40 {
         text.push_str(&format!("[instances.s{index}]\ntemplate = \"t\"\nindex = \"\"\"\ni{index}\"\"\"\n"));
         text.push_str(&format!("[indexes.i{index}]\npartitions = 60\n"));
--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -157,7 +157,8 @@
         if self.slowness == 0.0 {
             return 1.0;
         }
-        let half_life = if self.slow_in_a_row >= SLOW_IN_A_ROW { SLOWNESS_HALF_LIFE } else { PAUSE_HALF_LIFE };
+        let half_life =
+            if self.slow_in_a_row >= SLOW_IN_A_ROW { SLOWNESS_HALF_LIFE } else { PAUSE_HALF_LIFE };
         let half_lives = now.since(self.observed_at).as_secs_f64() / half_life.as_secs_f64();
         1.0 + (self.slowness - 1.0) * 0.5f64.powf(half_lives)
     }
--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -1,6 +1,6 @@
 //! The operators' HTTP API.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -16,7 +16,7 @@
 use subtle::ConstantTimeEq;
 
 use sablebay_config::{Configuration, ConfigurationError, EntryKind, Finding, ServiceSettings, Version};
-use sablebay_model::{Reason, Refusal, ServiceId};
+use sablebay_model::{Reason, Refusal, ServiceId, ZoneName};
 use sablebay_protocol::caller::TOKEN_HEADER;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
 
@@ -136,6 +136,7 @@
     services: Vec<ServiceSettings>,
     indexes: usize,
     leaves: usize,
+    evacuated_zones: BTreeSet<ZoneName>,
     rejections: Vec<sablebay_fleet::Rejection>,
     conflicts: Vec<sablebay_fleet::Conflict>,
 }
@@ -153,6 +154,7 @@
         services: configuration.services.values().map(|service| (**service).clone()).collect(),
         indexes: configuration.document.count(EntryKind::Index),
         leaves: configuration.document.count(EntryKind::Leaf),
+        evacuated_zones: configuration.evacuated_zones.clone(),
         rejections: floor.rejections().cloned().collect(),
         conflicts: floor.conflicts().copied().collect(),
     };
--- a/crates/sablebay-node/src/report.rs
+++ b/crates/sablebay-node/src/report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use sablebay_config::Version;
-use sablebay_fleet::{Conflict, MemberStatus, Rejection};
+use sablebay_fleet::{ConfigurationFloor, Conflict, MemberStatus, Rejection};
 use sablebay_model::Incarnation;
 
 use crate::service_counts::ServiceReport;
@@ -39,6 +39,9 @@
     pub replicas_at: u64,
     /// Replicas that may get new work.
     pub replicas: usize,
+    /// Zones whose replicas get none.
+    #[serde(default)]
+    pub evacuated_zones: Vec<String>,
     /// Milliseconds since the catalogue was confirmed, by its source or by a peer; absent when it never
     /// was.
     pub confirmed_ms_ago: Option<u64>,
@@ -82,6 +85,9 @@
     pub conflicts: Vec<Conflict>,
     /// Services that were asked for here.
     pub services: BTreeMap<String, ServiceReport>,
+    /// Zones that the configuration in force evacuates.
+    #[serde(default)]
+    pub evacuated_zones: Vec<String>,
     /// Routes and replicas; absent without a gateway.
     #[serde(default)]
     pub catalogue: Option<CatalogueReport>,
@@ -100,10 +106,17 @@
         version: view.routes().map_or(0, |routes| routes.version()),
         replicas_at: view.replicas_at(),
         replicas: view.routable(now).values().map(Vec::len).sum(),
+        evacuated_zones: view.evacuations().evacuated().map(ToString::to_string).collect(),
         confirmed_ms_ago,
     }))
 }
 
+/// The zones that the configuration in force evacuates.
+fn evacuated_zones(floor: &ConfigurationFloor) -> Vec<String> {
+    let zones = floor.in_force().into_iter().flat_map(|known| &known.evacuated_zones);
+    zones.map(ToString::to_string).collect()
+}
+
 /// The report of this node.
 pub fn node_report(shared: &Shared) -> NodeReport {
     let now = shared.clock.now();
@@ -145,6 +158,7 @@
         rejections: fleet.floor().rejections().cloned().collect(),
         conflicts: fleet.floor().conflicts().copied().collect(),
         services,
+        evacuated_zones: evacuated_zones(fleet.floor()),
         catalogue: catalogue_report(shared),
     }
 }
--- a/crates/sablebay-node/src/service_state/plan.rs
+++ b/crates/sablebay-node/src/service_state/plan.rs
@@ -93,7 +93,9 @@
         for leaf in shard.leaves.iter().take(settings.replicas as usize) {
             let zone = &layout.leaves[leaf].zone;
             let target = Target::Leaf(leaf.clone());
-            replicas.push(routing.balancer.intern(&target, zone, now));
+            let index = routing.balancer.intern(&target, zone, now);
+            routing.balancer.set_evacuated(index, configuration.evacuated_zones.contains(zone), now);
+            replicas.push(index);
             if fleet.leaving_leaves().is_leaving(leaf) {
                 routing.balancer.set_leaving(&target, true);
             }
--- a/crates/sablebay-query/src/balance.rs
+++ b/crates/sablebay-query/src/balance.rs
@@ -105,9 +105,19 @@
         }
     }
 
+    /// Records whether a replica's zone is evacuated. A search in progress sends nothing more there. One whose
+    /// zone is taken back is warmed up like a new one.
+    pub fn set_evacuated(&mut self, index: ReplicaIndex, evacuated: bool, now: Micros) {
+        let replica = &mut self.replicas[index.0 as usize];
+        if replica.evacuated && !evacuated {
+            replica.warm_since = now;
+        }
+        replica.evacuated = evacuated;
+    }
+
     /// Chooses a replica for a call at `version` among `candidates`, leaving out `tried`.
     ///
-    /// A leaving replica is never chosen. A quarantined one is chosen when nothing else is left.
+    /// A leaving replica is never chosen, nor one of an evacuated zone. A quarantined one is chosen when nothing else is left.
     /// A replica known not to hold the version is not chosen.
     pub fn choose<R: Rng>(
         &self,
@@ -137,7 +147,7 @@
     fn fit(&self, index: ReplicaIndex, version: SnapshotVersion, now: Micros) -> Option<Fit> {
         let replica = self.replica(index);
         let holds = replica.holds(version);
-        if (replica.leaving && self.excludes_leaving) || holds == Some(false) {
+        if (replica.leaving && self.excludes_leaving) || replica.evacuated || holds == Some(false) {
             return None;
         }
         if !replica.is_usable(now) {
--- a/crates/sablebay-query/src/replica.rs
+++ b/crates/sablebay-query/src/replica.rs
@@ -53,6 +53,8 @@
     pub report: Option<(LoadReport, Micros)>,
     /// Whether this node was told, by any path, that it is leaving.
     pub leaving: bool,
+    /// Whether its zone is evacuated.
+    pub evacuated: bool,
 }
 
 /// Weight of a new observation in the latency average.
@@ -90,6 +92,7 @@
             warm_since: now,
             report: None,
             leaving: false,
+            evacuated: false,
         }
     }
 
--- a/crates/sablebay-query/tests/limits.rs
+++ b/crates/sablebay-query/tests/limits.rs
@@ -56,12 +56,13 @@
         prop_assert!(budget.extra_calls() as f64 <= 1.0 + in_time * 0.05);
     }
 
-    /// A leaving replica is never chosen, nor one that is known not to hold the version, nor one
+    /// A leaving replica is never chosen, nor one of an evacuated zone, nor one that is known not to hold the version, nor one
     /// that was tried.
     #[test]
     fn the_choice_respects_what_is_known(
         leaving in proptest::collection::vec(any::<bool>(), 5),
         holds in proptest::collection::vec(any::<bool>(), 5),
+        evacuated in proptest::collection::vec(any::<bool>(), 5),
         tried in proptest::collection::vec(0u32..5, 0..3),
         seed in any::<u64>(),
     ) {
@@ -73,6 +74,7 @@
             let versions = vec![SnapshotVersion(if holds[number] { 2 } else { 1 })];
             balancer.reported(index, LoadReport { versions, slots: 1, ..LoadReport::default() }, at_ms(0));
             balancer.set_leaving(&target, leaving[number]);
+            balancer.set_evacuated(index, evacuated[number], at_ms(0));
             candidates.push(index);
         }
         let tried: Vec<ReplicaIndex> = tried.into_iter().map(ReplicaIndex).collect();
@@ -80,7 +82,7 @@
         let chosen = balancer.choose(&candidates, &tried, SnapshotVersion(2), at_ms(1), &mut random);
         let fits = |index: &ReplicaIndex| {
             let number = index.0 as usize;
-            !leaving[number] && holds[number] && !tried.contains(index)
+            !leaving[number] && !evacuated[number] && holds[number] && !tried.contains(index)
         };
         match chosen {
             Some(index) => prop_assert!(fits(&index)),
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -94,11 +94,26 @@
     for (version, count) in &status.versions {
         print_line(&format!("version {version}: {count} nodes"));
     }
+    print_evacuations(status);
     print_catalogues(status);
     print_services(status);
     print_troubles(status);
 }
 
+/// Which zones are evacuated, and how many nodes know it: all must, before a zone counts as empty.
+fn print_evacuations(status: &FleetStatus) {
+    let mut known: BTreeMap<&str, usize> = BTreeMap::new();
+    for node in &status.nodes {
+        let by_catalogue = node.catalogue.iter().flat_map(|catalogue| &catalogue.evacuated_zones);
+        for zone in node.evacuated_zones.iter().chain(by_catalogue) {
+            *known.entry(zone).or_default() += 1;
+        }
+    }
+    for (zone, nodes) in known {
+        print_line(&format!("zone {zone} is evacuated: known to {nodes} of {} nodes", status.nodes.len()));
+    }
+}
+
 /// What nodes with a gateway know of routes and replicas.
 fn print_catalogues(status: &FleetStatus) {
     let known: Vec<_> =
