Sight: what was asked, and whether a back end ended, stand in the log

A digest names what was asked (method, host, path, headers that tell callers apart, body; keyed with the fleet's key); after a broken call one connection is opened, which takes the broken one's place, and a refused one is logged and counted as an end. No logic of calls changes: a retry waits for that connection, at most connect_timeout_ms (100 ms).

--- a/crates/sablebay-config/src/gateway_settings.rs
+++ b/crates/sablebay-config/src/gateway_settings.rs
@@ -24,6 +24,9 @@
     /// How long a connection to a replica may take to open, in milliseconds. It should cover a few ways there
     /// and back; a replica that takes longer is taken for lost, and nothing was sent to it. Default 100.
     pub connect_timeout_ms: u64,
+    /// The headers that tell one caller from another, in lower case. A request that comes again with another value of
+    /// one of them is another request. Default `authorization` and `cookie`.
+    pub caller_headers: Vec<String>,
     /// How many times the requests a second that its service names a cold replica bears for a moment.
     /// Default 1.
     pub warm_up_overage: f64,
@@ -46,6 +49,20 @@
 
 const ADDRESS: &str = "an IP address and port such as \"127.0.0.1:7000\"";
 
+/// The headers that tell callers apart when the settings name none.
+const CALLER_HEADERS: [&str; 2] = ["authorization", "cookie"];
+
+fn caller_headers(section: &Section<'_>) -> Vec<String> {
+    let mut names: Vec<String> =
+        section.text_list("caller_headers").iter().map(|(name, _)| name.to_ascii_lowercase()).collect();
+    if names.is_empty() {
+        names.extend(CALLER_HEADERS.map(str::to_string));
+    }
+    // Nodes whose settings name them in another order agree all the same.
+    names.sort_unstable();
+    names
+}
+
 /// Reads the table; mistakes go to its findings.
 pub(crate) fn read_gateway(section: &Section<'_>) -> GatewaySettings {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -57,6 +74,7 @@
         retry_fixed: section.number("retry_fixed", 0.0..=1_000_000.0).unwrap_or(10.0),
         retry_window_ms: section.integer("retry_window_ms", 100..=3_600_000).unwrap_or(10_000),
         connect_timeout_ms: section.integer("connect_timeout_ms", 1..=60_000).unwrap_or(100),
+        caller_headers: caller_headers(section),
         warm_up_overage: section.number("warm_up_overage", 0.0..=100.0).unwrap_or(1.0),
         warm_up_slack: section.number("warm_up_slack", 0.0..=1_000_000.0).unwrap_or(0.0),
         assumed_nodes: section.integer("assumed_nodes", 1..=100_000).unwrap_or(64) as u32,
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! One call to one replica: takes a connection, sends, reads the whole answer, and tells the
 //! replica table how it went, also when nobody waits for the answer any more.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,9 +11,9 @@
 
 use sablebay_catalogue::RoutableReplica;
 use sablebay_dispatch::{CallFailure, CallKey, CallNumber, GatheredShards, LoadHint};
-use sablebay_model::Micros;
+use sablebay_model::{Micros, RequestDigest};
 
-use crate::connections::{Lease, ReplicaConnections};
+use crate::connections::{Lease, Liveness, ReplicaConnections};
 use crate::context::{Context, Withheld};
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, WholeAnswer};
 use crate::merge::MergedPart;
@@ -38,6 +38,8 @@
     pub route: String,
     /// When the caller stops waiting.
     pub caller_deadline: Micros,
+    /// What it asks for, once somebody wanted to know.
+    pub digest: OnceLock<RequestDigest>,
 }
 
 /// A call that succeeded.
@@ -144,6 +146,9 @@
         () = tokio::time::sleep_until(context.clock().instant(deadline)) => None,
     };
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
+    if let CallResult::Failure(CallFailure::Broken, _) = result.0 {
+        note_end_of_back_end(&context, &connections, &replica, &request).await;
+    }
     note(&context, &replica, key, &request, &result);
     let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
@@ -163,6 +168,23 @@
     }
 }
 
+/// A call broke: looks whether its back end has ended, or just the connection.
+async fn note_end_of_back_end<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    connections: &ReplicaConnections,
+    replica: &RoutableReplica,
+    request: &ForwardedRequest,
+) {
+    if connections.check(!replica.beyond_share).await != Liveness::Ended {
+        return;
+    }
+    context.metrics.ended_back_ends.inc();
+    if context.metrics.log_budget.take(context.clock().now()) {
+        let id = request.id.to_str().unwrap_or("unreadable");
+        log::warn!(request = id, digest = context.digest_of(request).to_string().as_str(), route = request.route.as_str(), replica = replica.replica.id.as_str(); "gateway: a back end ended while it had this request.");
+    }
+}
+
 /// Tells the replica table how a call went.
 fn note<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -1,11 +1,13 @@
 //! The connections of this node to one replica: few, kept, one request at a time on each.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::{Display, From};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -39,6 +41,17 @@
     }
 }
 
+/// Whether somebody listens at a replica's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It takes a connection.
+    Alive,
+    /// Its machine refuses connections: the process has ended.
+    Ended,
+    /// No word came in time.
+    Unknown,
+}
+
 /// A connection in use, with its place in the limit.
 pub struct Lease {
     connection: Connection,
@@ -127,9 +140,43 @@
     }
 
     async fn open(&self) -> Option<Connection> {
+        self.try_open().await.ok()
+    }
+
+    async fn try_open(&self) -> Result<Connection, OpenError> {
         open(self.address, Arc::new(CallTraffic::new(self.ledger.clone(), self.span))).await
     }
 
+    /// Whether the replica still listens, after a call to it broke. A broken connection alone is no sign that its
+    /// back end has ended. The connection that this opens takes the broken one's place where `keep` allows it, so
+    /// that it costs nothing where the replica lives.
+    pub async fn check(&self, keep: bool) -> Liveness {
+        self.opened.inc();
+        match tokio::time::timeout(self.connect_timeout, self.try_open()).await {
+            Ok(Ok(connection)) => {
+                if keep {
+                    self.keep(connection);
+                }
+                Liveness::Alive
+            }
+            Ok(Err(OpenError::Connect(error))) if error.kind() == ErrorKind::ConnectionRefused => {
+                Liveness::Ended
+            }
+            Ok(Err(_)) | Err(_) => Liveness::Unknown,
+        }
+    }
+
+    /// Keeps a connection if there is room and none is idle.
+    fn keep(&self, connection: Connection) {
+        let Ok(_permit) = self.permits.clone().try_acquire_owned() else {
+            return;
+        };
+        let mut idle = self.idle.lock();
+        if idle.is_empty() {
+            idle.push(connection);
+        }
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
@@ -169,16 +216,27 @@
     }
 }
 
-async fn open(address: SocketAddr, traffic: Arc<CallTraffic>) -> Option<Connection> {
-    let stream = TcpStream::connect(address).await.ok()?;
+/// Why a connection did not come about.
+#[derive(Debug, Display, From)]
+enum OpenError {
+    /// No connection to the machine.
+    #[display("{_0}")]
+    Connect(std::io::Error),
+    /// It was closed at once.
+    #[display("{_0}")]
+    Handshake(hyper::Error),
+}
+
+async fn open(address: SocketAddr, traffic: Arc<CallTraffic>) -> Result<Connection, OpenError> {
+    let stream = TcpStream::connect(address).await?;
     prepare_socket(&stream);
     let stream = CountedStream::new(stream, traffic.clone());
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAXIMUM_HEAD_BYTES);
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     // How a connection ends shows in its requests.
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
-    Some(Connection { sender, task: task.abort_handle(), traffic, usable_until: None })
+    Ok(Connection { sender, task: task.abort_handle(), traffic, usable_until: None })
 }
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -19,15 +19,17 @@
     UsualPatience, WeightedChoice, choose_gatherers, cold_share, connection_share, has_room_for_all,
     own_replicas, shard_owners,
 };
-use sablebay_model::{Micros, NodeId, ZoneName};
+use sablebay_model::{Micros, NodeId, RequestDigest, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
 
+use crate::call::ForwardedRequest;
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
 use crate::fleet_view::FleetView;
 use crate::mechanisms::GatewayMechanisms;
 use crate::metrics::GatewayMetrics;
 use crate::ownership::{Keepers, Ownership};
+use crate::request_digest::DigestKey;
 
 /// The replicas that may get new work, at one moment.
 #[derive(Debug, Default)]
@@ -129,6 +131,7 @@
     /// Counts and latencies.
     pub metrics: GatewayMetrics,
     next_call: AtomicU64,
+    digest_key: DigestKey,
 }
 
 impl<C: CallerProtocol, B: BackendProtocol> Context<C, B> {
@@ -152,6 +155,7 @@
         };
         Self {
             fleet: Mutex::new(FleetView::new(&node.info)),
+            digest_key: DigestKey::new(&node.settings.fleet, node.settings.fleet_key.as_deref()),
             node,
             callers,
             back_ends,
@@ -193,6 +197,12 @@
         CallKey(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// What names a request by what it asks for.
+    pub fn digest_of(&self, request: &ForwardedRequest) -> RequestDigest {
+        let digest = || self.digest_key.digest(request, &self.settings.load().caller_headers);
+        *request.digest.get_or_init(digest)
+    }
+
     /// What the fleet may send beyond first calls.
     pub fn allowance(&self) -> RetryAllowance {
         let settings = self.settings.load();
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -2,7 +2,7 @@
 //! callers of this node, and one merged part back, or two when some shards are late.
 
 use std::pin::Pin;
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, OnceLock, Weak};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
@@ -181,6 +181,7 @@
         body: Bytes::from(partial.body.clone()),
         route: partial.route.clone(),
         caller_deadline: now.plus(Micros(partial.remaining_us)),
+        digest: OnceLock::new(),
     })
 }
 
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -97,7 +97,11 @@
         Ok(forwarded) => forwarded,
         Err(failure) => return refuse(context, record, failure.refusal(), failure.reason()),
     };
-    let result = drive(context, &route, targets, delegations, Arc::new(forwarded), bounds).await;
+    let forwarded = Arc::new(forwarded);
+    let result = drive(context, &route, targets, delegations, forwarded.clone(), bounds).await;
+    if !matches!(result.outcome, FanoutOutcome::Answered { .. }) {
+        record.digest = Some(context.digest_of(&forwarded));
+    }
     conclude(context, record, &route, result)
 }
 
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_catalogue;
 mod readiness;
 mod request_body;
+mod request_digest;
 mod request_log;
 mod warm_up;
 
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -55,6 +55,8 @@
 pub struct GatewayMetrics {
     /// Connections opened to replicas.
     pub connections_opened: Counter,
+    /// Back ends that ended while they had a call of this node.
+    pub ended_back_ends: Counter,
     /// The log's budget.
     pub log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
@@ -78,6 +80,7 @@
         const BUCKETS: [f64; 12] = [0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
         Self {
             connections_opened: Counter::default(),
+            ended_back_ends: Counter::default(),
             log_budget: LogBudget::default(),
             source_reads: Family::default(),
             configuration_version: Gauge::default(),
@@ -157,6 +160,11 @@
             "Connections opened to replicas",
             self.connections_opened.clone(),
         );
+        registry.register(
+            "ended_back_ends",
+            "Back ends that ended while they had a call of this node",
+            self.ended_back_ends.clone(),
+        );
         registry.register("latency_seconds", "Time from request to answer", self.latency.clone());
         registry.register("source_reads", "Reads of the catalogue by outcome", self.source_reads.clone());
         registry.register("configuration_version", "Version in force", self.configuration_version.clone());
--- a/crates/sablebay-gateway/src/request_body.rs
+++ b/crates/sablebay-gateway/src/request_body.rs
@@ -1,5 +1,6 @@
 //! Reads the whole body of a caller's request, within its limits of length and time.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use axum::extract::Request;
@@ -77,5 +78,6 @@
         body,
         route: route.name.clone(),
         caller_deadline,
+        digest: OnceLock::new(),
     })
 }
--- /dev/null
+++ b/crates/sablebay-gateway/src/request_digest.rs
@@ -0,0 +1,54 @@
+//! What makes two requests the same: the method, the host, path and query, the headers that tell callers
+//! apart, and the body. What belongs to one attempt alone, such as its identifier and how long it is wanted,
+//! does not count, nor does the order of headers.
+
+use hmac::{Hmac, Mac};
+use http::header;
+use sha2::Sha256;
+
+use sablebay_model::{DIGEST_BYTES, FleetName, RequestDigest};
+
+use crate::call::ForwardedRequest;
+
+/// Digests requests under the fleet's key: all nodes agree, and no caller can make up a request whose digest
+/// is another's.
+#[derive(Clone)]
+pub struct DigestKey {
+    keyed: Hmac<Sha256>,
+}
+
+impl DigestKey {
+    /// The key of a fleet.
+    pub fn new(fleet: &FleetName, secret: Option<&str>) -> Self {
+        let mut keyed = Hmac::<Sha256>::new_from_slice(secret.unwrap_or_default().as_bytes())
+            .expect("a keyed hash takes a key of any length");
+        put(&mut keyed, b"request digest");
+        put(&mut keyed, fleet.as_str().as_bytes());
+        Self { keyed }
+    }
+
+    /// The digest of a request. `caller_headers` names the headers that tell callers apart.
+    pub fn digest(&self, request: &ForwardedRequest, caller_headers: &[String]) -> RequestDigest {
+        let mut hash = self.keyed.clone();
+        put(&mut hash, request.method.as_str().as_bytes());
+        let host = request.headers.get(header::HOST).map_or(&b""[..], |host| host.as_bytes());
+        put(&mut hash, &host.to_ascii_lowercase());
+        put(&mut hash, request.uri.to_string().as_bytes());
+        for name in caller_headers {
+            for value in request.headers.get_all(name.as_str()) {
+                put(&mut hash, name.as_bytes());
+                put(&mut hash, value.as_bytes());
+            }
+        }
+        put(&mut hash, &request.body);
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hash.finalize().into_bytes()[..DIGEST_BYTES]);
+        RequestDigest(digest)
+    }
+}
+
+/// Adds a part with its length, so that no two lists of parts look alike.
+fn put(hash: &mut Hmac<Sha256>, part: &[u8]) {
+    hash.update(&(part.len() as u64).to_be_bytes());
+    hash.update(part);
+}
--- a/crates/sablebay-gateway/src/request_log.rs
+++ b/crates/sablebay-gateway/src/request_log.rs
@@ -7,7 +7,7 @@
 use http::HeaderValue;
 
 use sablebay_catalogue::Route;
-use sablebay_model::Micros;
+use sablebay_model::{Micros, RequestDigest};
 use sablebay_protocol::peer::PartialGather;
 
 use crate::context::Context;
@@ -26,6 +26,8 @@
     pub route: Option<Arc<Route>>,
     /// The queues at its shards when it came in.
     pub crowding: Crowding,
+    /// What it asks for, where that is wanted for its line.
+    pub digest: Option<RequestDigest>,
 }
 
 /// The queues at the shards of a request when it came in.
@@ -40,13 +42,24 @@
 impl RequestRecord {
     /// Of a request that came in.
     pub fn new(caller: &CallerRequest, received_at: Micros) -> Self {
-        Self { id: caller.id.clone(), received_at, version: 0, route: None, crowding: Crowding::default() }
+        Self {
+            id: caller.id.clone(),
+            received_at,
+            version: 0,
+            route: None,
+            crowding: Crowding::default(),
+            digest: None,
+        }
     }
 
     fn id(&self) -> &str {
         self.id.to_str().unwrap_or("?")
     }
 
+    fn digest(&self) -> String {
+        self.digest.map_or_else(|| "-".to_string(), |digest| digest.to_string())
+    }
+
     fn route_name(&self) -> &str {
         self.route.as_ref().map_or("-", |route| route.name.as_str())
     }
@@ -80,7 +93,8 @@
     }
     let held = context.clock().now().since(record.received_at).as_millis();
     log::warn!(
-        request = record.id(), route = record.route_name(), version = record.version, held_ms = held,
+        request = record.id(), digest = record.digest().as_str(), route = record.route_name(),
+        version = record.version, held_ms = held,
         calls = work.calls, extra_calls = work.extra_calls, gatherers = work.gatherers,
         delegated_shards = work.delegated_shards, failures = failures(work).as_str(),
         shards = record.crowding.shards, crowded = record.crowding.crowded,
--- a/crates/sablebay-model/src/lib.rs
+++ b/crates/sablebay-model/src/lib.rs
@@ -6,6 +6,7 @@
 mod identifiers;
 mod outcome;
 mod partitions;
+mod request_digest;
 mod time;
 
 pub use hit::{Hit, SortOrder, top_hits};
@@ -15,4 +16,5 @@
 };
 pub use outcome::{Outcome, Reason, Refusal};
 pub use partitions::{PartitionId, PartitionSet, PartitionSetError};
+pub use request_digest::{DIGEST_BYTES, DigestError, RequestDigest};
 pub use time::{Micros, WallMillis};
