--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -9,5 +9,6 @@
 mod life;
 mod odd_answers;
 mod overload;
+mod quarantine;
 mod quiet_path;
 mod support;
--- /dev/null
+++ b/crates/sablebay/tests/platform/quarantine.rs
@@ -0,0 +1,134 @@
+//! A request that ends each back end which begins to run it.
+//!
+//! Seen: a search of which 20 shards with two replicas each were asked at once, and their second replicas after the
+//! first had gone; all 40 back ends of the service ended within 150 ms, again at each repeat, at whichever node it came in.
+//! How: nothing was remembered of a request beyond its own attempt, so that a repeat was a new request, and an end was one more
+//! failed call to send on.
+//! Cause: failures were counted by replica alone, never by request.
+//! Proof: the same with stand-ins, which end on one path and live on all others.
+
+use std::time::Duration;
+
+use sablebay_catalogue::ServiceName;
+use sablebay_platform_standin::{CallerAnswer, LeafBehaviour, LeafIdentity, RestartingLeaf, StoreStandIn};
+
+use crate::support::{
+    GATHER_PATH, NodeProcess, SHARDS, check_gathered, configuration, eventually, shard_service,
+    single_service,
+};
+
+/// The first line of what ends a back end, as far as it counts.
+const FATAL: &str = "/fatal ";
+/// Back ends of each service.
+const COPIES: u8 = 2;
+/// How long a back end is gone.
+const RESTART: Duration = Duration::from_millis(150);
+/// Attempts that may reach back ends after three have ended.
+const LATE_ATTEMPTS: usize = 3;
+
+/// Back ends that end on one path, and nodes in front of them.
+struct Fleet {
+    _store: StoreStandIn,
+    leaves: Vec<RestartingLeaf>,
+    nodes: Vec<NodeProcess>,
+}
+
+async fn leaves_of(service: &ServiceName, shard: u8, store: &StoreStandIn) -> Vec<RestartingLeaf> {
+    let mut leaves = Vec::new();
+    for copy in 0..COPIES {
+        // Records are told apart by the number in the name.
+        let identity = LeafIdentity {
+            name: format!("i-{shard}-{copy}"),
+            service: service.clone(),
+            shard,
+            zone: "zone-a".to_string(),
+        };
+        let leaf = RestartingLeaf::start(identity, LeafBehaviour::EndsOn(FATAL), RESTART, store.registry());
+        leaves.push(leaf.await.expect("a back end"));
+    }
+    leaves
+}
+
+impl Fleet {
+    async fn start(nodes: usize) -> Self {
+        let store = StoreStandIn::start().await.expect("a store");
+        let mut leaves = Vec::new();
+        for shard in 0..SHARDS {
+            leaves.extend(leaves_of(&shard_service(shard), shard, &store).await);
+        }
+        leaves.extend(leaves_of(&single_service(), 200, &store).await);
+        store.publish(&configuration(1));
+        let mut started: Vec<NodeProcess> = Vec::new();
+        for number in 0..nodes {
+            let seeds: Vec<_> = started.iter().map(|node| node.peers).collect();
+            started.push(NodeProcess::start(&format!("node-{number}"), store.address, &seeds));
+        }
+        for node in &started {
+            node.wait_ready().await;
+        }
+        let fleet = Self { _store: store, leaves, nodes: started };
+        fleet.wait_whole("start").await;
+        fleet
+    }
+
+    fn ended(&self) -> u32 {
+        self.leaves.iter().map(RestartingLeaf::ended).sum()
+    }
+
+    fn arrivals(&self) -> usize {
+        self.leaves.iter().map(|leaf| leaf.arrivals_of(FATAL)).sum()
+    }
+
+    /// Waits until every node gets answers from all shards, and so knows the new lives of the back ends.
+    async fn wait_whole(&self, name: &str) {
+        for (number, node) in self.nodes.iter().enumerate() {
+            let attempt = std::sync::atomic::AtomicU32::new(0);
+            eventually("all shards answer", || async {
+                let attempt = attempt.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                let id = format!("whole-{name}-{number}-{attempt}");
+                let answer = node.get(GATHER_PATH, &id).await;
+                answer.status.as_u16() == 200 && answer.missing == 0
+            })
+            .await;
+        }
+    }
+
+    /// Makes attempts at one node after the other, each once all back ends are back. Returns the answers, and how many
+    /// attempts reached a back end after three had ended.
+    async fn attempt(&self, path: &str, attempts: usize) -> (Vec<CallerAnswer>, usize) {
+        let mut answers = Vec::new();
+        let mut late = 0;
+        for attempt in 0..attempts {
+            let (ended, arrived) = (self.ended(), self.arrivals());
+            let node = &self.nodes[attempt % self.nodes.len()];
+            let id = format!("{}-{attempt}", path.replace('/', "-"));
+            answers.push(node.get(path, &id).await);
+            late += usize::from(ended >= 3 && self.arrivals() > arrived);
+            self.wait_whole(&id).await;
+        }
+        (answers, late)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_search_that_ends_back_ends_is_kept_from_the_rest() {
+    let fleet = Fleet::start(3).await;
+    let (answers, late) = fleet.attempt("/all/fatal", 12).await;
+    assert!(fleet.ended() >= 3, "it ends back ends");
+    assert!(late <= LATE_ATTEMPTS, "{late} attempts reached back ends, {} ended", fleet.ended());
+    let last = answers.last().expect("an answer");
+    assert!(last.promises_not_run(), "a request that is not tried says so: {}", last.status);
+    let near = fleet.nodes[0].get("/all/fatally", "near-miss").await;
+    check_gathered(&near, "near-miss");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_that_ends_back_ends_is_kept_from_the_rest() {
+    let fleet = Fleet::start(3).await;
+    let (answers, late) = fleet.attempt("/once/fatal", 15).await;
+    assert!(fleet.ended() >= 3, "it ends back ends");
+    assert!(late <= LATE_ATTEMPTS, "{late} attempts reached back ends, {} ended", fleet.ended());
+    for answer in &answers {
+        assert!(answer.status.is_server_error(), "it is never answered");
+    }
+}
