--- a/crates/sablebay-bench/src/hollow.rs
+++ b/crates/sablebay-bench/src/hollow.rs
@@ -173,6 +173,7 @@
             admin_address: address,
             gathers: false,
             takes_over: false,
+            shares_quarantine: false,
             core_percent: 0,
         };
         let mut settings = FleetSettings::with_probe_period(self.options.probe_period);
--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -374,7 +374,9 @@
         if execution == Execution::NotSent {
             self.shards[shard].attempts -= 1;
         }
-        if self.shards[shard].state == ShardState::Open {
+        if failure == CallFailure::HeldBack && self.shards[shard].open_calls == 0 {
+            self.close(shard);
+        } else if self.shards[shard].state == ShardState::Open {
             self.replace(shard, execution, turn);
         }
         self.settle(turn);
--- a/crates/sablebay-dispatch/src/fanout/call.rs
+++ b/crates/sablebay-dispatch/src/fanout/call.rs
@@ -41,6 +41,9 @@
     /// The replica answered with a failure.
     #[display("failed")]
     Failed,
+    /// The request is held back: back ends ended under it. Nothing was sent, nor would it be elsewhere.
+    #[display("held back")]
+    HeldBack,
     /// No answer came in time.
     #[display("timed out")]
     TimedOut,
@@ -50,7 +53,7 @@
     /// Whether a call that failed so can have run.
     pub fn execution(self) -> Execution {
         match self {
-            CallFailure::NoConnection => Execution::NotSent,
+            CallFailure::NoConnection | CallFailure::HeldBack => Execution::NotSent,
             CallFailure::Rejected | CallFailure::WrongInstance => Execution::NotRun,
             CallFailure::Broken | CallFailure::Mismatched | CallFailure::Failed | CallFailure::TimedOut => {
                 Execution::Possible
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod fanout;
 mod gatherer_table;
 mod gatherers;
+mod quarantine;
 mod records;
 mod replica_health;
 mod replica_table;
@@ -36,6 +37,10 @@
 pub use gatherers::{
     GathererInputs, GathererNode, choose_gatherers, gathering_nodes, owned_shards, shard_owners,
 };
+pub use quarantine::{
+    Audience, CrashNotice, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
+    NOTICES_PER_MESSAGE, Quarantine, QuarantineNotice, RunPermit, STRIKES, Standing, Suspect, TURN,
+};
 pub use records::{RECORD_BYTES, TopRecords};
 pub use replica_health::{LoadHint, ReplicaHealth};
 pub use replica_table::{CallKey, ReplicaTable};
--- /dev/null
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -0,0 +1,368 @@
+//! Requests that end the back ends which run them: kept from the rest before they have ended them all.
+//!
+//! Invariants kept here:
+//! - a request is held back only after several back ends in a row ended under it, each begun after the one before had
+//!   ended ([`evidence`]), without a good run in between;
+//! - a request that one back end ended under is sent to one back end at a time until a run of it ends well;
+//! - a request that is held back is tried again by one node at a time, with one call;
+//! - what is kept is bounded, whatever callers send.
+
+mod evidence;
+mod notice;
+
+use std::collections::HashMap;
+
+use derive_more::Display;
+
+use sablebay_catalogue::ServiceName;
+use sablebay_model::{Micros, RequestDigest};
+
+use crate::replica_table::CallKey;
+
+pub use evidence::{CrashedRun, Evidence, KEPT_CRASHES};
+pub use notice::{CrashNotice, QuarantineNotice};
+
+/// Back ends that end one after the other under a request before it is held back. Two in a row happen to requests
+/// that merely stood where others struck twice; with three no innocent request was held back in the property tests.
+pub const STRIKES: u32 = 3;
+/// How long a request is held back after the last strike that it needs for that. One attempt costs a back end that is gone
+/// for seconds, so that a minute keeps the loss below a tenth of one back end.
+pub const FIRST_HOLD: Micros = Micros::from_secs(60);
+/// Each further strike makes the next quarantine longer by this factor.
+const HOLD_GROWTH: u64 = 4;
+/// The longest quarantine: a release of the service that bears the request is tried within this time.
+pub const LONGEST_HOLD: Micros = Micros::from_secs(3_600);
+/// How long what speaks against a request is remembered beyond that.
+const MEMORY: Micros = Micros::from_secs(600);
+/// How much later than the node before it each node may try a request whose quarantine is over. A try is over, and told,
+/// in a fraction of it.
+pub const TURN: Micros = Micros::from_secs(2);
+/// How long one run keeps the others of a suspect request waiting: a back end that ends under it does so sooner, and one
+/// that is silent says nothing of it.
+const ALONE_LIMIT: Micros = Micros::from_millis(300);
+/// Requests that are remembered, of some 600 bytes each. Those with the fewest strikes are forgotten first, so that a flood of requests
+/// which end one back end each does not set a known one free.
+pub const MAXIMUM_REQUESTS: usize = 1_024;
+/// Requests that one message between nodes tells of.
+pub const NOTICES_PER_MESSAGE: usize = 256;
+
+/// What may be done with a request now.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    #[display("clear")]
+    Clear,
+    /// Back ends ended under it: it goes to one at a time.
+    #[display("suspect")]
+    Suspect,
+    /// Nothing of it is sent until then.
+    #[display("held back")]
+    Held {
+        /// When its quarantine is over.
+        until: Micros,
+    },
+    /// Its quarantine is over: one node after the other may try it.
+    #[display("on trial")]
+    OnTrial {
+        /// When its quarantine was over.
+        since: Micros,
+    },
+}
+
+/// Whether a run of a request may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPermit {
+    /// It may.
+    Free,
+    /// It may, and no other of this request until it is over.
+    Alone,
+    /// Not before another run of this request is over.
+    Wait,
+    /// Not before this time has passed.
+    Refused {
+        /// The time until it may be tried again here.
+        retry_after: Micros,
+    },
+}
+
+/// Who is told of what became known here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// The few nodes that keep account of the request: after a first strike, which every request that stood
+    /// at an ended back end has.
+    Keepers,
+    /// Every node.
+    Everyone,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    route: String,
+    evidence: Evidence,
+    /// The run that keeps others waiting, and since when.
+    alone: Option<(CallKey, Micros)>,
+    /// The strikes that every node was told of.
+    told_everyone: u32,
+    /// Whether something was learnt that the keepers were not told.
+    untold: bool,
+}
+
+/// What a node knows of requests that back ends ended under.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    requests: HashMap<RequestDigest, Entry>,
+}
+
+/// A request that something speaks against, for operators.
+#[derive(Clone, Debug)]
+pub struct Suspect<'a> {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Its route.
+    pub route: &'a str,
+    /// What is known of it.
+    pub evidence: &'a Evidence,
+    /// What may be done with it.
+    pub standing: Standing,
+}
+
+impl Entry {
+    fn standing(&self, now: Micros) -> Standing {
+        match self.evidence.strikes() {
+            0 => Standing::Clear,
+            strikes if strikes < STRIKES => Standing::Suspect,
+            strikes => {
+                let until = self.evidence.last_end().plus(hold(strikes));
+                if now < until { Standing::Held { until } } else { Standing::OnTrial { since: until } }
+            }
+        }
+    }
+
+    /// Whether a run at a service may go beside others: one has ended well since the last strike, and, from the second
+    /// strike on, nothing speaks against the request at that service.
+    fn may_run_beside_others(&self, service: &ServiceName) -> bool {
+        let strikes = self.evidence.strikes();
+        self.evidence.survived_since() && (strikes <= 1 || !self.evidence.is_held_against(service))
+    }
+
+    fn take_alone(&mut self, call: CallKey, now: Micros) -> RunPermit {
+        match self.alone {
+            Some((holder, since)) if holder != call && now.since(since) < ALONE_LIMIT => RunPermit::Wait,
+            _ => {
+                self.alone = Some((call, now));
+                RunPermit::Alone
+            }
+        }
+    }
+
+    /// Whether nothing of it matters any more.
+    fn is_outdated(&self, now: Micros) -> bool {
+        let strikes = self.evidence.strikes();
+        let held = if strikes >= STRIKES { hold(strikes) } else { Micros(0) };
+        now > self.evidence.last_event().plus(held).plus(MEMORY)
+    }
+}
+
+/// How long a request with so many strikes is held back.
+fn hold(strikes: u32) -> Micros {
+    let growth = HOLD_GROWTH.saturating_pow(strikes.saturating_sub(STRIKES));
+    Micros(FIRST_HOLD.0.saturating_mul(growth)).min(LONGEST_HOLD)
+}
+
+impl Quarantine {
+    /// What may be done with a request.
+    pub fn standing(&self, digest: &RequestDigest, now: Micros) -> Standing {
+        self.requests.get(digest).map_or(Standing::Clear, |entry| entry.standing(now))
+    }
+
+    /// Whether anything is known of any request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Whether a run at a service may begin now. `turn` is how long after others this node may try a request
+    /// whose quarantine is over.
+    pub fn permit(
+        &mut self,
+        digest: &RequestDigest,
+        service: &ServiceName,
+        call: CallKey,
+        turn: Micros,
+        now: Micros,
+    ) -> RunPermit {
+        let Some(entry) = self.requests.get_mut(digest) else {
+            return RunPermit::Free;
+        };
+        match entry.standing(now) {
+            Standing::Clear => RunPermit::Free,
+            Standing::Held { until } => RunPermit::Refused { retry_after: until.since(now) },
+            Standing::OnTrial { since } if now < since.plus(turn) && !entry.evidence.survived_since() => {
+                RunPermit::Refused { retry_after: since.plus(turn).since(now) }
+            }
+            Standing::Suspect | Standing::OnTrial { .. } => {
+                if entry.may_run_beside_others(service) {
+                    return RunPermit::Free;
+                }
+                entry.take_alone(call, now)
+            }
+        }
+    }
+
+    /// When the request is refused without asking any back end; nothing when it may be tried here.
+    pub fn refusal(&self, digest: &RequestDigest, turn: Micros, now: Micros) -> Option<Micros> {
+        let entry = self.requests.get(digest)?;
+        match entry.standing(now) {
+            Standing::Held { until } => Some(until.plus(turn).since(now)),
+            Standing::OnTrial { since } if now < since.plus(turn) && !entry.evidence.survived_since() => {
+                Some(since.plus(turn).since(now))
+            }
+            _ => None,
+        }
+    }
+
+    /// A run is over: others need no longer wait for it. Returns whether one may.
+    pub fn over(&mut self, digest: &RequestDigest, call: CallKey) -> bool {
+        let Some(entry) = self.requests.get_mut(digest) else {
+            return false;
+        };
+        let held = entry.alone.is_some_and(|(holder, _)| holder == call);
+        if held {
+            entry.alone = None;
+        }
+        held
+    }
+
+    /// A back end ended under a run. Returns what the request's standing was before.
+    pub fn crashed(&mut self, digest: RequestDigest, route: &str, run: CrashedRun, now: Micros) -> Standing {
+        let before = self.standing(&digest, now);
+        self.make_room(now);
+        let entry = self.requests.entry(digest).or_default();
+        if entry.route.is_empty() {
+            entry.route = route.to_string();
+        }
+        entry.untold |= entry.evidence.crashed(run);
+        before
+    }
+
+    /// A run ended well. Returns whether that takes something back.
+    pub fn survived(&mut self, digest: &RequestDigest, service: &ServiceName, started_at: Micros) -> bool {
+        let Some(entry) = self.requests.get_mut(digest) else {
+            return false;
+        };
+        let news = entry.evidence.survived(service, started_at);
+        entry.untold |= news;
+        news
+    }
+
+    /// An operator releases a request. Returns whether it is known here.
+    pub fn release(&mut self, digest: &RequestDigest, now: Micros) -> bool {
+        let Some(entry) = self.requests.get_mut(digest) else {
+            return false;
+        };
+        entry.evidence.released(now);
+        entry.untold = true;
+        // Also nodes that heard of it on other ways.
+        entry.told_everyone = entry.told_everyone.max(1);
+        true
+    }
+
+    /// Another node told of a request; `to_everyone` says that it told every node. Returns whether anything
+    /// was news.
+    pub fn heard(&mut self, notice: &QuarantineNotice, to_everyone: bool, now: Micros) -> bool {
+        if !self.requests.contains_key(&notice.digest) {
+            if notice.crashes.is_empty() {
+                return false;
+            }
+            self.make_room(now);
+        }
+        let entry = self.requests.entry(notice.digest).or_default();
+        if entry.route.is_empty() {
+            entry.route = notice.route.clone();
+        }
+        let news = notice.merge_into(&mut entry.evidence, now);
+        if to_everyone {
+            entry.told_everyone = entry.evidence.strikes();
+        }
+        news
+    }
+
+    /// What became known here and is still to be told, and to whom. Each is given out once: nodes that do not get it
+    /// hear of it when they compare what they know with another.
+    pub fn take_news(&mut self, now: Micros) -> Vec<(QuarantineNotice, Audience)> {
+        let mut news = Vec::new();
+        for (digest, entry) in &mut self.requests {
+            let strikes = entry.evidence.strikes();
+            // One strike is no reason to tell everyone; what everyone was told is taken back before everyone.
+            let everyone = (strikes >= 2 && strikes > entry.told_everyone)
+                || (strikes < entry.told_everyone && entry.untold);
+            if !everyone && !entry.untold {
+                continue;
+            }
+            entry.untold = false;
+            let audience = if everyone { Audience::Everyone } else { Audience::Keepers };
+            if everyone {
+                entry.told_everyone = strikes;
+            }
+            news.push((QuarantineNotice::of(*digest, &entry.route, &entry.evidence, now), audience));
+        }
+        news
+    }
+
+    /// What is known of one request, as it is told to a node that is handed a part of it.
+    pub fn notice(&self, digest: &RequestDigest, now: Micros) -> Option<QuarantineNotice> {
+        let entry = self.requests.get(digest)?;
+        Some(QuarantineNotice::of(*digest, &entry.route, &entry.evidence, now))
+    }
+
+    /// What is known, for another node to compare with; of many, those with the most strikes.
+    pub fn notices(&self, now: Micros) -> Vec<QuarantineNotice> {
+        let mut known: Vec<(&RequestDigest, &Entry)> = self.requests.iter().collect();
+        known.sort_by_key(|(digest, entry)| (std::cmp::Reverse(entry.evidence.strikes()), **digest));
+        let notice = |(digest, entry): &(&RequestDigest, &Entry)| {
+            QuarantineNotice::of(**digest, &entry.route, &entry.evidence, now)
+        };
+        known.iter().take(NOTICES_PER_MESSAGE).map(notice).collect()
+    }
+
+    /// The requests that something speaks against, for operators.
+    pub fn suspects<'a>(&'a self, now: Micros) -> Vec<Suspect<'a>> {
+        let suspect = |(digest, entry): (&RequestDigest, &'a Entry)| Suspect {
+            digest: *digest,
+            route: &entry.route,
+            evidence: &entry.evidence,
+            standing: entry.standing(now),
+        };
+        let mut suspects: Vec<Suspect<'a>> = self.requests.iter().map(suspect).collect();
+        suspects.retain(|suspect| suspect.standing != Standing::Clear);
+        suspects.sort_by_key(|suspect| (std::cmp::Reverse(suspect.evidence.strikes()), suspect.digest));
+        suspects
+    }
+
+    /// Requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Forgets what is outdated.
+    pub fn expire(&mut self, now: Micros) {
+        self.requests.retain(|_, entry| !entry.is_outdated(now));
+    }
+
+    /// Makes room for one more request.
+    fn make_room(&mut self, now: Micros) {
+        if self.requests.len() < MAXIMUM_REQUESTS {
+            return;
+        }
+        self.expire(now);
+        if self.requests.len() < MAXIMUM_REQUESTS {
+            return;
+        }
+        let least = self
+            .requests
+            .iter()
+            .min_by_key(|(digest, entry)| (entry.evidence.strikes(), entry.evidence.last_event(), **digest));
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.requests.remove(&digest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/src/quarantine/evidence.rs
@@ -0,0 +1,198 @@
+//! What is known of one request that back ends may end under.
+//!
+//! A back end that ends cuts every call that stands there, and at best one of them is the cause. What tells the cause
+//! from those that stood beside it are ends one after the other: a run that was begun after the end before it was
+//! known, and that ended its back end too. Runs that were under way at one moment count once, however many they are: a
+//! zone that loses its power, or a service whose processes are killed together, is one strike against each request that stood
+//! there. A run that began later and ended well breaks the row, and takes back what speaks against the request at its service.
+
+use smallvec::SmallVec;
+
+use sablebay_catalogue::{ReplicaId, ServiceName};
+use sablebay_model::Micros;
+
+/// A run of a request that a back end did not outlive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashedRun {
+    /// The back end. It had one life: what listens at its address afterwards has another id.
+    pub replica: ReplicaId,
+    /// Its service.
+    pub service: ServiceName,
+    /// When the request was sent there.
+    pub started_at: Micros,
+    /// When the connection broke.
+    pub ended_at: Micros,
+}
+
+/// Crashed runs that are kept of one request: enough for the longest quarantine, and for an operator to see a pattern.
+pub const KEPT_CRASHES: usize = 8;
+/// Services of which it is kept what took back what spoke against a request.
+const KEPT_SERVICES: usize = 16;
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// The crashed runs that nothing took back, by when they ended.
+    crashes: SmallVec<[CrashedRun; 4]>,
+    /// When the run was begun that took back what spoke against it, by service: what is told late of the time before
+    /// does not count.
+    survivals: SmallVec<[(ServiceName, Micros); 4]>,
+    /// When the latest run was begun that ended well after a back end had ended.
+    survived_at: Micros,
+    /// When an operator last released it.
+    released_at: Micros,
+    /// Back ends that ended under it, as far as this node knows.
+    ended: u32,
+}
+
+impl Evidence {
+    /// A back end did not outlive a run. Returns whether this is news.
+    pub fn crashed(&mut self, run: CrashedRun) -> bool {
+        if self.is_taken_back(&run) || self.crashes.iter().any(|known| known.replica == run.replica) {
+            return false;
+        }
+        self.ended = self.ended.saturating_add(1);
+        let place = self.crashes.partition_point(|known| known.ended_at <= run.ended_at);
+        self.crashes.insert(place, run);
+        if self.crashes.len() > KEPT_CRASHES {
+            self.drop_one();
+        }
+        true
+    }
+
+    /// A run that was begun at `started_at` ended well. Returns whether this is news.
+    ///
+    /// Word that goes round is a little later each time it comes back: it counts only where it changes something.
+    pub fn survived(&mut self, service: &ServiceName, started_at: Micros) -> bool {
+        let since_all = self.survived_anywhere(started_at);
+        let of_service = |known: &CrashedRun| known.service == *service && known.ended_at <= started_at;
+        if !self.crashes.iter().any(of_service) {
+            return since_all;
+        }
+        self.crashes.retain(|known| !of_service(known));
+        match self.survivals.iter_mut().find(|(known, _)| known == service) {
+            Some((_, known)) => *known = (*known).max(started_at),
+            None => {
+                if self.survivals.len() >= KEPT_SERVICES {
+                    self.survivals.remove(0);
+                }
+                self.survivals.push((service.clone(), started_at));
+            }
+        }
+        true
+    }
+
+    /// A run that was begun at `started_at` ended well at some service. Returns whether it is the first since a back
+    /// end ended.
+    pub fn survived_anywhere(&mut self, started_at: Micros) -> bool {
+        let outlived = |run: &CrashedRun| self.survived_at < run.ended_at && run.ended_at <= started_at;
+        let first = self.crashes.iter().any(outlived);
+        if first {
+            self.survived_at = started_at;
+        }
+        first
+    }
+
+    /// An operator released it. Returns whether this is news.
+    pub fn released(&mut self, at: Micros) -> bool {
+        let takes_back = self.crashes.iter().any(|known| known.ended_at <= at);
+        if !takes_back && self.released_at > Micros(0) {
+            return false;
+        }
+        self.released_at = self.released_at.max(at);
+        self.crashes.retain(|known| known.ended_at > at);
+        true
+    }
+
+    fn is_taken_back(&self, run: &CrashedRun) -> bool {
+        let survived = |(service, at): &(ServiceName, Micros)| *service == run.service && *at >= run.ended_at;
+        self.released_at >= run.ended_at || self.survivals.iter().any(survived)
+    }
+
+    /// Drops a crashed run that adds no strike, or the oldest.
+    fn drop_one(&mut self) {
+        let strikes = self.strikes();
+        let needless = (0..self.crashes.len()).rev().find(|index| self.strikes_without(*index) == strikes);
+        self.crashes.remove(needless.unwrap_or(0));
+    }
+
+    /// Back ends that ended under it one after the other, without a good run in between: at any services, or all at
+    /// the same. A request may be fatal to the back ends of one service alone, and run well at the others.
+    pub fn strikes(&self) -> u32 {
+        self.strikes_without(usize::MAX)
+    }
+
+    fn strikes_without(&self, left_out: usize) -> u32 {
+        let counted = || {
+            let runs = self.crashes.iter().enumerate();
+            runs.filter(move |(index, _)| *index != left_out).map(|(_, run)| run)
+        };
+        let anywhere = in_a_row(counted().filter(|run| run.ended_at > self.survived_at));
+        let at_service = |known: &CrashedRun| in_a_row(counted().filter(|run| run.service == known.service));
+        counted().map(at_service).max().unwrap_or_default().max(anywhere)
+    }
+
+    /// When the last of its back ends ended.
+    pub fn last_end(&self) -> Micros {
+        self.crashes.last().map_or(Micros(0), |run| run.ended_at)
+    }
+
+    /// Whether a run of it ended well that was begun after the last of its back ends had ended.
+    pub fn survived_since(&self) -> bool {
+        self.survived_at >= self.last_end()
+    }
+
+    /// Whether a back end of a service ended under it.
+    pub fn is_held_against(&self, service: &ServiceName) -> bool {
+        self.crashes.iter().any(|run| run.service == *service)
+    }
+
+    /// The crashed runs that nothing took back, by when they ended.
+    pub fn crashes(&self) -> &[CrashedRun] {
+        &self.crashes
+    }
+
+    /// When the run was begun that took back what spoke against it, by service.
+    pub fn survivals(&self) -> &[(ServiceName, Micros)] {
+        &self.survivals
+    }
+
+    /// When the latest run was begun that ended well after a back end had ended; zero when none did.
+    pub fn survived_at(&self) -> Micros {
+        self.survived_at
+    }
+
+    /// When an operator last released it; zero when none did.
+    pub fn released_at(&self) -> Micros {
+        self.released_at
+    }
+
+    /// Back ends that ended under it, as far as this node knows.
+    pub fn ended(&self) -> u32 {
+        self.ended
+    }
+
+    /// Takes over how many back ends another node knows of.
+    pub fn heard_of_ends(&mut self, ended: u32) {
+        self.ended = self.ended.max(ended);
+    }
+
+    /// When something last happened to it.
+    pub fn last_event(&self) -> Micros {
+        let survived = self.survivals.iter().map(|(_, at)| *at).max().unwrap_or_default();
+        self.last_end().max(survived).max(self.survived_at).max(self.released_at)
+    }
+}
+
+/// The greatest number of runs of which each was begun after the one before had ended. The runs come by when they ended.
+fn in_a_row<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> u32 {
+    let mut count = 0;
+    let mut last_end = Micros(0);
+    for run in runs {
+        if run.started_at >= last_end {
+            count += 1;
+            last_end = run.ended_at;
+        }
+    }
+    count
+}
--- /dev/null
+++ b/crates/sablebay-dispatch/src/quarantine/notice.rs
@@ -0,0 +1,92 @@
+//! What nodes tell each other of requests that back ends ended under. Times are ages: the clocks of nodes differ.
+
+use musli::{Decode, Encode};
+
+use sablebay_catalogue::{ReplicaId, ServiceName};
+use sablebay_model::{Micros, RequestDigest};
+
+use super::evidence::{CrashedRun, Evidence};
+
+/// How much longer a run may have been under way than another node says: word takes time, and the one
+/// who hears of two runs must not take them for one after the other when they were under way together.
+const TOLD_SLACK: Micros = Micros::from_millis(50);
+
+/// A run that a back end did not outlive, as told.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct CrashNotice {
+    /// The back end.
+    pub replica: ReplicaId,
+    /// Its service.
+    pub service: ServiceName,
+    /// How long ago the request was sent there, in microseconds.
+    pub started_us_ago: u64,
+    /// How long ago the connection broke, in microseconds.
+    pub ended_us_ago: u64,
+}
+
+/// What one node knows of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct QuarantineNotice {
+    /// The request.
+    pub digest: RequestDigest,
+    /// The name of its route, for whoever reads the logs.
+    pub route: String,
+    /// The crashed runs that nothing took back.
+    pub crashes: Vec<CrashNotice>,
+    /// How long ago the run was begun that took back what spoke against it, by service, in microseconds.
+    pub survivals: Vec<(ServiceName, u64)>,
+    /// How long ago a run was begun that ended well after its back ends had ended, in microseconds.
+    pub survived_us_ago: Option<u64>,
+    /// How long ago an operator released it, in microseconds.
+    pub released_us_ago: Option<u64>,
+    /// Back ends that ended under it.
+    pub ended: u32,
+}
+
+impl QuarantineNotice {
+    /// What is known of a request, as it is told now.
+    pub fn of(digest: RequestDigest, route: &str, evidence: &Evidence, now: Micros) -> Self {
+        let crash = |run: &CrashedRun| CrashNotice {
+            replica: run.replica.clone(),
+            service: run.service.clone(),
+            started_us_ago: now.since(run.started_at).0,
+            ended_us_ago: now.since(run.ended_at).0,
+        };
+        let survival = |(service, at): &(ServiceName, Micros)| (service.clone(), now.since(*at).0);
+        let ago = |at: Micros| (at > Micros(0)).then(|| now.since(at).0);
+        Self {
+            digest,
+            route: route.to_string(),
+            crashes: evidence.crashes().iter().map(crash).collect(),
+            survivals: evidence.survivals().iter().map(survival).collect(),
+            survived_us_ago: ago(evidence.survived_at()),
+            released_us_ago: ago(evidence.released_at()),
+            ended: evidence.ended(),
+        }
+    }
+
+    /// Adds what is told to what is known. Returns whether anything of it was news.
+    pub fn merge_into(&self, evidence: &mut Evidence, now: Micros) -> bool {
+        let at = |us_ago: u64| now.since(Micros(us_ago));
+        let mut news = false;
+        for crash in &self.crashes {
+            news |= evidence.crashed(CrashedRun {
+                replica: crash.replica.clone(),
+                service: crash.service.clone(),
+                started_at: at(crash.started_us_ago).since(TOLD_SLACK),
+                ended_at: at(crash.ended_us_ago),
+            });
+        }
+        for (service, us_ago) in &self.survivals {
+            news |= evidence.survived(service, at(*us_ago));
+        }
+        if let Some(us_ago) = self.survived_us_ago {
+            news |= evidence.survived_anywhere(at(us_ago));
+        }
+        if let Some(us_ago) = self.released_us_ago {
+            news |= evidence.released(at(us_ago));
+        }
+        evidence.heard_of_ends(self.ended);
+        news
+    }
+}
--- a/crates/sablebay-fleet/src/member.rs
+++ b/crates/sablebay-fleet/src/member.rs
@@ -33,6 +33,11 @@
     #[musli(default)]
     #[serde(default)]
     pub takes_over: bool,
+    /// Whether it hears and tells of requests that back ends ended under. Nodes of releases that could not do
+    /// it do not say so.
+    #[musli(default)]
+    #[serde(default)]
+    pub shares_quarantine: bool,
     /// Its share of a processor core, in percent; 0 of releases that did not say it.
     #[musli(default)]
     #[serde(default)]
--- a/crates/sablebay-fleet/tests/members.rs
+++ b/crates/sablebay-fleet/tests/members.rs
@@ -30,6 +30,7 @@
         admin_address: address,
         gathers: false,
         takes_over: false,
+        shares_quarantine: false,
         core_percent: 0,
     };
     MemberClaim { info: Arc::new(info), status, refutation }
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use sablebay_catalogue::RoutableReplica;
-use sablebay_dispatch::{CallFailure, CallKey, CallNumber, GatheredShards, LoadHint};
+use sablebay_dispatch::{CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LoadHint, RunPermit};
 use sablebay_model::{Micros, RequestDigest};
 
 use crate::connections::{Lease, Liveness, ReplicaConnections};
@@ -100,6 +100,82 @@
     pub events: mpsc::UnboundedSender<CallEvent>,
 }
 
+/// Why nothing of a call was sent.
+#[derive(Clone, Copy, Debug)]
+enum Unsent {
+    /// Its request is held back.
+    HeldBack,
+    /// No connection came about.
+    Unreached,
+    /// The replica may not get it any more.
+    Withheld(Withheld),
+    /// It could not be sent before its deadline.
+    Late,
+}
+
+/// A run that others of its request wait for, until this is dropped.
+struct AloneRun<C: CallerProtocol, B: BackendProtocol> {
+    context: Arc<Context<C, B>>,
+    digest: RequestDigest,
+    key: CallKey,
+}
+
+impl<C: CallerProtocol, B: BackendProtocol> Drop for AloneRun<C, B> {
+    fn drop(&mut self) {
+        self.context.node.quarantine.over(&self.digest, self.key);
+    }
+}
+
+/// Waits until a run of a request may begin. Returns the run that others wait for, if it is one.
+async fn enter<C: CallerProtocol, B: BackendProtocol>(
+    context: &Arc<Context<C, B>>,
+    replica: &RoutableReplica,
+    request: &ForwardedRequest,
+    key: CallKey,
+) -> Result<Option<AloneRun<C, B>>, Unsent> {
+    loop {
+        match context.permit_run(request, &replica.replica.service, key) {
+            RunPermit::Free => return Ok(None),
+            RunPermit::Alone => {
+                let digest = context.digest_of(request);
+                return Ok(Some(AloneRun { context: context.clone(), digest, key }));
+            }
+            RunPermit::Refused { .. } => return Err(Unsent::HeldBack),
+            RunPermit::Wait => context.node.quarantine.wait().await,
+        }
+    }
+}
+
+/// Waits until a call may be sent, with a connection to send it on.
+async fn prepare<C: CallerProtocol, B: BackendProtocol>(
+    context: &Arc<Context<C, B>>,
+    connections: &ReplicaConnections,
+    replica: &RoutableReplica,
+    request: &ForwardedRequest,
+    key: CallKey,
+) -> Result<(Lease, Option<AloneRun<C, B>>), Unsent> {
+    loop {
+        let alone = enter(context, replica, request, key).await?;
+        let lease = connections.lease().await.ok_or(Unsent::Unreached)?;
+        // A back end may have ended under the request meanwhile.
+        let permit = context.permit_run(request, &replica.replica.service, key);
+        let may_begin = match permit {
+            RunPermit::Free => true,
+            RunPermit::Alone => alone.is_some(),
+            RunPermit::Wait | RunPermit::Refused { .. } => false,
+        };
+        if !may_begin {
+            connections.give_back(lease);
+            continue;
+        }
+        if let Err(why) = context.permit_sending(replica) {
+            connections.give_back(lease);
+            return Err(Unsent::Withheld(why));
+        }
+        return Ok((lease, alone));
+    }
+}
+
 /// Makes a call.
 pub async fn run_call<C: CallerProtocol, B: BackendProtocol>(
     context: Arc<Context<C, B>>,
@@ -107,33 +183,25 @@
 ) {
     let connections = context.connections_to(&call.replica);
     let OutgoingCall { number, key, replica, request, extra, deadline, mut abandoned, events } = call;
-    let leased = tokio::select! {
-        lease = connections.lease() => lease,
+    let prepared = tokio::select! {
+        prepared = prepare(&context, &connections, &replica, &request, key) => prepared,
         _ = &mut abandoned => {
             // Nothing was sent.
             context.dispatch.lock().table.forget(&replica.replica.id, key);
             return;
         }
-        () = tokio::time::sleep_until(context.clock().instant(deadline)) => {
-            context.dispatch.lock().table.forget(&replica.replica.id, key);
-            let unreached = CallResult::Failure(CallFailure::NoConnection, None);
-            let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
+        () = tokio::time::sleep_until(context.clock().instant(deadline)) => Err(Unsent::Late),
+    };
+    let (lease, alone) = match prepared {
+        Ok(prepared) => prepared,
+        Err(why) => {
+            let failure = note_unsent(&context, &replica, key, &request, why);
+            let unsent = CallResult::Failure(failure, None);
+            let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unsent) });
             return;
         }
     };
-    let Some(lease) = leased else {
-        context.dispatch.lock().table.failed(&replica.replica.id, key, context.clock().now());
-        let unreached = CallResult::Failure(CallFailure::NoConnection, None);
-        let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unreached) });
-        return;
-    };
-    if let Err(why) = context.permit_sending(&replica) {
-        connections.give_back(lease);
-        note_withheld(&context, &replica, key, &request, why);
-        let unsent = CallResult::Failure(CallFailure::NoConnection, None);
-        let _ = events.send(CallEvent { call: number, news: CallNews::Ended(unsent) });
-        return;
-    }
+    let started_at = context.clock().now();
     let mut exchange =
         std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, extra, deadline));
     let finished = tokio::select! {
@@ -146,13 +214,33 @@
         () = tokio::time::sleep_until(context.clock().instant(deadline)) => None,
     };
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
-    if let CallResult::Failure(CallFailure::Broken, _) = result.0 {
-        note_end_of_back_end(&context, &connections, &replica, &request).await;
-    }
+    note_run(&context, &connections, &replica, &request, started_at, &result.0).await;
+    drop(alone);
     note(&context, &replica, key, &request, &result);
     let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
 
+/// Notes that nothing of a call was sent. Returns how it failed.
+fn note_unsent<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    replica: &RoutableReplica,
+    key: CallKey,
+    request: &ForwardedRequest,
+    why: Unsent,
+) -> CallFailure {
+    let id = &replica.replica.id;
+    match why {
+        Unsent::HeldBack => {
+            context.dispatch.lock().table.forget(id, key);
+            return CallFailure::HeldBack;
+        }
+        Unsent::Unreached => context.dispatch.lock().table.failed(id, key, context.clock().now()),
+        Unsent::Late => context.dispatch.lock().table.forget(id, key),
+        Unsent::Withheld(why) => note_withheld(context, replica, key, request, why),
+    }
+    CallFailure::NoConnection
+}
+
 /// Notes that a call was given up before anything of it was sent.
 fn note_withheld<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
@@ -168,21 +256,54 @@
     }
 }
 
-/// A call broke: looks whether its back end has ended, or just the connection.
-async fn note_end_of_back_end<C: CallerProtocol, B: BackendProtocol>(
+/// Notes what a run says of its request: whether its back end outlived it.
+async fn note_run<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     connections: &ReplicaConnections,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
+    started_at: Micros,
+    result: &CallResult,
 ) {
-    if connections.check(!replica.beyond_share).await != Liveness::Ended {
-        return;
+    let service = &replica.replica.service;
+    match result {
+        CallResult::Success(_) | CallResult::Failure(CallFailure::Failed, _) => {
+            let quarantine = &context.node.quarantine;
+            if !quarantine.is_empty() {
+                quarantine.survived(&context.digest_of(request), service, started_at, context.clock().now());
+            }
+        }
+        CallResult::Failure(CallFailure::Broken, _) => {
+            let ended_at = context.clock().now();
+            if connections.check(!replica.beyond_share).await != Liveness::Ended {
+                return;
+            }
+            let run = CrashedRun {
+                replica: replica.replica.id.clone(),
+                service: service.clone(),
+                started_at,
+                ended_at,
+            };
+            note_crash(context, request, run);
+        }
+        CallResult::Failure(..) => {}
     }
+}
+
+/// A back end ended while it had a request.
+fn note_crash<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    request: &ForwardedRequest,
+    run: CrashedRun,
+) {
+    let now = context.clock().now();
+    let digest = context.digest_of(request);
     context.metrics.ended_back_ends.inc();
-    if context.metrics.log_budget.take(context.clock().now()) {
+    if context.metrics.log_budget.take(now) {
         let id = request.id.to_str().unwrap_or("unreadable");
-        log::warn!(request = id, digest = context.digest_of(request).to_string().as_str(), route = request.route.as_str(), replica = replica.replica.id.as_str(); "gateway: a back end ended while it had this request.");
+        log::warn!(request = id, digest = digest.to_string().as_str(), route = request.route.as_str(), replica = run.replica.as_str(), ran_for_ms = run.ended_at.since(run.started_at).as_millis(); "gateway: a back end ended while it had this request.");
     }
+    context.node.quarantine.crashed(digest, &request.route, run, now);
 }
 
 /// Tells the replica table how a call went.
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -15,9 +15,9 @@
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
     AnswerLag, ArrivalRate, CallKey, Callers, ColdBearing, DelegatedShards, GathererInputs, GathererTable,
-    ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets,
-    UsualPatience, WeightedChoice, choose_gatherers, cold_share, connection_share, has_room_for_all,
-    own_replicas, shard_owners,
+    QuarantineNotice, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency,
+    RunPermit, ShardTargets, Standing, TURN, UsualPatience, WeightedChoice, choose_gatherers, cold_share,
+    connection_share, has_room_for_all, own_replicas, shard_owners,
 };
 use sablebay_model::{Micros, NodeId, RequestDigest, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
@@ -203,6 +203,51 @@
         *request.digest.get_or_init(digest)
     }
 
+    /// How long after others this node tries a request whose quarantine is over.
+    fn trial_delay(&self, digest: &RequestDigest) -> Micros {
+        Micros(TURN.0 * self.fleet.lock().turn_of(digest) as u64)
+    }
+
+    /// When a request may come back that is held back; nothing when it may be tried.
+    pub fn held_back(&self, request: &ForwardedRequest) -> Option<Micros> {
+        if !self.mechanisms.quarantine || self.node.quarantine.is_empty() {
+            return None;
+        }
+        let digest = self.digest_of(request);
+        let now = self.clock().now();
+        if self.node.quarantine.standing(&digest, now) == Standing::Clear {
+            return None;
+        }
+        self.node.quarantine.refusal(&digest, self.trial_delay(&digest), now)
+    }
+
+    /// What is known of back ends that ended under a request.
+    pub fn quarantine_notice(&self, request: &ForwardedRequest, now: Micros) -> Option<QuarantineNotice> {
+        if self.node.quarantine.is_empty() {
+            return None;
+        }
+        self.node.quarantine.notice(&self.digest_of(request), now)
+    }
+
+    /// Whether back ends ended under requests that asked for the same.
+    pub fn is_suspect(&self, request: &ForwardedRequest) -> bool {
+        let quarantine = &self.node.quarantine;
+        self.mechanisms.quarantine
+            && !quarantine.is_empty()
+            && quarantine.standing(&self.digest_of(request), self.clock().now()) != Standing::Clear
+    }
+
+    /// Whether a run of a request may begin at a service. Every first call, hedge, retry and gathered part asks, before and after
+    /// it waited for a connection.
+    pub fn permit_run(&self, request: &ForwardedRequest, service: &ServiceName, call: CallKey) -> RunPermit {
+        if !self.is_suspect(request) {
+            return RunPermit::Free;
+        }
+        let digest = self.digest_of(request);
+        let turn = self.trial_delay(&digest);
+        self.node.quarantine.permit(&digest, service, call, turn, self.clock().now())
+    }
+
     /// What the fleet may send beyond first calls.
     pub fn allowance(&self) -> RetryAllowance {
         let settings = self.settings.load();
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -112,6 +112,15 @@
             _ => return Err(CallFailure::Mismatched),
         };
         note_heard(context, delegation, &part);
+        if let Some(notice) = &part.quarantine {
+            let gatherer = delegation.delegated.gatherer.as_str();
+            context.node.quarantine.hear(
+                gatherer,
+                std::slice::from_ref(notice),
+                false,
+                context.clock().now(),
+            );
+        }
         let (gathered, merged) =
             decode(part, &delegation.delegated.shards, last).ok_or(CallFailure::Mismatched)?;
         let news = CallNews::Gathered(gathered, merged);
@@ -128,7 +137,9 @@
 ) -> Result<PendingAnswer, CallFailure> {
     let address = delegation.address.ok_or(CallFailure::NoConnection)?;
     let zones = context.node.catalogue.read(|view| view.evacuations().notices());
-    let partial = partial_gather(delegation, zones, context.clock().now());
+    let now = context.clock().now();
+    let quarantine = context.quarantine_notice(&delegation.request, now);
+    let partial = PartialGather { quarantine, ..partial_gather(delegation, zones, now) };
     let request = PeerRequest::PartialGather(Box::new(partial));
     let until = context.clock().instant(delegation.times.deadline);
     let asked = context.node.peers.open_request(address, Lane::Data, request, until).await;
@@ -161,6 +172,7 @@
         remaining_us: request.caller_deadline.since(now).0,
         continued: delegation.delegated.continued,
         zones,
+        quarantine: None,
     }
 }
 
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -39,6 +39,13 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// It did not run: back ends in a row ended under requests that asked for the same. It is not tried before
+    /// this time has passed.
+    #[display("held back")]
+    HeldBack {
+        /// When it may be tried again.
+        retry_after: Duration,
+    },
     /// It may have run.
     #[display("unknown")]
     Unknown,
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -5,12 +5,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use sablebay_catalogue::{READERS, RoutableReplica};
 use sablebay_dispatch::{FleetSize, GathererNode, ZoneNodes};
 use sablebay_fleet::MemberInfo;
-use sablebay_model::{Micros, NodeId, ZoneName};
+use sablebay_model::{Micros, NodeId, RequestDigest, ZoneName};
 use sablebay_node::Shared;
 
 /// A node as the gateway sees it.
@@ -20,6 +20,8 @@
     pub node: NodeId,
     /// Where peers connect.
     pub address: SocketAddr,
+    /// Whether it hears of requests that back ends ended under.
+    pub shares_quarantine: bool,
 }
 
 /// The nodes that gather shards for one another, as this one sees them.
@@ -52,6 +54,14 @@
     xxh3_64(node.as_str().as_bytes())
 }
 
+/// Nodes that keep account of a request after its first strike: all are gone at one moment only when most nodes are.
+const KEEPERS: usize = 3;
+
+/// Orders nodes for one request alike everywhere, and for each request in another order.
+fn request_key(node: &NodeId, digest: &RequestDigest) -> u64 {
+    xxh3_64_with_seed(node.as_str().as_bytes(), xxh3_64(&digest.0))
+}
+
 /// A node as the choice of gatherers sees it.
 fn gatherer_node(info: &MemberInfo) -> GathererNode {
     GathererNode {
@@ -96,7 +106,11 @@
                 }
                 self.met.insert(member.info.key.node.clone(), member.info.zone.clone());
             })
-            .map(|member| FleetPeer { node: member.info.key.node.clone(), address: member.info.peer_address })
+            .map(|member| FleetPeer {
+                node: member.info.key.node.clone(),
+                address: member.info.peer_address,
+                shares_quarantine: member.info.shares_quarantine,
+            })
             .collect();
         drop(fleet);
         if gatherers != self.gatherers.others {
@@ -114,6 +128,31 @@
         self.gatherers.clone()
     }
 
+    /// Where the nodes listen that hear of requests which back ends ended under.
+    pub fn quarantine_peers(&self) -> Vec<SocketAddr> {
+        let peers = self.ranked.iter().filter(|peer| peer.shares_quarantine);
+        peers.map(|peer| peer.address).collect()
+    }
+
+    /// Whom to compare with, one after the other. Nodes begin at places of their own.
+    pub fn quarantine_peer(&self, turn: usize) -> Option<SocketAddr> {
+        let peers = self.quarantine_peers();
+        if peers.is_empty() { None } else { Some(peers[(self.own_rank + turn) % peers.len()]) }
+    }
+
+    /// Where the nodes listen that keep account of a request, this one left out.
+    pub fn keepers_of(&self, digest: &RequestDigest) -> Vec<SocketAddr> {
+        let mut peers: Vec<&FleetPeer> = self.ranked.iter().filter(|peer| peer.shares_quarantine).collect();
+        peers.sort_by_cached_key(|peer| request_key(&peer.node, digest));
+        peers.iter().take(KEEPERS).map(|peer| peer.address).collect()
+    }
+
+    /// How many present nodes come before this one in the order of a request.
+    pub fn turn_of(&self, digest: &RequestDigest) -> usize {
+        let own = request_key(&self.own, digest);
+        self.ranked.iter().filter(|peer| request_key(&peer.node, digest) < own).count()
+    }
+
     /// Every node met in this life, this one among them.
     pub fn names(&self) -> Vec<NodeId> {
         self.met.keys().cloned().collect()
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::ingress::caller_routes;
 use crate::mechanisms::GatewayMechanisms;
 use crate::peer_catalogue::follow_peers;
+use crate::quarantine::share_quarantine;
 use crate::readiness::readiness_routes;
 use crate::warm_up::warm_up;
 
@@ -112,6 +113,7 @@
             tokio::spawn(follow_peers(context.clone())),
             tokio::spawn(install_changes(context.clone())),
             tokio::spawn(warm_up(context.clone())),
+            tokio::spawn(share_quarantine(context.clone())),
             tokio::spawn(serve_http(readiness_listener, readiness_routes(context.clone()), always_open)),
         ];
         let reloaded = context.clone();
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -102,24 +102,28 @@
         hedge_delay,
         rescue_delay: Micros::MAX,
     };
+    if let Some(notice) = &partial.quarantine {
+        context.node.quarantine.hear(from.node.as_str(), std::slice::from_ref(notice), false, now);
+    }
     let crowded = crowded(context, &targets, now);
     let mut fanout = Fanout::new(settings, targets).keeping_spares(spares(&partial));
     if partial.continued {
         fanout = fanout.continuing();
     }
-    let mut run = RunningRequest::start(context, fanout, Arc::new(request), usual, None);
+    let request = Arc::new(request);
+    let mut run = RunningRequest::start(context, fanout, request.clone(), usual, None);
     let mut told = Told::new(partial.shards.len(), partial.top as usize, crowded);
     run.until(times.progress_at).await;
     if !run.is_finished() {
-        progress.send(told.part(&mut run)).await;
+        progress.send(told.part(context, &request, &mut run)).await;
         run.until(times.wanted_at).await;
     }
     if !run.is_finished() {
         // Also when nothing is in: the root gives up a gatherer that says nothing when the answer is due.
-        progress.send(told.part(&mut run)).await;
+        progress.send(told.part(context, &request, &mut run)).await;
         run.until(Micros::MAX).await;
     }
-    let last = told.part(&mut run);
+    let last = told.part(context, &request, &mut run);
     context.metrics.work(run.work());
     if told.closed > 0 || context.clock().now() > times.wanted_at {
         let held = context.clock().now().since(times.received_at);
@@ -201,6 +205,8 @@
     /// What has come in since the last part.
     fn part<C: CallerProtocol, B: BackendProtocol>(
         &mut self,
+        context: &Context<C, B>,
+        request: &ForwardedRequest,
         run: &mut RunningRequest<C, B>,
     ) -> PeerResponse {
         let mut parts = run.take_parts();
@@ -228,6 +234,7 @@
             retried,
             crowded: self.crowded as u32,
             calls: run.work().calls,
+            quarantine: context.quarantine_notice(request, context.clock().now()),
         }))
     }
 }
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -97,6 +97,13 @@
         Ok(forwarded) => forwarded,
         Err(failure) => return refuse(context, record, failure.refusal(), failure.reason()),
     };
+    if let Some(retry_after) = context.held_back(&forwarded) {
+        record.digest = Some(context.digest_of(&forwarded));
+        let refusal = Refusal::HeldBack { retry_after: retry_after.as_duration() };
+        return refuse(context, record, refusal, "back ends in a row ended under it");
+    }
+    // Nodes that gather would send it to back ends of their own at the same time.
+    let delegations = if context.is_suspect(&forwarded) { Vec::new() } else { delegations };
     let forwarded = Arc::new(forwarded);
     let result = drive(context, &route, targets, delegations, forwarded.clone(), bounds).await;
     if !matches!(result.outcome, FanoutOutcome::Answered { .. }) {
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 #[cfg(test)]
 mod ownership_tests;
 mod peer_catalogue;
+mod quarantine;
 mod readiness;
 mod request_body;
 mod request_digest;
--- a/crates/sablebay-gateway/src/mechanisms.rs
+++ b/crates/sablebay-gateway/src/mechanisms.rs
@@ -22,6 +22,8 @@
     pub configuration: bool,
     /// Finishing what is in flight at a planned stop. Off: it is cut.
     pub planned_stop: bool,
+    /// Holding back requests that back ends end under. Off: they are sent like others.
+    pub quarantine: bool,
     /// Having other nodes gather shards. Off: each node calls every replica itself; no promise
     /// depends on it, and the soak does not break it.
     pub gathering: bool,
@@ -39,6 +41,7 @@
             pinning: true,
             configuration: true,
             planned_stop: true,
+            quarantine: true,
             gathering: true,
         }
     }
@@ -46,7 +49,7 @@
 
 impl GatewayMechanisms {
     /// The names of the mechanisms.
-    pub const NAMES: [&'static str; 9] = [
+    pub const NAMES: [&'static str; 10] = [
         "correlation",
         "coverage",
         "at-most-once",
@@ -56,6 +59,7 @@
         "pinning",
         "configuration",
         "planned-stop",
+        "quarantine",
     ];
 
     /// All but the one named; nothing when there is none of that name.
@@ -71,6 +75,7 @@
             "pinning" => &mut mechanisms.pinning,
             "configuration" => &mut mechanisms.configuration,
             "planned-stop" => &mut mechanisms.planned_stop,
+            "quarantine" => &mut mechanisms.quarantine,
             _ => return None,
         };
         *mechanism = false;
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -102,6 +102,7 @@
         Refusal::NoIdentifier => "no_identifier",
         Refusal::BodyTooLong => "body_too_long",
         Refusal::NotRun { .. } => "not_run",
+        Refusal::HeldBack { .. } => "held_back",
         Refusal::Unknown => "unknown",
         Refusal::Expired => "expired",
     }
--- /dev/null
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -0,0 +1,101 @@
+//! Tells other nodes of requests that back ends ended under, and compares what is known with theirs.
+//!
+//! A first strike goes to the few nodes that keep account of the request: each request that stood at an ended back
+//! end has one. From the second on every node is told at once. A node that was not reached, or that has just started,
+//! learns of it by comparing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use sablebay_dispatch::{Audience, QuarantineNotice};
+use sablebay_node::Lane;
+use sablebay_protocol::peer::{PeerRequest, PeerResponse};
+
+use crate::context::Context;
+use crate::edge::{BackendProtocol, CallerProtocol};
+
+/// How often what is known is compared with one other node. A node that comes back after a cut knows what the others
+/// know within about this time, well within the four seconds after which it must.
+const COMPARE_PERIOD: Duration = Duration::from_secs(1);
+/// How long news are collected: back ends of one search end within some milliseconds of one another.
+const COLLECT: Duration = Duration::from_millis(5);
+/// How long another node may take to answer.
+const PATIENCE: Duration = Duration::from_millis(900);
+
+/// Tells and compares until the node ends.
+pub async fn share_quarantine<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
+    let mut changes = context.node.quarantine.subscribe();
+    let mut compare_at = Instant::now();
+    let mut turn = 0;
+    loop {
+        tokio::select! {
+            changed = changes.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                tokio::time::sleep(COLLECT).await;
+                tell_news(&context);
+            }
+            () = tokio::time::sleep_until(compare_at) => {
+                compare_at = Instant::now() + COMPARE_PERIOD;
+                tell_news(&context);
+                let peer = context.fleet.lock().quarantine_peer(turn);
+                turn += 1;
+                if let Some(address) = peer {
+                    tokio::spawn(compare(context.clone(), address));
+                }
+            }
+        }
+    }
+}
+
+fn tell_news<C: CallerProtocol, B: BackendProtocol>(context: &Arc<Context<C, B>>) {
+    let mut for_everyone = Vec::new();
+    for (notice, audience) in context.node.quarantine.take_news(context.clock().now()) {
+        match audience {
+            Audience::Everyone => for_everyone.push(notice),
+            Audience::Keepers => {
+                for address in context.fleet.lock().keepers_of(&notice.digest) {
+                    tell(context, address, vec![notice.clone()], false);
+                }
+            }
+        }
+    }
+    if for_everyone.is_empty() {
+        return;
+    }
+    let peers = context.fleet.lock().quarantine_peers();
+    for address in peers {
+        tell(context, address, for_everyone.clone(), true);
+    }
+}
+
+/// Tells one node. One that cannot be reached learns of it by comparing.
+fn tell<C: CallerProtocol, B: BackendProtocol>(
+    context: &Arc<Context<C, B>>,
+    address: SocketAddr,
+    notices: Vec<QuarantineNotice>,
+    to_everyone: bool,
+) {
+    let context = context.clone();
+    let request = PeerRequest::Quarantine { notices, to_everyone, compare: false };
+    tokio::spawn(async move {
+        let until = Instant::now() + PATIENCE;
+        if let Err(failure) = context.node.peers.request(address, Lane::Control, request, until).await {
+            log::debug!("quarantine: {address} was not told: {failure:?}.");
+        }
+    });
+}
+
+async fn compare<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>, address: SocketAddr) {
+    let notices = context.node.quarantine.notices(context.clock().now());
+    let request = PeerRequest::Quarantine { notices, to_everyone: false, compare: true };
+    let until = Instant::now() + PATIENCE;
+    let answer = context.node.peers.request(address, Lane::Control, request, until).await;
+    if let Ok(PeerResponse::Quarantine(notices)) = answer {
+        context.node.quarantine.hear("a peer", &notices, false, context.clock().now());
+    }
+}
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -35,6 +35,7 @@
 use crate::partial_search::partial_search;
 use crate::peers::{PeerContext, PeerCounters, PeerTransport, ProgressSender, RequestHandler, run_listener};
 use crate::platform::run_platform_reader;
+use crate::quarantine_store::QuarantineStore;
 use crate::report::short_report;
 use crate::shared::Shared;
 use crate::traffic::TrafficLedger;
@@ -202,6 +203,7 @@
         admin_address: addresses.admin_address,
         gathers: settings.gateway.is_some(),
         takes_over: settings.gateway.is_some(),
+        shares_quarantine: settings.gateway.is_some(),
         core_percent: (settings.core_share * 100.0).round().max(1.0) as u32,
     };
     let peer_context = Arc::new(PeerContext {
@@ -237,6 +239,7 @@
         metrics: Metrics::new(),
         lifecycle: Lifecycle::default(),
         catalogue: CatalogueStore::default(),
+        quarantine: QuarantineStore::default(),
         gatherer: OnceLock::new(),
         next_call: Arc::new(AtomicU64::new(1)),
         next_claim: AtomicU64::new(1),
@@ -289,6 +292,12 @@
                 let snapshot = shared.catalogue.snapshot(version, replicas_at, shared.clock.now());
                 PeerResponse::Catalogue(Box::new(snapshot))
             }
+            PeerRequest::Quarantine { notices, to_everyone, compare } => {
+                let now = shared.clock.now();
+                shared.quarantine.hear(from.node.as_str(), &notices, to_everyone, now);
+                let known = if compare { shared.quarantine.notices(now) } else { Vec::new() };
+                PeerResponse::Quarantine(known)
+            }
             PeerRequest::Report => match serde_json::to_string(&short_report(shared)) {
                 Ok(text) => PeerResponse::Report(text),
                 Err(error) => PeerResponse::Refused(Refusal::not_run(Reason::PeerFailed, error.to_string())),
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::mechanisms::NodeMechanisms;
 use crate::metrics::Metrics;
 use crate::peers::{PeerTransport, ProgressSender};
+use crate::quarantine_store::QuarantineStore;
 use crate::service_state::{PlanNeed, ServiceState};
 
 /// Gathers shards for other nodes.
@@ -68,6 +69,8 @@
     pub metrics: Metrics,
     /// The catalogue of routes and replicas, for a node with a gateway.
     pub catalogue: CatalogueStore,
+    /// Requests that back ends ended under, for a node with a gateway.
+    pub quarantine: QuarantineStore,
     /// Gathers shards for other nodes; set by the gateway.
     pub gatherer: OnceLock<Arc<dyn PartialGatherer>>,
     /// Where the node is in its life.
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -4,6 +4,7 @@
 use musli::{Decode, Encode};
 
 use sablebay_catalogue::{CatalogueSnapshot, ServiceName, ZoneNotice};
+use sablebay_dispatch::QuarantineNotice;
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -93,6 +94,15 @@
     },
     /// Ask one replica of each of some shards on the sender's behalf, and merge their answers.
     PartialGather(Box<PartialGather>),
+    /// What the sender knows of requests that back ends ended under. Sent only to members that say they share it.
+    Quarantine {
+        /// What it knows.
+        notices: Vec<QuarantineNotice>,
+        /// Whether every node is told the same.
+        to_everyone: bool,
+        /// Whether the receiver's own knowledge is wanted.
+        compare: bool,
+    },
 }
 
 /// A search of some partitions.
@@ -158,6 +168,9 @@
     /// evacuation goes by this.
     #[musli(default)]
     pub zones: Vec<ZoneNotice>,
+    /// What the sender knows of back ends that ended under this request.
+    #[musli(default)]
+    pub quarantine: Option<QuarantineNotice>,
 }
 
 /// What a node gathered of the shards asked for since it last said something. Shards are positions
@@ -178,6 +191,9 @@
     pub crowded: u32,
     /// Calls to replicas so far.
     pub calls: u32,
+    /// What is known here of back ends that ended under this request.
+    #[musli(default)]
+    pub quarantine: Option<QuarantineNotice>,
 }
 
 /// The result of a partial search.
@@ -216,4 +232,6 @@
     Catalogue(Box<CatalogueSnapshot>),
     /// Shards that were gathered.
     Gathered(Box<GatheredPart>),
+    /// What is known of requests that back ends ended under; nothing where that was not wanted.
+    Quarantine(Vec<QuarantineNotice>),
 }
