What one node saw one after the other counts so on every node, and news go to whoever is there now

Cause: word that was told lost its order. All times were made 50 ms longer on hearing, so that three ends within 10 ms at one node were one strike at the others; and news went to the peers known at the last look at the fleet, up to a second old. Change: an end is told by its observer's clock; runs that two observers saw must be 250 ms apart; the fleet is looked at before news are told. The test's attempts now wait for the single service's back ends too: before, attempts came 15 ms apart and met none.

--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -39,7 +39,8 @@
 };
 pub use quarantine::{
     Audience, CrashNotice, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
-    NOTICES_PER_MESSAGE, Quarantine, QuarantineNotice, RunPermit, STRIKES, Standing, Suspect, TURN,
+    NOTICES_PER_MESSAGE, ObserverId, Quarantine, QuarantineNotice, RunPermit, STRIKES, Standing, Suspect,
+    TURN,
 };
 pub use records::{RECORD_BYTES, TopRecords};
 pub use replica_health::{LoadHint, ReplicaHealth};
--- a/crates/sablebay-dispatch/src/quarantine.rs
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -19,7 +19,7 @@
 
 use crate::replica_table::CallKey;
 
-pub use evidence::{CrashedRun, Evidence, KEPT_CRASHES};
+pub use evidence::{CrashedRun, Evidence, KEPT_CRASHES, ObserverId};
 pub use notice::{CrashNotice, QuarantineNotice};
 
 /// Back ends that end one after the other under a request before it is held back. Two in a row happen to requests
--- a/crates/sablebay-dispatch/src/quarantine/evidence.rs
+++ b/crates/sablebay-dispatch/src/quarantine/evidence.rs
@@ -6,11 +6,17 @@
 //! zone that loses its power, or a service whose processes are killed together, is one strike against each request that stood
 //! there. A run that began later and ended well breaks the row, and takes back what speaks against the request at its service.
 
+use musli::{Decode, Encode};
 use smallvec::SmallVec;
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_model::Micros;
 
+/// Names a life of the node that saw a back end end: its clock is no other's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+#[musli(transparent)]
+pub struct ObserverId(pub u64);
+
 /// A run of a request that a back end did not outlive.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashedRun {
@@ -18,10 +24,29 @@
     pub replica: ReplicaId,
     /// Its service.
     pub service: ServiceName,
-    /// When the request was sent there.
+    /// Who saw it.
+    pub observer: ObserverId,
+    /// When the request was sent there, by the observer's clock.
     pub started_at: Micros,
-    /// When the connection broke.
+    /// When the connection broke, by the observer's clock.
     pub ended_at: Micros,
+    /// When the connection broke, by this node's clock: later than it was, by how long word took.
+    pub known_at: Micros,
+}
+
+/// How much later than the end that another node saw a run must have been begun to count as begun after it: word
+/// takes time, and runs that were under way together must not look as if one had followed the other.
+const OBSERVER_SLACK: Micros = Micros::from_millis(250);
+
+impl CrashedRun {
+    /// Whether it was begun after another had ended.
+    fn follows(&self, before: &CrashedRun) -> bool {
+        if self.observer == before.observer {
+            return self.started_at >= before.ended_at;
+        }
+        let ran_for = self.ended_at.since(self.started_at);
+        self.known_at.since(ran_for) >= before.known_at.plus(OBSERVER_SLACK)
+    }
 }
 
 /// Crashed runs that are kept of one request: enough for the longest quarantine, and for an operator to see a pattern.
@@ -47,12 +72,16 @@
 
 impl Evidence {
     /// A back end did not outlive a run. Returns whether this is news.
-    pub fn crashed(&mut self, run: CrashedRun) -> bool {
+    pub fn crashed(&mut self, mut run: CrashedRun) -> bool {
+        // What one node saw keeps its distances, however long word of each took.
+        if let Some(known) = self.crashes.iter().find(|known| known.observer == run.observer) {
+            run.known_at = known.known_at.plus(run.ended_at).since(known.ended_at);
+        }
         if self.is_taken_back(&run) || self.crashes.iter().any(|known| known.replica == run.replica) {
             return false;
         }
         self.ended = self.ended.saturating_add(1);
-        let place = self.crashes.partition_point(|known| known.ended_at <= run.ended_at);
+        let place = self.crashes.partition_point(|known| known.known_at <= run.known_at);
         self.crashes.insert(place, run);
         if self.crashes.len() > KEPT_CRASHES {
             self.drop_one();
@@ -65,7 +94,7 @@
     /// Word that goes round is a little later each time it comes back: it counts only where it changes something.
     pub fn survived(&mut self, service: &ServiceName, started_at: Micros) -> bool {
         let since_all = self.survived_anywhere(started_at);
-        let of_service = |known: &CrashedRun| known.service == *service && known.ended_at <= started_at;
+        let of_service = |known: &CrashedRun| known.service == *service && known.known_at <= started_at;
         if !self.crashes.iter().any(of_service) {
             return since_all;
         }
@@ -85,7 +114,7 @@
     /// A run that was begun at `started_at` ended well at some service. Returns whether it is the first since a back
     /// end ended.
     pub fn survived_anywhere(&mut self, started_at: Micros) -> bool {
-        let outlived = |run: &CrashedRun| self.survived_at < run.ended_at && run.ended_at <= started_at;
+        let outlived = |run: &CrashedRun| self.survived_at < run.known_at && run.known_at <= started_at;
         let first = self.crashes.iter().any(outlived);
         if first {
             self.survived_at = started_at;
@@ -95,18 +124,18 @@
 
     /// An operator released it. Returns whether this is news.
     pub fn released(&mut self, at: Micros) -> bool {
-        let takes_back = self.crashes.iter().any(|known| known.ended_at <= at);
+        let takes_back = self.crashes.iter().any(|known| known.known_at <= at);
         if !takes_back && self.released_at > Micros(0) {
             return false;
         }
         self.released_at = self.released_at.max(at);
-        self.crashes.retain(|known| known.ended_at > at);
+        self.crashes.retain(|known| known.known_at > at);
         true
     }
 
     fn is_taken_back(&self, run: &CrashedRun) -> bool {
-        let survived = |(service, at): &(ServiceName, Micros)| *service == run.service && *at >= run.ended_at;
-        self.released_at >= run.ended_at || self.survivals.iter().any(survived)
+        let survived = |(service, at): &(ServiceName, Micros)| *service == run.service && *at >= run.known_at;
+        self.released_at >= run.known_at || self.survivals.iter().any(survived)
     }
 
     /// Drops a crashed run that adds no strike, or the oldest.
@@ -127,14 +156,14 @@
             let runs = self.crashes.iter().enumerate();
             runs.filter(move |(index, _)| *index != left_out).map(|(_, run)| run)
         };
-        let anywhere = in_a_row(counted().filter(|run| run.ended_at > self.survived_at));
+        let anywhere = in_a_row(counted().filter(|run| run.known_at > self.survived_at));
         let at_service = |known: &CrashedRun| in_a_row(counted().filter(|run| run.service == known.service));
         counted().map(at_service).max().unwrap_or_default().max(anywhere)
     }
 
     /// When the last of its back ends ended.
     pub fn last_end(&self) -> Micros {
-        self.crashes.last().map_or(Micros(0), |run| run.ended_at)
+        self.crashes.last().map_or(Micros(0), |run| run.known_at)
     }
 
     /// Whether a run of it ended well that was begun after the last of its back ends had ended.
@@ -187,11 +216,11 @@
 /// The greatest number of runs of which each was begun after the one before had ended. The runs come by when they ended.
 fn in_a_row<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> u32 {
     let mut count = 0;
-    let mut last_end = Micros(0);
+    let mut last: Option<&CrashedRun> = None;
     for run in runs {
-        if run.started_at >= last_end {
+        if last.is_none_or(|before| run.follows(before)) {
             count += 1;
-            last_end = run.ended_at;
+            last = Some(run);
         }
     }
     count
--- a/crates/sablebay-dispatch/src/quarantine/notice.rs
+++ b/crates/sablebay-dispatch/src/quarantine/notice.rs
@@ -1,15 +1,12 @@
-//! What nodes tell each other of requests that back ends ended under. Times are ages: the clocks of nodes differ.
+//! What nodes tell each other of requests that back ends ended under. Times are ages, or by the clock of the
+//! node that saw something: the clocks of nodes differ.
 
 use musli::{Decode, Encode};
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_model::{Micros, RequestDigest};
 
-use super::evidence::{CrashedRun, Evidence};
-
-/// How much longer a run may have been under way than another node says: word takes time, and the one
-/// who hears of two runs must not take them for one after the other when they were under way together.
-const TOLD_SLACK: Micros = Micros::from_millis(50);
+use super::evidence::{CrashedRun, Evidence, ObserverId};
 
 /// A run that a back end did not outlive, as told.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -18,8 +15,12 @@
     pub replica: ReplicaId,
     /// Its service.
     pub service: ServiceName,
-    /// How long ago the request was sent there, in microseconds.
-    pub started_us_ago: u64,
+    /// Who saw it.
+    pub observer: ObserverId,
+    /// When the request was sent there, by the observer's clock.
+    pub started_at: Micros,
+    /// When the connection broke, by the observer's clock.
+    pub ended_at: Micros,
     /// How long ago the connection broke, in microseconds.
     pub ended_us_ago: u64,
 }
@@ -49,8 +50,10 @@
         let crash = |run: &CrashedRun| CrashNotice {
             replica: run.replica.clone(),
             service: run.service.clone(),
-            started_us_ago: now.since(run.started_at).0,
-            ended_us_ago: now.since(run.ended_at).0,
+            observer: run.observer,
+            started_at: run.started_at,
+            ended_at: run.ended_at,
+            ended_us_ago: now.since(run.known_at).0,
         };
         let survival = |(service, at): &(ServiceName, Micros)| (service.clone(), now.since(*at).0);
         let ago = |at: Micros| (at > Micros(0)).then(|| now.since(at).0);
@@ -73,8 +76,10 @@
             news |= evidence.crashed(CrashedRun {
                 replica: crash.replica.clone(),
                 service: crash.service.clone(),
-                started_at: at(crash.started_us_ago).since(TOLD_SLACK),
-                ended_at: at(crash.ended_us_ago),
+                observer: crash.observer,
+                started_at: crash.started_at,
+                ended_at: crash.ended_at,
+                known_at: at(crash.ended_us_ago),
             });
         }
         for (service, us_ago) in &self.survivals {
--- a/crates/sablebay-dispatch/tests/quarantine.rs
+++ b/crates/sablebay-dispatch/tests/quarantine.rs
@@ -6,7 +6,7 @@
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_dispatch::{
     Audience, CallKey, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
-    NOTICES_PER_MESSAGE, Quarantine, QuarantineNotice, RunPermit, STRIKES, Standing, TURN,
+    NOTICES_PER_MESSAGE, ObserverId, Quarantine, QuarantineNotice, RunPermit, STRIKES, Standing, TURN,
 };
 use sablebay_model::{Micros, RequestDigest};
 
@@ -31,8 +31,22 @@
     CrashedRun {
         replica: ReplicaId::new(format!("i-{replica}")),
         service: service(replica % 4),
+        observer: ObserverId(1),
         started_at: at(started_ms),
         ended_at: at(ended_ms),
+        known_at: at(ended_ms),
+    }
+}
+
+/// The same as another node saw it, whose clock is an hour behind, and as was heard so much later.
+fn told(run: CrashedRun, observer: u64, delay_ms: u64) -> CrashedRun {
+    let behind = |moment: Micros| moment.since(Micros::from_secs(3_600));
+    CrashedRun {
+        observer: ObserverId(observer),
+        started_at: behind(run.started_at),
+        ended_at: behind(run.ended_at),
+        known_at: run.known_at.plus(Micros::from_millis(delay_ms)),
+        ..run
     }
 }
 
@@ -71,6 +85,29 @@
     assert_eq!(evidence(&in_a_row).strikes(), 3);
 }
 
+#[test]
+fn what_another_node_saw_one_after_the_other_counts_so_however_close() {
+    let in_a_row = [crash(0, 0, 4), crash(1, 5, 8), crash(2, 9, 12)];
+    let heard: Vec<CrashedRun> = in_a_row.into_iter().map(|run| told(run, 2, 30)).collect();
+    assert_eq!(evidence(&heard).strikes(), 3);
+}
+
+#[test]
+fn word_that_comes_late_does_not_make_runs_follow_one_another() {
+    let early = told(crash(0, 0, 40), 2, 1);
+    let late = told(crash(1, 30, 60), 2, 200);
+    assert_eq!(evidence(&[early.clone(), late.clone()]).strikes(), 1, "one node saw both");
+    let of_another = told(crash(1, 30, 60), 3, 200);
+    assert_eq!(evidence(&[early, of_another]).strikes(), 1, "two nodes saw one each");
+}
+
+#[test]
+fn what_two_nodes_saw_well_apart_counts_as_one_after_the_other() {
+    let first = told(crash(0, 0, 40), 2, 1);
+    let second = told(crash(1, 400, 440), 3, 1);
+    assert_eq!(evidence(&[first, second]).strikes(), 2);
+}
+
 #[test]
 fn a_back_end_ends_once() {
     let told_twice = [crash(0, 0, 40), crash(0, 45, 90)];
@@ -181,7 +218,7 @@
     let beside = quarantine.permit(&digest(1), &service(1), CallKey(2), Micros(0), until);
     assert_eq!(beside, RunPermit::Wait);
     let ended_at = until.plus(Micros::from_millis(20));
-    let run = CrashedRun { started_at: until, ended_at, ..crash(99, 0, 0) };
+    let run = CrashedRun { started_at: until, ended_at, known_at: ended_at, ..crash(99, 0, 0) };
     quarantine.crashed(digest(1), ROUTE, run, ended_at);
     match quarantine.standing(&digest(1), ended_at) {
         Standing::Held { until } => assert!(until.since(ended_at) > FIRST_HOLD),
@@ -233,7 +270,7 @@
     let mut quarantine = struck(u64::from(STRIKES));
     for number in 0..20_000 {
         let now = at(300 + number / 100);
-        let run = CrashedRun { started_at: now, ended_at: now, ..crash(1_000 + number, 0, 0) };
+        let run = CrashedRun { started_at: now, ended_at: now, known_at: now, ..crash(1_000 + number, 0, 0) };
         quarantine.crashed(digest(10 + number), ROUTE, run, now);
     }
     assert!(quarantine.len() <= MAXIMUM_REQUESTS);
@@ -296,7 +333,7 @@
             };
             for to in told.into_iter().filter(|to| *to != from) {
                 if self.arrives(from, to, now_ms) {
-                    let later = at(now_ms + 3);
+                    let later = at(now_ms + 1 + self.draw(100));
                     self.nodes[to].quarantine.heard(&notice, audience == Audience::Everyone, later);
                 }
             }
@@ -313,7 +350,8 @@
             let told: Vec<QuarantineNotice> = self.nodes[node].quarantine.notices(at(now_ms));
             let answer = self.nodes[other].quarantine.notices(at(now_ms));
             for notice in &told {
-                self.nodes[other].quarantine.heard(notice, false, at(now_ms + 2));
+                let later = at(now_ms + 1 + self.draw(100));
+                self.nodes[other].quarantine.heard(notice, false, later);
             }
             if self.arrives(other, node, now_ms) {
                 for notice in &answer {
@@ -366,8 +404,10 @@
                 let run = CrashedRun {
                     replica: ReplicaId::new(format!("i-{}", self.ended)),
                     service: service(call % shards),
+                    observer: ObserverId(node as u64),
                     started_at: at(now),
                     ended_at: at(now + 20),
+                    known_at: at(now + 20),
                 };
                 let quarantine = &mut self.nodes[node].quarantine;
                 quarantine.crashed(digest(1), ROUTE, run, at(now + 20));
@@ -492,7 +532,8 @@
                     } else {
                         lives += 1;
                         let replica = ReplicaId::new(format!("i-{back_end}-{lives}"));
-                        let run = CrashedRun { replica, ..crash(back_end, started, now) };
+                        let observer = ObserverId(node as u64);
+                        let run = CrashedRun { replica, observer, ..crash(back_end, started, now) };
                         quarantine.crashed(digest(1), ROUTE, run, at(now));
                     }
                     quarantine.over(&digest(1), call);
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -281,8 +281,10 @@
             let run = CrashedRun {
                 replica: replica.replica.id.clone(),
                 service: service.clone(),
+                observer: context.observer(),
                 started_at,
                 ended_at,
+                known_at: ended_at,
             };
             note_crash(context, request, run);
         }
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use derive_more::Display;
 use parking_lot::Mutex;
+use xxhash_rust::xxh3::xxh3_64;
 
 use sablebay_catalogue::{
     Destination, ReplicaId, RoutableReplica, Route, RouteTable, ServiceName, WeightedService,
@@ -15,10 +16,11 @@
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
     AnswerLag, ArrivalRate, CallKey, Callers, ColdBearing, DelegatedShards, GathererInputs, GathererTable,
-    QuarantineNotice, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency,
-    RunPermit, ShardTargets, Standing, TURN, UsualPatience, WeightedChoice, choose_gatherers, cold_share,
-    connection_share, has_room_for_all, own_replicas, shard_owners,
+    ObserverId, QuarantineNotice, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets,
+    RouteLatency, RunPermit, ShardTargets, Standing, TURN, UsualPatience, WeightedChoice, choose_gatherers,
+    cold_share, connection_share, has_room_for_all, own_replicas, shard_owners,
 };
+use sablebay_fleet::MemberInfo;
 use sablebay_model::{Micros, NodeId, RequestDigest, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
 
@@ -70,6 +72,11 @@
     Cold,
 }
 
+/// A life of a node as a witness.
+fn observer_of(info: &MemberInfo) -> ObserverId {
+    ObserverId(xxh3_64(info.key.to_string().as_bytes()))
+}
+
 /// The connections that a replica of a service takes from all nodes together.
 fn maximum_connections(routes: Option<&RouteTable>, service: &ServiceName) -> u32 {
     /// Assumed of a service that the configuration does not name.
@@ -132,6 +139,7 @@
     pub metrics: GatewayMetrics,
     next_call: AtomicU64,
     digest_key: DigestKey,
+    observer: ObserverId,
 }
 
 impl<C: CallerProtocol, B: BackendProtocol> Context<C, B> {
@@ -155,6 +163,7 @@
         };
         Self {
             fleet: Mutex::new(FleetView::new(&node.info)),
+            observer: observer_of(&node.info),
             digest_key: DigestKey::new(&node.settings.fleet, node.settings.fleet_key.as_deref()),
             node,
             callers,
@@ -174,6 +183,11 @@
         }
     }
 
+    /// This node as a witness of back ends that end.
+    pub fn observer(&self) -> ObserverId {
+        self.observer
+    }
+
     /// The node's clock.
     pub fn clock(&self) -> Clock {
         self.node.clock
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -42,7 +42,11 @@
             () = tokio::time::sleep_until(compare_at) => {
                 compare_at = Instant::now() + COMPARE_PERIOD;
                 tell_news(&context);
-                let peer = context.fleet.lock().quarantine_peer(turn);
+                let peer = {
+                    let mut fleet = context.fleet.lock();
+                    fleet.refresh(&context.node);
+                    fleet.quarantine_peer(turn)
+                };
                 turn += 1;
                 if let Some(address) = peer {
                     tokio::spawn(compare(context.clone(), address));
@@ -53,8 +57,14 @@
 }
 
 fn tell_news<C: CallerProtocol, B: BackendProtocol>(context: &Arc<Context<C, B>>) {
+    let news = context.node.quarantine.take_news(context.clock().now());
+    if news.is_empty() {
+        return;
+    }
+    // Who has come since the fleet was last looked at must hear it too.
+    context.fleet.lock().refresh(&context.node);
     let mut for_everyone = Vec::new();
-    for (notice, audience) in context.node.quarantine.take_news(context.clock().now()) {
+    for (notice, audience) in news {
         match audience {
             Audience::Everyone => for_everyone.push(notice),
             Audience::Keepers => {
--- a/crates/sablebay/tests/platform/quarantine.rs
+++ b/crates/sablebay/tests/platform/quarantine.rs
@@ -13,7 +13,7 @@
 use sablebay_platform_standin::{CallerAnswer, LeafBehaviour, LeafIdentity, RestartingLeaf, StoreStandIn};
 
 use crate::support::{
-    GATHER_PATH, NodeProcess, SHARDS, check_gathered, configuration, eventually, shard_service,
+    GATHER_PATH, NodeProcess, SAFE_PATH, SHARDS, check_gathered, configuration, eventually, shard_service,
     single_service,
 };
 
@@ -79,15 +79,19 @@
         self.leaves.iter().map(|leaf| leaf.arrivals_of(FATAL)).sum()
     }
 
-    /// Waits until every node gets answers from all shards, and so knows the new lives of the back ends.
+    /// Waits until every back end is there, and every node gets answers from all shards and from the single service, and
+    /// so knows their new lives.
     async fn wait_whole(&self, name: &str) {
+        eventually("all back ends are there", || async { self.leaves.iter().all(RestartingLeaf::is_up) })
+            .await;
         for (number, node) in self.nodes.iter().enumerate() {
             let attempt = std::sync::atomic::AtomicU32::new(0);
             eventually("all shards answer", || async {
                 let attempt = attempt.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                 let id = format!("whole-{name}-{number}-{attempt}");
                 let answer = node.get(GATHER_PATH, &id).await;
-                answer.status.as_u16() == 200 && answer.missing == 0
+                let single = node.get(SAFE_PATH, &format!("single-{id}")).await;
+                answer.status.as_u16() == 200 && answer.missing == 0 && single.status.as_u16() == 200
             })
             .await;
         }
