A suspect run keeps others waiting for as long as calls of its route take, eight times over

Cause, by reading: a back end that is slow from its start takes four times its usual time; on a route of 90 ms the only place of a request was free again after 300 ms, before its back end could have ended, so that several nodes would have tried at once. Change: 8 x the route's usual latency, 300 ms to 2 s; a node that has met no other looks for one each 100 ms instead of each second. Not measured further; tests pass.

--- a/crates/sablebay-dispatch/src/quarantine.rs
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -34,9 +34,17 @@
 pub const LONGEST_HOLD: Micros = Micros::from_secs(3_600);
 /// How long what speaks against a request is remembered beyond that.
 const MEMORY: Micros = Micros::from_secs(600);
-/// How long one run keeps the others of a suspect request waiting: a back end that ends under it does so sooner, and one
-/// that is silent says nothing of it.
-pub const ALONE_LIMIT: Micros = Micros::from_millis(300);
+/// How long one run keeps the others of a suspect request waiting, in multiples of what a call of its route usually takes: a
+/// back end that ends under it does so sooner, also while it is slow from its start, and one that is silent says nothing.
+const ALONE_CALLS: u64 = 8;
+/// Bounds of that.
+const ALONE_LIMITS: [Micros; 2] = [Micros::from_millis(300), Micros::from_millis(2_000)];
+
+/// How long one run of a suspect request keeps the others waiting, of a route whose calls usually take `usual`.
+pub fn alone_limit(usual: Micros) -> Micros {
+    let [least, most] = ALONE_LIMITS;
+    Micros(usual.0.saturating_mul(ALONE_CALLS)).clamp(least, most)
+}
 /// Requests that are remembered, of some 600 bytes each. Those with the fewest strikes are forgotten first, so that a flood of requests
 /// which end one back end each does not set a known one free.
 pub const MAXIMUM_REQUESTS: usize = 1_024;
@@ -52,6 +60,15 @@
     pub call: u64,
 }
 
+/// A run that wants the only place of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PlaceRequest {
+    /// The run.
+    pub run: RunId,
+    /// How long it keeps others waiting at the most; see [`alone_limit`].
+    pub lasts: Micros,
+}
+
 /// What may be done with a request now.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Standing {
@@ -100,7 +117,7 @@
 struct Entry {
     route: String,
     evidence: Evidence,
-    /// The run that has the only place, and since when. Kept by the node that is asked for it.
+    /// The run that has the only place, and until when. Kept by the node that is asked for it.
     alone: Option<(RunId, Micros)>,
     /// The strikes that every node was told of.
     told_everyone: u32,
@@ -186,15 +203,14 @@
 
     /// Gives a run the only place of its request; false while another has it. All nodes ask one of them, so that attempts
     /// which come in at several at once cost one back end.
-    pub fn grant(&mut self, digest: &RequestDigest, run: RunId, now: Micros) -> bool {
+    pub fn grant(&mut self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
         let Some(entry) = self.requests.get_mut(digest) else {
             // Nothing speaks against it here; what the asker knows was told before.
             return true;
         };
-        let taken =
-            entry.alone.is_some_and(|(holder, since)| holder != run && now.since(since) < ALONE_LIMIT);
+        let taken = entry.alone.is_some_and(|(holder, until)| holder != wanted.run && now < until);
         if !taken {
-            entry.alone = Some((run, now));
+            entry.alone = Some((wanted.run, now.plus(wanted.lasts)));
         }
         !taken
     }
--- a/crates/sablebay-dispatch/tests/quarantine.rs
+++ b/crates/sablebay-dispatch/tests/quarantine.rs
@@ -5,8 +5,9 @@
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_dispatch::{
-    ALONE_LIMIT, Audience, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
-    NOTICES_PER_MESSAGE, ObserverId, Quarantine, QuarantineNotice, RunId, RunPermit, STRIKES, Standing,
+    Audience, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
+    NOTICES_PER_MESSAGE, ObserverId, PlaceRequest, Quarantine, QuarantineNotice, RunId, RunPermit, STRIKES,
+    Standing, alone_limit,
 };
 use sablebay_model::{Micros, RequestDigest};
 
@@ -157,6 +158,11 @@
     RunId { node: ObserverId(node), call }
 }
 
+/// A run on a route whose calls usually take 12 ms.
+fn wanted(run: RunId) -> PlaceRequest {
+    PlaceRequest { run, lasts: alone_limit(Micros::from_millis(12)) }
+}
+
 #[test]
 fn several_that_end_beside_those_in_a_row_count_once_more() {
     let mut known = evidence(&(0..3).map(|replica| crash(replica, 0, 40 + replica)).collect::<Vec<_>>());
@@ -173,11 +179,11 @@
     for shard in 0..4 {
         assert_eq!(quarantine.permit(&digest(1), &service(shard), now), RunPermit::Alone);
     }
-    assert!(quarantine.grant(&digest(1), run(1, 1), now));
-    assert!(!quarantine.grant(&digest(1), run(1, 2), now), "another run of the same node");
-    assert!(!quarantine.grant(&digest(1), run(2, 1), now), "a run of another node");
+    assert!(quarantine.grant(&digest(1), wanted(run(1, 1)), now));
+    assert!(!quarantine.grant(&digest(1), wanted(run(1, 2)), now), "another run of the same node");
+    assert!(!quarantine.grant(&digest(1), wanted(run(2, 1)), now), "a run of another node");
     assert!(quarantine.over(&digest(1), run(1, 1)));
-    assert!(quarantine.grant(&digest(1), run(2, 1), now));
+    assert!(quarantine.grant(&digest(1), wanted(run(2, 1)), now));
     assert!(quarantine.survived(&digest(1), &service(3), now));
     for shard in 0..4 {
         assert_eq!(quarantine.permit(&digest(1), &service(shard), at(70)), RunPermit::Free);
@@ -198,11 +204,18 @@
     assert_eq!(quarantine.permit(&digest(1), &service(0), at(370)), RunPermit::Alone);
 }
 
+#[test]
+fn slow_routes_keep_others_waiting_for_longer_and_none_for_ever() {
+    assert!(alone_limit(Micros::from_millis(90)) >= Micros::from_millis(360), "slow from its start");
+    assert!(alone_limit(Micros::from_secs(60)) <= Micros::from_secs(2));
+    assert!(alone_limit(Micros(0)) > Micros(0));
+}
+
 #[test]
 fn a_silent_run_does_not_keep_others_waiting_for_ever() {
     let mut quarantine = struck(1);
-    assert!(quarantine.grant(&digest(1), run(1, 1), at(60)));
-    assert!(quarantine.grant(&digest(1), run(1, 2), at(60).plus(ALONE_LIMIT)));
+    assert!(quarantine.grant(&digest(1), wanted(run(1, 1)), at(60)));
+    assert!(quarantine.grant(&digest(1), wanted(run(1, 2)), at(60).plus(wanted(run(1, 1)).lasts)));
     assert!(!quarantine.over(&digest(1), run(1, 1)), "it is the second that others wait for");
 }
 
@@ -225,8 +238,8 @@
     let until = at(250).plus(FIRST_HOLD);
     assert_eq!(quarantine.standing(&digest(1), until), Standing::OnTrial);
     assert_eq!(quarantine.permit(&digest(1), &service(0), until), RunPermit::Alone);
-    assert!(quarantine.grant(&digest(1), run(1, 1), until));
-    assert!(!quarantine.grant(&digest(1), run(2, 1), until));
+    assert!(quarantine.grant(&digest(1), wanted(run(1, 1)), until));
+    assert!(!quarantine.grant(&digest(1), wanted(run(2, 1)), until));
     let ended_at = until.plus(Micros::from_millis(20));
     let again = CrashedRun { started_at: until, ended_at, known_at: ended_at, ..crash(99, 0, 0) };
     quarantine.crashed(digest(1), ROUTE, again, ended_at);
@@ -420,7 +433,7 @@
                 let keeper = &mut self.nodes[FIRST_KEEPER].quarantine;
                 keeper.heard(&notice, false, at(now));
                 let known = keeper.notice(&digest(1), at(now)).expect("it was just heard of");
-                let granted = keeper.grant(&digest(1), run, at(now));
+                let granted = keeper.grant(&digest(1), wanted(run), at(now));
                 let own = &mut self.nodes[node].quarantine;
                 own.heard(&known, false, at(now));
                 let held = matches!(own.standing(&digest(1), at(now)), Standing::Held { .. });
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -11,7 +11,8 @@
 
 use sablebay_catalogue::RoutableReplica;
 use sablebay_dispatch::{
-    ALONE_LIMIT, CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LoadHint, RunId, RunPermit,
+    CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LoadHint, PlaceRequest, RunId, RunPermit,
+    alone_limit,
 };
 use sablebay_model::{Micros, RequestDigest};
 
@@ -95,6 +96,8 @@
     pub request: Arc<ForwardedRequest>,
     /// Whether it is a hedge or a retry.
     pub extra: bool,
+    /// How long calls of its route usually take.
+    pub usual: Micros,
     /// When the answer is no longer wanted.
     pub deadline: Micros,
     /// Ready when nobody waits any more; also when its other end is dropped.
@@ -121,7 +124,7 @@
     context: &Arc<Context<C, B>>,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
-    key: CallKey,
+    wanted: PlaceRequest,
 ) -> Result<Option<OnlyPlace<C, B>>, Unsent> {
     loop {
         match context.permit_run(request, &replica.replica.service) {
@@ -129,8 +132,7 @@
             RunPermit::Refused { .. } => return Err(Unsent::HeldBack),
             RunPermit::Alone => {}
         }
-        let run = RunId { node: context.observer(), call: key.0 };
-        match ask_for_place(context, context.digest_of(request), run).await {
+        match ask_for_place(context, context.digest_of(request), wanted).await {
             PlaceAnswer::Granted(place) => return Ok(Some(place)),
             PlaceAnswer::Taken => context.node.quarantine.wait().await,
             PlaceAnswer::Unreached => return Err(Unsent::HeldBack),
@@ -144,10 +146,10 @@
     connections: &ReplicaConnections,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
-    key: CallKey,
+    wanted: PlaceRequest,
 ) -> Result<(Lease, Option<OnlyPlace<C, B>>), Unsent> {
     loop {
-        let place = enter(context, replica, request, key).await?;
+        let place = enter(context, replica, request, wanted).await?;
         let lease = connections.lease().await.ok_or(Unsent::Unreached)?;
         // A back end may have ended under the request meanwhile.
         let may_begin = match context.permit_run(request, &replica.replica.service) {
@@ -173,9 +175,11 @@
     call: OutgoingCall,
 ) {
     let connections = context.connections_to(&call.replica);
-    let OutgoingCall { number, key, replica, request, extra, deadline, mut abandoned, events } = call;
+    let OutgoingCall { number, key, replica, request, extra, usual, deadline, mut abandoned, events } = call;
+    let wanted =
+        PlaceRequest { run: RunId { node: context.observer(), call: key.0 }, lasts: alone_limit(usual) };
     let prepared = tokio::select! {
-        prepared = prepare(&context, &connections, &replica, &request, key) => prepared,
+        prepared = prepare(&context, &connections, &replica, &request, wanted) => prepared,
         _ = &mut abandoned => {
             // Nothing was sent.
             context.dispatch.lock().table.forget(&replica.replica.id, key);
@@ -201,7 +205,7 @@
             let now = context.clock().now();
             let patience = match place {
                 // Others wait for word of how this ends.
-                Some(_) => ALONE_LIMIT,
+                Some(_) => wanted.lasts,
                 None => context.dispatch.lock().table.abandoned_patience(&replica.replica.id, now),
             };
             tokio::time::timeout(patience.as_duration(), &mut exchange).await.ok()
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -369,6 +369,7 @@
             replica: chosen,
             request: self.request.clone(),
             extra: !first,
+            usual: self.usual,
             deadline: self.fanout.deadline(),
             abandoned,
             events: self.events.clone(),
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use sablebay_dispatch::{Audience, QuarantineNotice, RunId};
+use sablebay_dispatch::{Audience, PlaceRequest, QuarantineNotice, RunId};
 use sablebay_model::RequestDigest;
 use sablebay_node::Lane;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
@@ -21,6 +21,8 @@
 /// How often what is known is compared with one other node. A node that comes back after a cut knows what the others
 /// know within about this time, well within the four seconds after which it must.
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
+/// How often a node that knows no other looks for one.
+const LONELY_PERIOD: Duration = Duration::from_millis(100);
 /// How long news are collected: back ends of one search end within some milliseconds of one another.
 const COLLECT: Duration = Duration::from_millis(5);
 /// How long the node that gives out the only place of a request may take to answer before the next is asked: some ways
@@ -54,8 +56,10 @@
                     fleet.quarantine_peer(turn)
                 };
                 turn += 1;
-                if let Some(address) = peer {
-                    tokio::spawn(compare(context.clone(), address));
+                match peer {
+                    Some(address) => drop(tokio::spawn(compare(context.clone(), address))),
+                    // A node that has just started asks as soon as it has met another.
+                    None => compare_at = Instant::now() + LONELY_PERIOD,
                 }
             }
         }
@@ -172,17 +176,17 @@
 pub async fn ask_for_place<C: CallerProtocol, B: BackendProtocol>(
     context: &Arc<Context<C, B>>,
     digest: RequestDigest,
-    run: RunId,
+    wanted: PlaceRequest,
 ) -> PlaceAnswer<C, B> {
-    if !context.node.quarantine.may_ask(&digest, run, context.clock().now()) {
+    if !context.node.quarantine.may_ask(&digest, wanted, context.clock().now()) {
         return PlaceAnswer::Taken;
     }
-    let asking = Asking { context: context.clone(), digest, run };
+    let asking = Asking { context: context.clone(), digest, run: wanted.run };
     let keepers = context.fleet.lock().keepers_of(&digest);
     for keeper in keepers {
         let now = context.clock().now();
         let Some(address) = keeper else {
-            let granted = context.node.quarantine.grant(&digest, run, now);
+            let granted = context.node.quarantine.grant(&digest, wanted, now);
             return if granted {
                 PlaceAnswer::Granted(OnlyPlace { asking, keeper })
             } else {
@@ -192,7 +196,7 @@
         let Some(notice) = context.node.quarantine.notice(&digest, now) else {
             return PlaceAnswer::Taken;
         };
-        let request = PeerRequest::QuarantinePlace { notice, run };
+        let request = PeerRequest::QuarantinePlace { notice, wanted };
         let until = Instant::now() + PLACE_PATIENCE;
         let answer = context.node.peers.request(address, Lane::Control, request, until).await;
         if let Ok(PeerResponse::QuarantinePlace { granted, notice }) = answer {
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -298,11 +298,11 @@
                 let known = if compare { shared.quarantine.notices(now) } else { Vec::new() };
                 PeerResponse::Quarantine(known)
             }
-            PeerRequest::QuarantinePlace { notice, run } => {
+            PeerRequest::QuarantinePlace { notice, wanted } => {
                 let now = shared.clock.now();
                 let quarantine = &shared.quarantine;
                 quarantine.hear(from.node.as_str(), std::slice::from_ref(&notice), false, now);
-                let granted = quarantine.grant(&notice.digest, run, now);
+                let granted = quarantine.grant(&notice.digest, wanted, now);
                 PeerResponse::QuarantinePlace { granted, notice: quarantine.notice(&notice.digest, now) }
             }
             PeerRequest::QuarantinePlaceFree { notice, run } => {
--- a/crates/sablebay-node/src/quarantine_store.rs
+++ b/crates/sablebay-node/src/quarantine_store.rs
@@ -10,7 +10,7 @@
 
 use sablebay_catalogue::ServiceName;
 use sablebay_dispatch::{
-    ALONE_LIMIT, Audience, CrashedRun, Quarantine, QuarantineNotice, RunId, RunPermit, Standing, Suspect,
+    Audience, CrashedRun, PlaceRequest, Quarantine, QuarantineNotice, RunId, RunPermit, Standing, Suspect,
 };
 use sablebay_model::{Micros, RequestDigest};
 
@@ -20,7 +20,7 @@
 /// The requests that back ends ended under, as this node knows them.
 pub struct QuarantineStore {
     known: Mutex<Quarantine>,
-    /// The run of this node that asks for, or has, the only place of a request, and since when.
+    /// The run of this node that asks for, or has, the only place of a request, and until when others do not.
     asking: Mutex<HashMap<RequestDigest, (RunId, Micros)>>,
     changed: watch::Sender<u64>,
 }
@@ -86,8 +86,8 @@
     }
 
     /// Gives a run the only place of its request. See [`Quarantine::grant`].
-    pub fn grant(&self, digest: &RequestDigest, run: RunId, now: Micros) -> bool {
-        self.known.lock().grant(digest, run, now)
+    pub fn grant(&self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
+        self.known.lock().grant(digest, wanted, now)
     }
 
     /// Waits until what is known has changed, or for a moment.
@@ -108,13 +108,13 @@
 
     /// Whether a run may ask for the only place of its request: one of this node at a time does, so that a search over
     /// many shards asks once and not for each.
-    pub fn may_ask(&self, digest: &RequestDigest, run: RunId, now: Micros) -> bool {
+    pub fn may_ask(&self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
         let mut asking = self.asking.lock();
-        let others = |(asker, since): &(RunId, Micros)| *asker != run && now.since(*since) < ALONE_LIMIT;
+        let others = |(asker, until): &(RunId, Micros)| *asker != wanted.run && now < *until;
         if asking.get(digest).is_some_and(others) {
             return false;
         }
-        asking.insert(*digest, (run, now));
+        asking.insert(*digest, (wanted.run, now.plus(wanted.lasts)));
         true
     }
 
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -4,7 +4,7 @@
 use musli::{Decode, Encode};
 
 use sablebay_catalogue::{CatalogueSnapshot, ServiceName, ZoneNotice};
-use sablebay_dispatch::{QuarantineNotice, RunId};
+use sablebay_dispatch::{PlaceRequest, QuarantineNotice, RunId};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -107,8 +107,8 @@
     QuarantinePlace {
         /// What the sender knows of the request.
         notice: QuarantineNotice,
-        /// The run.
-        run: RunId,
+        /// The run, and how long it would keep others waiting.
+        wanted: PlaceRequest,
     },
     /// The run that had the only place of its request is over.
     QuarantinePlaceFree {
