Red: the node's clock stands still while its machine is suspended

A clock read from two sources that a test sets: 8 s of suspension are 0 s on the node's clock (ages, deadlines, leases, the wall clock of claims), and what was due meanwhile is due 600 s late. The clock reads CLOCK_MONOTONIC as before; no behaviour changes.

--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use admin_api::start_draining;
 pub use catalogue_store::CatalogueStore;
-pub use clock::Clock;
+pub use clock::{Clock, ClockSource};
 pub use connection_limits::ConnectionLimits;
 pub use error::NodeError;
 pub use http_listener::{ListenerPhase, serve_http, serve_http_within};
