A node's clock counts the time that its machine was suspended, and nothing is sent on what was known before

Cause: ages, deadlines, leases and the time left of a request were read from a clock that stands still while the machine is suspended. Tokio's timers run on late by what was left of them; the state machines look at the clock when they wake.

--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -107,6 +107,7 @@
     source: &S,
     patience: Duration,
 ) -> Result<bool, SourceError> {
+    let asked_at = context.clock().now();
     let read = source.list(patience).await?;
     note_rejected(&read.rejected);
     let now = context.clock().now();
@@ -115,7 +116,7 @@
             read.configuration.is_some_and(|configuration| view.offer_configuration(configuration));
         view.replace(read.listing, now) || configured
     });
-    context.node.catalogue.confirm(now);
+    context.confirm_catalogue(asked_at, now);
     Ok(true)
 }
 
@@ -126,11 +127,12 @@
     wait: Duration,
     patience: Duration,
 ) -> Result<bool, SourceError> {
+    let asked_at = context.clock().now();
     let news = source.watch(after, wait, patience).await?;
     note_rejected(&news.rejected);
     let now = context.clock().now();
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
-    context.node.catalogue.confirm(now);
+    context.confirm_catalogue(asked_at, now);
     Ok(changed)
 }
 
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -61,6 +61,9 @@
 /// Why nothing is sent to a replica that was chosen a while ago.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Withheld {
+    /// The machine was suspended, and the catalogue was not confirmed since.
+    #[display("the machine was suspended, and the catalogue is not confirmed since")]
+    Unconfirmed,
     /// Its zone was evacuated meanwhile.
     #[display("its zone is evacuated")]
     Evacuated,
@@ -199,6 +202,34 @@
         self.node.catalogue.confirmed_ago(now).unwrap_or(now)
     }
 
+    /// Looks whether the machine was suspended. Connections that rested meanwhile are closed: their other ends have
+    /// forgotten them, or have passed their addresses on.
+    pub fn look_for_suspension(&self) {
+        let Some(slept) = self.node.suspension.look(&self.clock()) else {
+            return;
+        };
+        log::warn!(suspended_ms = slept.as_millis(), catalogue_age_ms = self.catalogue_age().as_millis(); "node: the machine was suspended; nothing is sent until the catalogue is confirmed.");
+        for connections in self.connections.lock().values() {
+            connections.close_idle();
+        }
+    }
+
+    /// Whether what this node knows may be acted on: not after its machine was suspended, until the catalogue has
+    /// been confirmed.
+    pub fn is_confirmed(&self) -> bool {
+        self.look_for_suspension();
+        self.node.suspension.is_confirmed(self.node.catalogue.confirmed_at(), self.clock().now())
+    }
+
+    /// Notes that the catalogue was as it is known at some moment after `at`, by an answer to what was asked at
+    /// `asked_at`. One that may have waited here while the machine was suspended confirms nothing.
+    pub fn confirm_catalogue(&self, asked_at: Micros, at: Micros) {
+        self.look_for_suspension();
+        if !self.node.suspension.woke_since(asked_at) {
+            self.node.catalogue.confirm(at);
+        }
+    }
+
     /// Whether the configuration may well have been replaced without this node's knowing: the
     /// source fails, and did not confirm it of late.
     pub fn catalogue_is_old(&self) -> bool {
@@ -328,6 +359,9 @@
     /// # Errors
     /// Why it may not.
     pub fn permit_sending(&self, replica: &RoutableReplica) -> Result<(), Withheld> {
+        if !self.is_confirmed() {
+            return Err(Withheld::Unconfirmed);
+        }
         let view = self.view.load();
         let Some(known) = view.routable(replica) else {
             let evacuated = view.evacuated.contains(&replica.replica.zone);
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -63,8 +63,12 @@
     let Some(caller) = context.callers.read(request.headers()) else {
         return context.callers.refused(Refusal::NoIdentifier);
     };
-    let view = context.view.load_full();
     let mut record = RequestRecord::new(&caller, received_at);
+    if !context.is_confirmed() {
+        let refusal = Refusal::NotRun { retry_after: UNPREPARED_RETRY };
+        return refuse(context, record, refusal, "the machine was suspended");
+    }
+    let view = context.view.load_full();
     let Some(routes) = view.routes.clone() else {
         return refuse(
             context,
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -28,6 +28,8 @@
     let mut failures = 0;
     loop {
         note_nodes(&context);
+        // Also where nothing is asked for: the line says when the machine was suspended.
+        context.look_for_suspension();
         context.metrics.catalogue_age.set(context.catalogue_age().as_millis() as i64);
         let peer = context.fleet.lock().source_of_news(turn, failures).cloned();
         let Some(peer) = peer else {
@@ -71,6 +73,7 @@
         .catalogue
         .read(|view| (view.routes().map_or(0, |routes| routes.version()), view.replicas_at()));
     let request = PeerRequest::Catalogue { version, replicas_at, wait_ms: WAIT.as_millis() as u64 };
+    let asked_at = context.clock().now();
     let until = tokio::time::Instant::now() + WAIT + PATIENCE;
     let answer = context.node.peers.request(peer.address, Lane::Control, request, until).await;
     let Ok(PeerResponse::Catalogue(snapshot)) = answer else {
@@ -87,7 +90,7 @@
     }
     // The peer's word holds for what it knows; this node knows as much by now, or more.
     if let Some(ago) = confirmed_ago {
-        context.node.catalogue.confirm(Micros(now.since(Micros::from_millis(ago)).0));
+        context.confirm_catalogue(asked_at, now.since(Micros::from_millis(ago)));
     }
     true
 }
--- a/crates/sablebay-node/src/catalogue_store.rs
+++ b/crates/sablebay-node/src/catalogue_store.rs
@@ -57,8 +57,13 @@
 
     /// How long ago the catalogue was confirmed; nothing when it never was.
     pub fn confirmed_ago(&self, now: Micros) -> Option<Micros> {
+        self.confirmed_at().map(|at| now.since(at))
+    }
+
+    /// A moment after which the catalogue was confirmed; nothing when it never was.
+    pub fn confirmed_at(&self) -> Option<Micros> {
         let at = Micros(self.confirmed_at.load(Ordering::Acquire));
-        (at.0 > 0).then(|| now.since(at))
+        (at.0 > 0).then_some(at)
     }
 
     /// Sets the number of nodes that peers are told of.
--- a/crates/sablebay-node/src/clock.rs
+++ b/crates/sablebay-node/src/clock.rs
@@ -59,15 +59,15 @@
         START.plus(Micros::from(self.running_for()))
     }
 
-    /// How long the clock has run: since the start of the node.
+    /// How long the clock has run: since the start of the node. The time that the machine was suspended counts: callers
+    /// waited meanwhile, replicas left, and leases ran out.
     pub fn running_for(&self) -> Duration {
-        (self.source.running)().saturating_sub(self.started_running)
+        (self.source.elapsed)().saturating_sub(self.started)
     }
 
     /// How long the machine was suspended since the start of the node.
     pub fn suspended_for(&self) -> Duration {
-        let elapsed = (self.source.elapsed)().saturating_sub(self.started);
-        elapsed.saturating_sub((self.source.running)().saturating_sub(self.started_running))
+        self.running_for().saturating_sub((self.source.running)().saturating_sub(self.started_running))
     }
 
     /// Now, on the wall clock: its reading at the start, plus what the monotonic clock went on.
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -32,6 +32,7 @@
 mod service_state;
 mod shared;
 mod socket;
+mod suspension;
 mod traffic;
 
 pub use admin_api::start_draining;
@@ -52,4 +53,5 @@
 pub use service_counts::ServiceReport;
 pub use shared::{PartialGatherer, Shared};
 pub use socket::prepare_socket;
+pub use suspension::Suspension;
 pub use traffic::{TrafficKind, TrafficLedger, TrafficSpan};
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -38,6 +38,7 @@
 use crate::quarantine_store::QuarantineStore;
 use crate::report::short_report;
 use crate::shared::Shared;
+use crate::suspension::Suspension;
 use crate::traffic::TrafficLedger;
 
 /// The addresses that a node's listeners got.
@@ -227,6 +228,7 @@
         settings,
         info,
         clock,
+        suspension: Suspension::default(),
         fleet: Mutex::new(fleet),
         freshness: Freshness::default(),
         view: ArcSwap::from_pointee(ClusterView::default()),
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::peers::{PeerTransport, ProgressSender};
 use crate::quarantine_store::QuarantineStore;
 use crate::service_state::{PlanNeed, ServiceState};
+use crate::suspension::Suspension;
 
 /// Gathers shards for other nodes.
 pub trait PartialGatherer: Send + Sync {
@@ -46,6 +47,8 @@
     pub info: MemberInfo,
     /// The clocks.
     pub clock: Clock,
+    /// Whether the machine was suspended.
+    pub suspension: Suspension,
     /// Membership and configuration.
     pub fleet: Mutex<FleetNode>,
     /// Whether the configuration is confirmed; kept beside the lock for the query path.
