A first strike is told to every node, and a back end that has ended gets nothing more

Cause, by reading: a first strike was known to three nodes; the next spell of attempts at the others would have gone to all shards again. Change: up to 16 first strikes a second go to everyone; a replica whose process was seen to have ended, here or at a peer, takes no work. Platform tests three times, passed.

--- a/crates/sablebay-dispatch/src/quarantine.rs
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -16,7 +16,7 @@
 use derive_more::Display;
 use musli::{Decode, Encode};
 
-use sablebay_catalogue::ServiceName;
+use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_model::{Micros, RequestDigest};
 
 pub use evidence::{CrashedRun, Evidence, KEPT_CRASHES, ObserverId};
@@ -106,13 +106,16 @@
 /// Who is told of what became known here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
-    /// The few nodes that keep account of the request: after a first strike, which every request that stood
-    /// at an ended back end has.
+    /// The few nodes that keep account of the request.
     Keepers,
     /// Every node.
     Everyone,
 }
 
+/// First strikes that are told to every node within a second; keepers alone are told of more. One request that ends its back
+/// ends is known everywhere at once; many that stood at back ends which ended together do not flood the fleet.
+const FIRST_STRIKES_TOLD_PER_S: u32 = 16;
+
 #[derive(Clone, Debug, Default)]
 struct Entry {
     route: String,
@@ -129,6 +132,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     requests: HashMap<RequestDigest, Entry>,
+    /// The second, and the first strikes that every node was told of within it.
+    told: (u64, u32),
 }
 
 /// A request that something speaks against, for operators.
@@ -285,11 +290,20 @@
     /// hear of it when they compare what they know with another.
     pub fn take_news(&mut self, now: Micros) -> Vec<(QuarantineNotice, Audience)> {
         let mut news = Vec::new();
+        let second = now.0 / 1_000_000;
+        if self.told.0 != second {
+            self.told = (second, 0);
+        }
         for (digest, entry) in &mut self.requests {
             let strikes = entry.evidence.strikes();
-            // One strike is no reason to tell everyone; what everyone was told is taken back before everyone.
-            let everyone = (strikes >= 2 && strikes > entry.told_everyone)
+            // What everyone was told is taken back before everyone.
+            let mut everyone = (strikes >= 2 && strikes > entry.told_everyone)
                 || (strikes < entry.told_everyone && entry.untold);
+            let is_first = strikes == 1 && entry.told_everyone == 0 && entry.untold;
+            if is_first && self.told.1 < FIRST_STRIKES_TOLD_PER_S {
+                self.told.1 += 1;
+                everyone = true;
+            }
             if !everyone && !entry.untold {
                 continue;
             }
@@ -333,6 +347,12 @@
         suspects
     }
 
+    /// Back ends that ended under requests, of those that are kept.
+    pub fn ended_replicas(&self) -> Vec<ReplicaId> {
+        let crashes = self.requests.values().flat_map(|entry| entry.evidence.crashes());
+        crashes.map(|run| run.replica.clone()).collect()
+    }
+
     /// Requests that are remembered.
     pub fn len(&self) -> usize {
         self.requests.len()
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -1,6 +1,6 @@
 //! The choice of a replica, from what this node's own calls have shown.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use rand::{Rng, RngExt};
 
@@ -42,12 +42,14 @@
     zone: ZoneName,
     health: HashMap<ReplicaId, ReplicaHealth>,
     evacuated: BTreeSet<ZoneName>,
+    /// Replicas whose processes have ended. Their entries are there for some seconds more.
+    ended: HashSet<ReplicaId>,
 }
 
 impl ReplicaTable {
     /// A table of a node in `zone`.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, health: HashMap::new(), evacuated: BTreeSet::new() }
+        Self { zone, health: HashMap::new(), evacuated: BTreeSet::new(), ended: HashSet::new() }
     }
 
     fn health(&mut self, replica: &ReplicaId) -> &mut ReplicaHealth {
@@ -65,6 +67,7 @@
     /// Forgets replicas that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&ReplicaId) -> bool) {
         self.health.retain(|replica, health| keep(replica) || health.open_calls() > 0);
+        self.ended.retain(keep);
     }
 
     /// Sets the zones whose replicas get nothing new. Requests in progress hold the replicas that there
@@ -73,9 +76,15 @@
         self.evacuated = zones;
     }
 
-    /// Whether a replica may get new work, as far as its zone goes.
+    /// The processes of these replicas have ended. What listens at their addresses from now on has other ids, and turns
+    /// away what is meant for them.
+    pub fn note_ended(&mut self, replicas: impl IntoIterator<Item = ReplicaId>) {
+        self.ended.extend(replicas);
+    }
+
+    /// Whether a replica may get new work: its zone is not evacuated, and its process has not ended.
     pub fn takes_work(&self, candidate: &RoutableReplica) -> bool {
-        !self.evacuated.contains(&candidate.replica.zone)
+        !self.evacuated.contains(&candidate.replica.zone) && !self.ended.contains(&candidate.replica.id)
     }
 
     /// Whether one more request to a replica stays within this node's share while the replica is cold.
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Tells other nodes of requests that back ends ended under, and compares what is known with theirs.
 //!
-//! A first strike goes to the few nodes that keep account of the request: each request that stood at an ended back
-//! end has one. From the second on every node is told at once. A node that was not reached, or that has just started,
+//! Every node is told at once. Where back ends that ended together leave more requests with a first strike than that is done for,
+//! only the few nodes that keep account of each are told. A node that was not reached, or that has just started,
 //! learns of it by comparing. The first keeper that can be reached gives out the only place of a suspect request.
 
 use std::net::SocketAddr;
@@ -44,6 +44,8 @@
                 if changed.is_err() {
                     return;
                 }
+                let ended = context.node.quarantine.ended_replicas();
+                context.dispatch.lock().table.note_ended(ended);
                 tokio::time::sleep(COLLECT).await;
                 tell_news(&context);
             }
--- a/crates/sablebay-node/src/quarantine_store.rs
+++ b/crates/sablebay-node/src/quarantine_store.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use sablebay_catalogue::ServiceName;
+use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_dispatch::{
     Audience, CrashedRun, PlaceRequest, Quarantine, QuarantineNotice, RunId, RunPermit, Standing, Suspect,
 };
@@ -191,6 +191,11 @@
         known.take_news(now)
     }
 
+    /// Back ends that ended under requests, as far as they are kept.
+    pub fn ended_replicas(&self) -> Vec<ReplicaId> {
+        self.known.lock().ended_replicas()
+    }
+
     /// What is known of one request.
     pub fn notice(&self, digest: &RequestDigest, now: Micros) -> Option<QuarantineNotice> {
         self.known.lock().notice(digest, now)
