The soak has a request that ends back ends, beside its other faults; an ended replica is left alone for 5 s

Soak: three back ends end on one path and are back after 300 ms; one caller asks for it all the time, others ask the same back ends for something else. Checked: back ends ended (8, and 4 a storm, may), and that no other request is told to come back in 20 s or more. Cause of the second change, by reading: a replica that refused a connection once, after a call to it broke, got nothing for as long as its entry stood; now 5 s, longer than the three heartbeats after which an ended one's entry goes.

--- a/crates/sablebay-bench/src/soak.rs
+++ b/crates/sablebay-bench/src/soak.rs
@@ -73,6 +73,8 @@
     pub promised_not_run: u64,
     /// Requests without an answer.
     pub unanswered: u64,
+    /// Back ends that ended under the request that ends them.
+    pub ended: u32,
     /// What was promised and not kept.
     pub violations: Vec<Violation>,
     /// Whether the mechanism that was off was noticed; nothing when all were on.
@@ -110,6 +112,7 @@
     load.stop().await;
     tokio::time::sleep(QUIESCE).await;
     checker.judge_runs(&deployment.records());
+    checker.judge_ends(deployment.fragile_ended(), storms);
     let counts = checker.counts();
     let violations = checker.violations();
     Ok(SoakReport {
@@ -125,6 +128,7 @@
         incomplete: counts.incomplete,
         promised_not_run: counts.promised_not_run,
         unanswered: counts.unanswered,
+        ended: deployment.fragile_ended(),
         violations,
     })
 }
--- a/crates/sablebay-bench/src/soak/checker.rs
+++ b/crates/sablebay-bench/src/soak/checker.rs
@@ -33,6 +33,10 @@
     PlannedStop,
     /// An accepted configuration is in force everywhere, and never reverts.
     Configuration,
+    /// A request that ends each back end which runs it is kept from the rest.
+    Containment,
+    /// No other request is held back.
+    Innocence,
 }
 
 /// A promise that was not kept.
@@ -59,6 +63,12 @@
     pub unanswered: u64,
 }
 
+/// Back ends that may end under a request before it is held back.
+const ENDS: u32 = 8;
+/// Back ends that may end in a storm besides: nodes that were cut off or started anew know less for a while.
+const ENDS_PER_STORM: u32 = 4;
+/// The shortest time after which a request comes back that is held back; all others are told less.
+const HELD_BACK_S: f64 = 20.0;
 /// Violations kept of each promise; one is enough to fail.
 const KEPT: usize = 5;
 
@@ -69,6 +79,8 @@
     /// Requests that may run once at the most.
     once: HashSet<String>,
     not_run: HashSet<String>,
+    /// Requests that were held back and end no back end.
+    held_back: Vec<String>,
     /// The highest version whose effect each life of a node has shown.
     highest_seen: HashMap<(usize, u64), u64>,
 }
@@ -106,6 +118,9 @@
     pub fn answered(&self, id: &str, gathered: bool, answer: &CallerAnswer) {
         {
             let mut state = self.state.lock();
+            if answer.retry_after.is_some_and(|seconds| seconds >= HELD_BACK_S) {
+                state.held_back.push(id.to_string());
+            }
             if answer.promises_not_run() {
                 state.counts.promised_not_run += 1;
                 state.not_run.insert(id.to_string());
@@ -180,6 +195,15 @@
         *highest = (*highest).max(version);
     }
 
+    /// Holds how many back ends ended under a request against what that may cost.
+    pub fn judge_ends(&self, ended: u32, storms: u32) {
+        let most = ENDS + ENDS_PER_STORM * storms;
+        if ended > most {
+            let seen = format!("{ended} back ends ended under one request in {storms} storms; {most} may");
+            self.violated(Promise::Containment, seen);
+        }
+    }
+
     /// Holds the back ends' records against what callers were promised.
     pub fn judge_runs(&self, records: &[LeafRecord]) {
         let mut runs: HashMap<&str, u32> = HashMap::new();
@@ -188,10 +212,13 @@
                 *runs.entry(id).or_default() += count;
             }
         }
-        let (once, not_run) = {
+        let (once, not_run, held_back) = {
             let state = self.state.lock();
-            (state.once.clone(), state.not_run.clone())
+            (state.once.clone(), state.not_run.clone(), state.held_back.clone())
         };
+        for id in held_back {
+            self.violated(Promise::Innocence, format!("{id} was held back, and ends no back end"));
+        }
         for (id, count) in runs {
             if once.contains(id) && count > 1 {
                 self.violated(Promise::AtMostOnce, format!("{id} ran {count} times"));
--- a/crates/sablebay-bench/src/soak/deployment.rs
+++ b/crates/sablebay-bench/src/soak/deployment.rs
@@ -10,14 +10,17 @@
 use sablebay_catalogue::{Replica, ReplicaPhase, ServiceName};
 use sablebay_model::ZoneName;
 use sablebay_platform_standin::{
-    CallerCall, CallerStandIn, LeafBehaviour, LeafRecord, LeafStandIn, StoreMode, StoreStandIn,
+    CallerCall, CallerStandIn, LeafBehaviour, LeafIdentity, LeafRecord, LeafStandIn, RestartingLeaf,
+    StoreMode, StoreStandIn,
 };
 use sablebay_standin::{Faults, Proxy};
 
 use super::SoakOptions;
 use super::checker::Checker;
 use super::node::{NodePlan, SoakNode};
-use super::routes::{SETS, SHARDS, ShardIdentity, configuration, shard_service, single_service};
+use super::routes::{
+    FATAL_PATH, SETS, SHARDS, ShardIdentity, configuration, fragile_service, shard_service, single_service,
+};
 use super::schedule::Fault;
 use crate::error::BenchError;
 use crate::processes::NodeCommand;
@@ -32,6 +35,10 @@
 pub const LEAVES: usize = (SETS * SHARDS * COPIES + COPIES) as usize;
 /// What the records of single requests are made from; unlike every shard's.
 const SINGLE_SEED: u8 = 250;
+/// Back ends that end under some requests.
+const FRAGILE_COPIES: u8 = 3;
+/// How long one of these is gone.
+const FRAGILE_PAUSE: Duration = Duration::from_millis(300);
 /// How long a process may take to end, or to become ready.
 const PROCESS_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -83,6 +90,9 @@
     leaves: Vec<SoakLeaf>,
     /// Records of back ends that left.
     retired: Vec<LeafRecord>,
+    /// Back ends that end under some requests, and are started again. No proxy stands before them: it would take
+    /// connections for a process that is not there.
+    fragile: Vec<RestartingLeaf>,
     places: Vec<NodePlace>,
     endings: Vec<(Instant, Ending)>,
     version: u64,
@@ -104,6 +114,7 @@
             store: StoreStandIn::start().await?,
             leaves: Vec::new(),
             retired: Vec::new(),
+            fragile: Vec::new(),
             places: Vec::new(),
             endings: Vec::new(),
             version: 0,
@@ -124,6 +135,10 @@
             let leaf = deployment.start_leaf(&single_service(), SETS, 0, copy).await?;
             deployment.leaves.push(leaf);
         }
+        for copy in 0..FRAGILE_COPIES {
+            let leaf = deployment.start_fragile(copy).await?;
+            deployment.fragile.push(leaf);
+        }
         deployment.publish();
         deployment.start_places(options.logs.clone()).await?;
         Ok(deployment)
@@ -147,6 +162,22 @@
         Ok(SoakLeaf { leaf, proxy, announced })
     }
 
+    async fn start_fragile(&self, copy: u8) -> Result<RestartingLeaf, BenchError> {
+        let identity = LeafIdentity {
+            name: format!("fragile-{copy}"),
+            service: fragile_service(),
+            shard: SINGLE_SEED + COPIES + copy,
+            zone: ZONES[0].to_string(),
+        };
+        let behaviour = LeafBehaviour::EndsOn(FATAL_PATH);
+        Ok(RestartingLeaf::start(identity, behaviour, FRAGILE_PAUSE, self.store.registry()).await?)
+    }
+
+    /// How often back ends ended under a request.
+    pub fn fragile_ended(&self) -> u32 {
+        self.fragile.iter().map(RestartingLeaf::ended).sum()
+    }
+
     async fn start_places(&mut self, folder: PathBuf) -> Result<(), BenchError> {
         for position in 0..NODES {
             let seed = self.seed.wrapping_add(1_000 + position as u64);
--- a/crates/sablebay-bench/src/soak/load.rs
+++ b/crates/sablebay-bench/src/soak/load.rs
@@ -11,12 +11,14 @@
 
 use super::checker::Checker;
 use super::deployment::SoakDeployment;
-use super::routes::HOST;
+use super::routes::{FATAL_PATH, HARMLESS_PATH, HOST};
 
 /// Callers of each node.
 const CALLERS: u64 = 3;
 /// The pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(25);
+/// The pause between two attempts of a request that ends back ends.
+const FATAL_PAUSE: Duration = Duration::from_millis(170);
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// How long it waits beyond that before it leaves.
@@ -46,6 +48,7 @@
             tasks.spawn(call_on(way, checker.clone(), numbers.clone(), stopping.clone()));
         }
     }
+    tasks.spawn(call_fatally(deployment.ways_in(), stopping.clone()));
     Load { stopping, tasks }
 }
 
@@ -58,15 +61,31 @@
     while !stopping.load(Ordering::Acquire) {
         let number = numbers.fetch_add(1, Ordering::Relaxed);
         let id = format!("r{number}");
-        match number % 4 {
+        match number % 5 {
             0 | 1 => send(&way, &checker, &id, "/all/1", Method::GET).await,
             2 => send(&way, &checker, &id, "/one/1", Method::GET).await,
+            3 => send(&way, &checker, &id, HARMLESS_PATH, Method::GET).await,
             _ => send(&way, &checker, &id, "/once/1", Method::POST).await,
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
+/// Sends a request that ends back ends, to one node after the other. What becomes of it shows at the back ends.
+async fn call_fatally(ways: Vec<CallerStandIn>, stopping: Arc<AtomicBool>) {
+    let mut attempt = 0;
+    while !stopping.load(Ordering::Acquire) {
+        let call = CallerCall {
+            patience: PATIENCE,
+            ..CallerCall::get(HOST, FATAL_PATH, &format!("fatal-{attempt}"))
+        };
+        // Nothing is promised of its answer.
+        let _ = tokio::time::timeout(PATIENCE, ways[attempt % ways.len()].call(&call)).await;
+        attempt += 1;
+        tokio::time::sleep(FATAL_PAUSE).await;
+    }
+}
+
 async fn send(way: &CallerStandIn, checker: &Checker, id: &str, path: &str, method: Method) {
     let once = method == Method::POST;
     let body = if once { b"an order".to_vec() } else { Vec::new() };
--- a/crates/sablebay-bench/src/soak/routes.rs
+++ b/crates/sablebay-bench/src/soak/routes.rs
@@ -60,6 +60,16 @@
     ServiceName::new("single")
 }
 
+/// The service whose back ends end under some requests.
+pub fn fragile_service() -> ServiceName {
+    ServiceName::new("fragile")
+}
+
+/// The path of a request that ends each back end which runs it.
+pub const FATAL_PATH: &str = "/fragile/fatal";
+/// The path of a request to the same back ends that does not.
+pub const HARMLESS_PATH: &str = "/fragile/harmless";
+
 /// The path of the route that only one version has.
 pub fn marker_path(version: u64) -> String {
     format!("/version-{version}/")
@@ -82,6 +92,7 @@
 /// The configuration of a version that names a set of shards.
 pub fn configuration(version: u64, set: u8) -> RoutingConfiguration {
     let single = || Destination::Services(vec![WeightedService { service: single_service(), weight: 1.0 }]);
+    let fragile = || Destination::Services(vec![WeightedService { service: fragile_service(), weight: 1.0 }]);
     let gather = Gather {
         shards: (0..SHARDS).map(|shard| shard_service(set, shard)).collect(),
         top: TOP_RECORDS,
@@ -96,9 +107,10 @@
             route("all", "/all/", Repeatability::Repeatable, Destination::Gather(gather)),
             route("one", "/one/", Repeatability::Repeatable, single()),
             route("once", "/once/", Repeatability::AtMostOnce, single()),
+            route("fragile", "/fragile/", Repeatability::Repeatable, fragile()),
             route("marker", &marker_path(version), Repeatability::Repeatable, single()),
         ],
-        services: all_services.chain([single_service()]).map(service).collect(),
+        services: all_services.chain([single_service(), fragile_service()]).map(service).collect(),
         limits: CallerLimits::default(),
     }
 }
--- a/crates/sablebay-dispatch/src/quarantine.rs
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -347,10 +347,10 @@
         suspects
     }
 
-    /// Back ends that ended under requests, of those that are kept.
-    pub fn ended_replicas(&self) -> Vec<ReplicaId> {
+    /// Back ends that ended under requests, of those that are kept, and when.
+    pub fn ended_replicas(&self) -> Vec<(ReplicaId, Micros)> {
         let crashes = self.requests.values().flat_map(|entry| entry.evidence.crashes());
-        crashes.map(|run| run.replica.clone()).collect()
+        crashes.map(|run| (run.replica.clone(), run.known_at)).collect()
     }
 
     /// Requests that are remembered.
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -1,6 +1,6 @@
 //! The choice of a replica, from what this node's own calls have shown.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 
 use rand::{Rng, RngExt};
 
@@ -23,6 +23,9 @@
 const COLD_COST: f64 = 1.6;
 /// How long an abandoned call may go on at a replica that has slots to spare.
 const ABANDONED_PATIENCE: Micros = Micros::from_millis(350);
+/// How long a replica gets nothing whose process was seen to have ended. Its entry goes after three heartbeats of some 1.2 s; one
+/// that is there for longer lives, and merely refused a connection.
+const ENDED_FOR: Micros = Micros::from_secs(5);
 /// Costs are spread by up to this part, so that nodes that see the same do not choose alike.
 const SPREAD: f64 = 0.25;
 
@@ -42,14 +45,14 @@
     zone: ZoneName,
     health: HashMap<ReplicaId, ReplicaHealth>,
     evacuated: BTreeSet<ZoneName>,
-    /// Replicas whose processes have ended. Their entries are there for some seconds more.
-    ended: HashSet<ReplicaId>,
+    /// Replicas whose processes have ended, and until when that counts.
+    ended: HashMap<ReplicaId, Micros>,
 }
 
 impl ReplicaTable {
     /// A table of a node in `zone`.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, health: HashMap::new(), evacuated: BTreeSet::new(), ended: HashSet::new() }
+        Self { zone, health: HashMap::new(), evacuated: BTreeSet::new(), ended: HashMap::new() }
     }
 
     fn health(&mut self, replica: &ReplicaId) -> &mut ReplicaHealth {
@@ -67,7 +70,7 @@
     /// Forgets replicas that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&ReplicaId) -> bool) {
         self.health.retain(|replica, health| keep(replica) || health.open_calls() > 0);
-        self.ended.retain(keep);
+        self.ended.retain(|replica, _| keep(replica));
     }
 
     /// Sets the zones whose replicas get nothing new. Requests in progress hold the replicas that there
@@ -78,13 +81,20 @@
 
     /// The processes of these replicas have ended. What listens at their addresses from now on has other ids, and turns
     /// away what is meant for them.
-    pub fn note_ended(&mut self, replicas: impl IntoIterator<Item = ReplicaId>) {
-        self.ended.extend(replicas);
+    pub fn note_ended(&mut self, replicas: impl IntoIterator<Item = (ReplicaId, Micros)>, now: Micros) {
+        let until = replicas.into_iter().map(|(replica, ended_at)| (replica, ended_at.plus(ENDED_FOR)));
+        self.ended.extend(until);
+        self.expire_ended(now);
+    }
+
+    /// Forgets that replicas have ended whose entries must have gone meanwhile.
+    pub fn expire_ended(&mut self, now: Micros) {
+        self.ended.retain(|_, until| *until > now);
     }
 
     /// Whether a replica may get new work: its zone is not evacuated, and its process has not ended.
     pub fn takes_work(&self, candidate: &RoutableReplica) -> bool {
-        !self.evacuated.contains(&candidate.replica.zone) && !self.ended.contains(&candidate.replica.id)
+        !self.evacuated.contains(&candidate.replica.zone) && !self.ended.contains_key(&candidate.replica.id)
     }
 
     /// Whether one more request to a replica stays within this node's share while the replica is cold.
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -163,11 +163,16 @@
 fn a_replica_whose_process_has_ended_gets_nothing_more() {
     let candidates = [replica("a"), replica("b")];
     let mut table = table();
-    table.note_ended([candidates[0].replica.id.clone()]);
+    table.note_ended([(candidates[0].replica.id.clone(), START)], START);
     assert_eq!(draws(&table, &candidates, START).0, 0);
     assert!(!table.takes_work(&candidates[0]));
-    table.note_ended([candidates[1].replica.id.clone()]);
+    table.note_ended([(candidates[1].replica.id.clone(), START)], START);
     assert_eq!(table.choose(&candidates, &[], START, &mut SmallRng::seed_from_u64(5)), None);
     table.retain(|id| *id == candidates[1].replica.id);
     assert!(table.takes_work(&candidates[0]), "its entry has gone, and what is known of it with it");
+    let later = START.plus(Micros::from_secs(10));
+    table.expire_ended(later);
+    assert!(table.takes_work(&candidates[1]), "its entry stays: it merely refused a connection");
+    table.note_ended([(candidates[1].replica.id.clone(), START)], later);
+    assert!(table.takes_work(&candidates[1]), "old word does not count");
 }
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -305,7 +305,7 @@
         let id = request.id.to_str().unwrap_or("unreadable");
         log::warn!(request = id, digest = digest.to_string().as_str(), route = request.route.as_str(), replica = run.replica.as_str(), ran_for_ms = run.ended_at.since(run.started_at).as_millis(); "gateway: a back end ended while it had this request.");
     }
-    context.dispatch.lock().table.note_ended([run.replica.clone()]);
+    context.dispatch.lock().table.note_ended([(run.replica.clone(), run.known_at)], now);
     context.node.quarantine.crashed(digest, &request.route, run, now);
 }
 
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -45,12 +45,13 @@
                     return;
                 }
                 let ended = context.node.quarantine.ended_replicas();
-                context.dispatch.lock().table.note_ended(ended);
+                context.dispatch.lock().table.note_ended(ended, context.clock().now());
                 tokio::time::sleep(COLLECT).await;
                 tell_news(&context);
             }
             () = tokio::time::sleep_until(compare_at) => {
                 compare_at = Instant::now() + COMPARE_PERIOD;
+                context.dispatch.lock().table.expire_ended(context.clock().now());
                 tell_news(&context);
                 let peer = {
                     let mut fleet = context.fleet.lock();
--- a/crates/sablebay-node/src/quarantine_store.rs
+++ b/crates/sablebay-node/src/quarantine_store.rs
@@ -191,8 +191,8 @@
         known.take_news(now)
     }
 
-    /// Back ends that ended under requests, as far as they are kept.
-    pub fn ended_replicas(&self) -> Vec<ReplicaId> {
+    /// Back ends that ended under requests, as far as they are kept, and when.
+    pub fn ended_replicas(&self) -> Vec<(ReplicaId, Micros)> {
         self.known.lock().ended_replicas()
     }
 
--- a/crates/sablebay/tests/soak.rs
+++ b/crates/sablebay/tests/soak.rs
@@ -26,6 +26,12 @@
     assert!(report.answered > 0 && report.faults > 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_holds_no_request_back_is_noticed() {
+    let report = soak(7, Some("quarantine")).await;
+    assert!(report.violations.iter().any(|violation| violation.promise == Promise::Containment));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_mixes_configurations_is_noticed() {
     let report = soak(7, Some("pinning")).await;
