--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     pub connections_opened: Counter,
     /// Back ends that ended while they had a call of this node.
     pub ended_back_ends: Counter,
+    /// Requests that are held back now.
+    pub held_back: Gauge,
     /// The log's budget.
     pub log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
@@ -81,6 +83,7 @@
         Self {
             connections_opened: Counter::default(),
             ended_back_ends: Counter::default(),
+            held_back: Gauge::default(),
             log_budget: LogBudget::default(),
             source_reads: Family::default(),
             configuration_version: Gauge::default(),
@@ -161,6 +164,7 @@
             "Connections opened to replicas",
             self.connections_opened.clone(),
         );
+        registry.register("held_back", "Requests that are held back now", self.held_back.clone());
         registry.register(
             "ended_back_ends",
             "Back ends that ended while they had a call of this node",
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -51,7 +51,9 @@
             }
             () = tokio::time::sleep_until(compare_at) => {
                 compare_at = Instant::now() + COMPARE_PERIOD;
-                context.dispatch.lock().table.expire_ended(context.clock().now());
+                let now = context.clock().now();
+                context.dispatch.lock().table.expire_ended(now);
+                context.metrics.held_back.set(context.node.quarantine.held(now) as i64);
                 tell_news(&context);
                 let peer = {
                     let mut fleet = context.fleet.lock();
--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -16,7 +16,7 @@
 use subtle::ConstantTimeEq;
 
 use sablebay_config::{Configuration, ConfigurationError, EntryKind, Finding, ServiceSettings, Version};
-use sablebay_model::{Reason, Refusal, ServiceId, ZoneName};
+use sablebay_model::{Reason, Refusal, RequestDigest, ServiceId, ZoneName};
 use sablebay_protocol::caller::TOKEN_HEADER;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
 
@@ -45,6 +45,7 @@
         .route("/v1/services/{service}", get(service))
         .route("/v1/drain", post(drain))
         .route("/v1/undrain", post(undrain))
+        .route("/v1/quarantine/{digest}/release", post(release))
         .route("/v1/log-level", put(log_level))
         .route("/metrics", get(metrics));
     with_common_routes(routes).layer(DefaultBodyLimit::max(MAXIMUM_CANDIDATE_BYTES)).with_state(shared)
@@ -296,6 +297,26 @@
     Json(node_report(&shared)).into_response()
 }
 
+async fn release(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(from): ConnectInfo<SocketAddr>,
+    headers: HeaderMap,
+    Path(text): Path<String>,
+) -> Response {
+    if let Err(refusal) = authorize(&shared, from, &headers) {
+        return refusal_response(refusal);
+    }
+    let digest: RequestDigest = match text.parse() {
+        Ok(digest) => digest,
+        Err(error) => return refusal_response(Refusal::not_run(Reason::BadRequest, format!("{error}"))),
+    };
+    if !shared.quarantine.release(&digest, shared.clock.now()) {
+        let message = format!("nothing is known of a request {digest}");
+        return refusal_response(Refusal::not_run(Reason::BadRequest, message));
+    }
+    StatusCode::NO_CONTENT.into_response()
+}
+
 #[derive(Deserialize)]
 struct LevelBody {
     level: log::LevelFilter,
--- a/crates/sablebay-node/src/report.rs
+++ b/crates/sablebay-node/src/report.rs
@@ -8,6 +8,7 @@
 use sablebay_fleet::{ConfigurationFloor, Conflict, MemberStatus, Rejection};
 use sablebay_model::Incarnation;
 
+use crate::quarantine_store::SuspectReport;
 use crate::service_counts::ServiceReport;
 use crate::shared::Shared;
 
@@ -91,6 +92,9 @@
     /// Routes and replicas; absent without a gateway.
     #[serde(default)]
     pub catalogue: Option<CatalogueReport>,
+    /// Requests that back ends ended under.
+    #[serde(default)]
+    pub quarantine: Vec<SuspectReport>,
 }
 
 /// The report of this node without its members, as another node asks for it.
@@ -160,5 +164,6 @@
         services,
         evacuated_zones: evacuated_zones(fleet.floor()),
         catalogue: catalogue_report(shared),
+        quarantine: shared.quarantine.report(now),
     }
 }
--- a/crates/sablebay/src/arguments.rs
+++ b/crates/sablebay/src/arguments.rs
@@ -29,7 +29,8 @@
 
     /// A command that does not exist, with the nearest that does.
     pub fn unknown_command(given: &str) -> Self {
-        const COMMANDS: [&str; 7] = ["serve", "check", "status", "config", "drain", "trace", "demo"];
+        const COMMANDS: [&str; 8] =
+            ["serve", "check", "status", "config", "drain", "release", "trace", "demo"];
         Self::new(with_nearest(format!("there is no command `{given}`"), given, &COMMANDS))
     }
 }
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 
-use sablebay_node::NodeReport;
+use sablebay_node::{NodeReport, SuspectReport};
 
 use crate::CommandResult;
 use crate::admin_client::{AdminClient, block_on};
@@ -96,6 +96,7 @@
     }
     print_evacuations(status);
     print_catalogues(status);
+    print_quarantine(status);
     print_services(status);
     print_troubles(status);
 }
@@ -134,6 +135,37 @@
     }
 }
 
+/// Requests that back ends ended under, as the node knows them that knows most.
+fn print_quarantine(status: &FleetStatus) {
+    let mut known: BTreeMap<String, (&SuspectReport, usize)> = BTreeMap::new();
+    for suspect in status.nodes.iter().flat_map(|node| &node.quarantine) {
+        let entry = known.entry(suspect.digest.to_string()).or_insert((suspect, 0));
+        entry.1 += 1;
+        if suspect.strikes > entry.0.strikes {
+            entry.0 = suspect;
+        }
+    }
+    if known.is_empty() {
+        return;
+    }
+    print_line(&format!(
+        "\n{:<32} {:<12} {:<9} {:>7} {:>6} {:>11} {:>9} {:>6}",
+        "REQUEST", "ROUTE", "STANDING", "STRIKES", "ENDED", "LAST", "HELD FOR", "NODES"
+    ));
+    for (digest, (suspect, nodes)) in known {
+        let held = suspect.held_for_ms.map_or("-".to_string(), |ms| format!("{} s", ms / 1_000));
+        print_line(&format!(
+            "{digest} {:<12} {:<9} {:>7} {:>6} {:>9} s {held:>9} {nodes:>6}",
+            suspect.route,
+            suspect.standing,
+            suspect.strikes,
+            suspect.ended,
+            suspect.last_ended_ms_ago / 1_000
+        ));
+        print_line(&format!("  back ends: {}", suspect.back_ends.join(" ")));
+    }
+}
+
 fn short_version(node: &NodeReport) -> String {
     let lag = if node.version < node.floor { " (lags)" } else { "" };
     format!("{}{lag}", node.version)
--- a/crates/sablebay/src/command/trace.rs
+++ b/crates/sablebay/src/command/trace.rs
@@ -24,7 +24,7 @@
 /// Lines about what a node believed that are shown by default.
 const DEFAULT_BEFORE: usize = 8;
 /// Beginnings of messages about what a node believes, by the part that writes them.
-const BELIEF_PARTS: [&str; 9] = [
+const BELIEF_PARTS: [&str; 10] = [
     "catalogue:",
     "configuration:",
     "fleet:",
@@ -32,6 +32,7 @@
     "log:",
     "node:",
     "peer:",
+    "quarantine:",
     "settings:",
     "stop:",
 ];
--- a/crates/sablebay/src/main.rs
+++ b/crates/sablebay/src/main.rs
@@ -25,6 +25,7 @@
   status   show a node, or the whole fleet
   config   show what is in force, or try a candidate against it
   drain    make a node refuse new work, or take it again
+  release  let a request be tried again that is held back
   trace    show what the logs of several nodes say of one request
   demo     run a platform, leaves and three nodes in this process
 
@@ -53,6 +54,7 @@
         "status" => command::status::run(rest),
         "config" => command::config::run(rest),
         "drain" => command::drain::run(rest),
+        "release" => command::release::run(rest),
         "trace" => command::trace::run(rest),
         "demo" => command::demo::run(rest),
         "-h" | "--help" | "help" => {
--- a/crates/sablebay/tests/command_line.rs
+++ b/crates/sablebay/tests/command_line.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn help_and_version_of_every_command() {
-    for command in ["serve", "check", "status", "config", "drain", "demo"] {
+    for command in ["serve", "check", "status", "config", "drain", "release", "demo"] {
         let help = sablebay(&[command, "--help"]);
         assert_eq!(help.status.code(), Some(0));
         assert!(text(&help.stdout).contains(&format!("Usage: sablebay {command}")), "{command}");
--- a/crates/sablebay/tests/platform/quarantine.rs
+++ b/crates/sablebay/tests/platform/quarantine.rs
@@ -157,6 +157,37 @@
     );
 }
 
+/// Operators see what is held back, since when and why, and let it go.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_sees_what_is_held_back_and_releases_it() {
+    let fleet = Fleet::start(3).await;
+    fleet.attempt("/all/fatal", 3).await;
+    let status = sablebay(&["status", "--admin", &fleet.nodes[2].admin.to_string()]);
+    assert!(status.contains("held back"), "{status}");
+    let line = status.lines().find(|line| line.contains("held back")).expect("a line");
+    let digest = line.split_whitespace().next().expect("a digest").to_string();
+    assert_eq!(digest.len(), 32, "{line}");
+    let held = fleet.nodes[1].get("/all/fatal", "held").await;
+    assert!(held.retry_after.is_some_and(|seconds| seconds > 30.0), "{:?}", held.retry_after);
+    let before = fleet.arrivals();
+    let admin = fleet.nodes[0].admin.to_string();
+    assert!(sablebay(&["release", "--admin", &admin, &digest]).contains("is released"));
+    let number = std::sync::atomic::AtomicU32::new(0);
+    eventually("the request is tried again, at a node that was told", || async {
+        let id = format!("again-{}", number.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        fleet.nodes[1].get("/all/fatal", &id).await;
+        fleet.arrivals() > before
+    })
+    .await;
+}
+
+fn sablebay(arguments: &[&str]) -> String {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_sablebay")).args(arguments).output();
+    let output = output.expect("the command runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operation_that_ends_back_ends_is_kept_from_the_rest() {
     let fleet = Fleet::start(3).await;
