Near misses of what makes two requests the same; gathered searches and a fresh node are held to it too

Tests only: another caller, body, path, query, host and method are other requests; header order, attempt and patience are not. Two processes whose back ends are all in another zone (the third gathers for them): fewer than 3 late attempts of 9. A process that has just started knows within its first comparison, and sends nothing.

--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -28,6 +28,8 @@
 mod readiness;
 mod request_body;
 mod request_digest;
+#[cfg(test)]
+mod request_digest_tests;
 mod request_log;
 mod warm_up;
 
--- a/crates/sablebay/tests/platform/gathering.rs
+++ b/crates/sablebay/tests/platform/gathering.rs
@@ -34,7 +34,7 @@
 const ANSWERED: &str = "sablebay_gateway_delegations_total{outcome=\"answered\"}";
 
 /// Makes gathered requests until one was gathered by another node; returns its number.
-async fn until_delegated(root: &NodeProcess) {
+pub async fn until_delegated(root: &NodeProcess) {
     let number = std::sync::atomic::AtomicU32::new(0);
     eventually("a request is gathered by another node", || async {
         let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
--- a/crates/sablebay/tests/platform/quarantine.rs
+++ b/crates/sablebay/tests/platform/quarantine.rs
@@ -14,6 +14,7 @@
     CallerAnswer, CallerCall, LeafBehaviour, LeafIdentity, RestartingLeaf, StoreStandIn,
 };
 
+use crate::gathering::until_delegated;
 use crate::support::{
     GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, check_gathered, configuration, eventually,
     shard_service, single_service,
@@ -30,7 +31,7 @@
 
 /// Back ends that end on one path, and nodes in front of them.
 struct Fleet {
-    _store: StoreStandIn,
+    store: StoreStandIn,
     leaves: Vec<RestartingLeaf>,
     nodes: Vec<NodeProcess>,
 }
@@ -53,6 +54,11 @@
 
 impl Fleet {
     async fn start(nodes: usize) -> Self {
+        Self::start_in(&vec!["zone-a"; nodes]).await
+    }
+
+    /// Nodes in these zones; all back ends are in the first.
+    async fn start_in(zones: &[&str]) -> Self {
         let store = StoreStandIn::start().await.expect("a store");
         let mut leaves = Vec::new();
         for shard in 0..SHARDS {
@@ -61,14 +67,14 @@
         leaves.extend(leaves_of(&single_service(), 200, &store).await);
         store.publish(&configuration(1));
         let mut started: Vec<NodeProcess> = Vec::new();
-        for number in 0..nodes {
+        for (number, zone) in zones.iter().enumerate() {
             let seeds: Vec<_> = started.iter().map(|node| node.peers).collect();
-            started.push(NodeProcess::start(&format!("node-{number}"), store.address, &seeds));
+            started.push(NodeProcess::start_in(zone, &format!("node-{number}"), store.address, &seeds));
         }
         for node in &started {
             node.wait_ready().await;
         }
-        let fleet = Self { _store: store, leaves, nodes: started };
+        let fleet = Self { store, leaves, nodes: started };
         fleet.wait_whole("start").await;
         fleet
     }
@@ -157,6 +163,47 @@
     );
 }
 
+/// Two of three nodes have no back end in their zone: they have the third gather for them, once the fleet has settled.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_search_that_others_gather_is_kept_from_the_rest_too() {
+    let fleet = Fleet::start_in(&["zone-a", "zone-b", "zone-b"]).await;
+    for root in &fleet.nodes[1..] {
+        until_delegated(root).await;
+    }
+    let (answers, late) = fleet.attempt("/all/fatal", 9).await;
+    assert!(fleet.ended() >= 3, "it ends back ends");
+    assert!(late < LATE_ATTEMPTS, "{late} attempts reached back ends, {} ended", fleet.ended());
+    assert!(answers.last().expect("an answer").promises_not_run());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_has_just_started_learns_what_is_held_back() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.attempt("/all/fatal", 4).await;
+    let seeds: Vec<_> = fleet.nodes.iter().map(|node| node.peers).collect();
+    let fresh = NodeProcess::start("fresh", fleet.store.address, &seeds);
+    fresh.wait_ready().await;
+    let admin = fresh.admin.to_string();
+    eventually("it is told", || async { knows(&admin) }).await;
+    let before = fleet.arrivals();
+    let answer = fresh.get("/all/fatal", "at-the-fresh-one").await;
+    assert!(answer.promises_not_run());
+    assert_eq!(fleet.arrivals(), before);
+    fleet.nodes.push(fresh);
+}
+
+/// Whether a node itself knows of a request that is held back.
+fn knows(admin: &str) -> bool {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(admin).expect("the node takes a connection");
+    stream
+        .write_all(b"GET /v1/status HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n")
+        .expect("the request is sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the report comes");
+    text.contains("held back")
+}
+
 /// Operators see what is held back, since when and why, and let it go.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operator_sees_what_is_held_back_and_releases_it() {
