What a call waits for stands by itself; a held-back request that did not run is told so; what is cleared is soon forgotten

Logic: a request that is held back while its attempt waits is refused as such (back when its quarantine ends), not with 0.15 s; an entry that nothing speaks against goes after 30 s instead of ten minutes; a known request evicts no other when the table is full. Moves alone: prepare_call.rs out of call.rs (436 -> 336 lines), confirmation.rs out of context.rs, what requests ask of the quarantine beside it; tuples of place and count are types.

--- a/crates/sablebay-dispatch/src/quarantine.rs
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -25,8 +25,8 @@
 /// Back ends that end one after the other under a request before it is held back. Two in a row happen to requests
 /// that merely stood where others struck twice; with three no innocent request was held back in the property tests.
 pub const STRIKES: u32 = 3;
-/// How long a request is held back after the last strike that it needs for that. One attempt costs a back end that is gone
-/// for seconds, so that a minute keeps the loss below a tenth of one back end.
+/// How long a request is held back after the last strike that it needs for that. One attempt costs a back end
+/// that is gone for seconds, so that a minute keeps the loss below a tenth of one back end.
 pub const FIRST_HOLD: Micros = Micros::from_secs(60);
 /// Each further strike makes the next quarantine longer by this factor.
 const HOLD_GROWTH: u64 = 4;
@@ -34,22 +34,30 @@
 pub const LONGEST_HOLD: Micros = Micros::from_secs(3_600);
 /// How long what speaks against a request is remembered beyond that.
 const MEMORY: Micros = Micros::from_secs(600);
-/// How long one run keeps the others of a suspect request waiting, in multiples of what a call of its route usually takes: a
-/// back end that ends under it does so sooner, also while it is slow from its start, and one that is silent says nothing.
+/// How long it is remembered that nothing speaks against a request any more: word of what was taken back may
+/// still be on its way.
+const CLEARED_MEMORY: Micros = Micros::from_secs(30);
+/// How long one run keeps the others of a suspect request waiting, in multiples of what a call of its route
+/// usually takes: a back end that ends under it does so sooner, also while it is slow from its start, and one
+/// that is silent says nothing.
 const ALONE_CALLS: u64 = 8;
 /// Bounds of that.
 const ALONE_LIMITS: [Micros; 2] = [Micros::from_millis(300), Micros::from_millis(2_000)];
+/// Requests that are remembered, of some 600 bytes each. Those with the fewest strikes are forgotten first, so
+/// that a flood of requests which end one back end each does not set a known one free.
+pub const MAXIMUM_REQUESTS: usize = 1_024;
+/// First strikes that are told to every node within a second; keepers alone are told of more. One request that
+/// ends its back ends is known everywhere at once; many that stood at back ends which ended together do not
+/// flood the fleet.
+const FIRST_STRIKES_TOLD_PER_S: u32 = 16;
+/// Requests that one message between nodes tells of.
+pub const NOTICES_PER_MESSAGE: usize = 256;
 
 /// How long one run of a suspect request keeps the others waiting, of a route whose calls usually take `usual`.
 pub fn alone_limit(usual: Micros) -> Micros {
     let [least, most] = ALONE_LIMITS;
     Micros(usual.0.saturating_mul(ALONE_CALLS)).clamp(least, most)
 }
-/// Requests that are remembered, of some 600 bytes each. Those with the fewest strikes are forgotten first, so that a flood of requests
-/// which end one back end each does not set a known one free.
-pub const MAXIMUM_REQUESTS: usize = 1_024;
-/// Requests that one message between nodes tells of.
-pub const NOTICES_PER_MESSAGE: usize = 256;
 
 /// Names a run among those of all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -112,16 +120,27 @@
     Everyone,
 }
 
-/// First strikes that are told to every node within a second; keepers alone are told of more. One request that ends its back
-/// ends is known everywhere at once; many that stood at back ends which ended together do not flood the fleet.
-const FIRST_STRIKES_TOLD_PER_S: u32 = 16;
+/// The run that has the only place of a request.
+#[derive(Clone, Copy, Debug)]
+struct TakenPlace {
+    run: RunId,
+    /// When another may have it although this one is not over.
+    until: Micros,
+}
+
+/// First strikes that every node was told of within a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct ToldStrikes {
+    second: u64,
+    count: u32,
+}
 
 #[derive(Clone, Debug, Default)]
 struct Entry {
     route: String,
     evidence: Evidence,
-    /// The run that has the only place, and until when. Kept by the node that is asked for it.
-    alone: Option<(RunId, Micros)>,
+    /// The run that has the only place. Kept by the node that is asked for it.
+    place: Option<TakenPlace>,
     /// The strikes that every node was told of.
     told_everyone: u32,
     /// Whether something was learnt that the keepers were not told.
@@ -132,8 +151,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     requests: HashMap<RequestDigest, Entry>,
-    /// The second, and the first strikes that every node was told of within it.
-    told: (u64, u32),
+    told: ToldStrikes,
 }
 
 /// A request that something speaks against, for operators.
@@ -161,8 +179,8 @@
         }
     }
 
-    /// Whether a run at a service may go beside others: one has ended well since the last strike, and, from the second
-    /// strike on, nothing speaks against the request at that service.
+    /// Whether a run at a service may go beside others: one has ended well since the last strike, and, from the
+    /// second strike on, nothing speaks against the request at that service.
     fn may_run_beside_others(&self, service: &ServiceName) -> bool {
         let strikes = self.evidence.strikes();
         self.evidence.survived_since() && (strikes <= 1 || !self.evidence.is_held_against(service))
@@ -172,7 +190,8 @@
     fn is_outdated(&self, now: Micros) -> bool {
         let strikes = self.evidence.strikes();
         let held = if strikes >= STRIKES { hold(strikes) } else { Micros(0) };
-        now > self.evidence.last_event().plus(held).plus(MEMORY)
+        let memory = if strikes == 0 { CLEARED_MEMORY } else { MEMORY };
+        now > self.evidence.last_event().plus(held).plus(memory)
     }
 }
 
@@ -206,16 +225,16 @@
         }
     }
 
-    /// Gives a run the only place of its request; false while another has it. All nodes ask one of them, so that attempts
-    /// which come in at several at once cost one back end.
+    /// Gives a run the only place of its request; false while another has it. All nodes ask one of them, so
+    /// that attempts which come in at several at once cost one back end.
     pub fn grant(&mut self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
         let Some(entry) = self.requests.get_mut(digest) else {
             // Nothing speaks against it here; what the asker knows was told before.
             return true;
         };
-        let taken = entry.alone.is_some_and(|(holder, until)| holder != wanted.run && now < until);
+        let taken = entry.place.is_some_and(|place| place.run != wanted.run && now < place.until);
         if !taken {
-            entry.alone = Some((wanted.run, now.plus(wanted.lasts)));
+            entry.place = Some(TakenPlace { run: wanted.run, until: now.plus(wanted.lasts) });
         }
         !taken
     }
@@ -225,9 +244,9 @@
         let Some(entry) = self.requests.get_mut(digest) else {
             return false;
         };
-        let had = entry.alone.is_some_and(|(holder, _)| holder == run);
+        let had = entry.place.is_some_and(|place| place.run == run);
         if had {
-            entry.alone = None;
+            entry.place = None;
         }
         had
     }
@@ -235,7 +254,9 @@
     /// A back end ended under a run. Returns what the request's standing was before.
     pub fn crashed(&mut self, digest: RequestDigest, route: &str, run: CrashedRun, now: Micros) -> Standing {
         let before = self.standing(&digest, now);
-        self.make_room(now);
+        if !self.requests.contains_key(&digest) {
+            self.make_room(now);
+        }
         let entry = self.requests.entry(digest).or_default();
         if entry.route.is_empty() {
             entry.route = route.to_string();
@@ -291,8 +312,8 @@
     pub fn take_news(&mut self, now: Micros) -> Vec<(QuarantineNotice, Audience)> {
         let mut news = Vec::new();
         let second = now.0 / 1_000_000;
-        if self.told.0 != second {
-            self.told = (second, 0);
+        if self.told.second != second {
+            self.told = ToldStrikes { second, count: 0 };
         }
         for (digest, entry) in &mut self.requests {
             let strikes = entry.evidence.strikes();
@@ -300,8 +321,8 @@
             let mut everyone = (strikes >= 2 && strikes > entry.told_everyone)
                 || (strikes < entry.told_everyone && entry.untold);
             let is_first = strikes == 1 && entry.told_everyone == 0 && entry.untold;
-            if is_first && self.told.1 < FIRST_STRIKES_TOLD_PER_S {
-                self.told.1 += 1;
+            if is_first && self.told.count < FIRST_STRIKES_TOLD_PER_S {
+                self.told.count += 1;
                 everyone = true;
             }
             if !everyone && !entry.untold {
--- a/crates/sablebay-dispatch/src/quarantine/evidence.rs
+++ b/crates/sablebay-dispatch/src/quarantine/evidence.rs
@@ -1,10 +1,11 @@
 //! What is known of one request that back ends may end under.
 //!
-//! A back end that ends cuts every call that stands there, and at best one of them is the cause. What tells the cause
-//! from those that stood beside it are ends one after the other: a run that was begun after the end before it was
-//! known, and that ended its back end too. Runs that were under way at one moment count once, however many they are: a
-//! zone that loses its power, or a service whose processes are killed together, is one strike against each request that stood
-//! there. A run that began later and ended well breaks the row, and takes back what speaks against the request at its service.
+//! A back end that ends cuts every call that stands there, and at best one of them is the cause. What tells the
+//! cause from those that stood beside it are ends one after the other: a run that was begun after the end
+//! before it was known, and that ended its back end too. Runs that were under way at one moment count once,
+//! however many they are: a zone that loses its power, or a service whose processes are killed together, is one
+//! strike against each request that stood there. A run that began later and ended well breaks the row, and
+//! takes back what speaks against the request at its service.
 
 use musli::{Decode, Encode};
 use smallvec::SmallVec;
@@ -41,8 +42,8 @@
 const OBSERVER_SLACK: Micros = Micros::from_millis(250);
 
 impl CrashedRun {
-    /// A time, by this node's clock, at which it had ended already, or was about to: what is begun later and ends well
-    /// speaks for the request.
+    /// A time, by this node's clock, at which it had ended already, or was about to: what is begun later and
+    /// ends well speaks for the request.
     fn ended_by(&self) -> Micros {
         if self.is_told { self.known_at.since(OBSERVER_SLACK) } else { self.known_at }
     }
@@ -57,13 +58,15 @@
     }
 }
 
-/// Crashed runs that are kept of one request: enough for the longest quarantine, and for an operator to see a pattern.
+/// Crashed runs that are kept of one request: enough for the longest quarantine, and for an operator to see a
+/// pattern.
 pub const KEPT_CRASHES: usize = 8;
-/// Back ends that must have ended beside those in a row to count once more. They may have ended together for another reason,
-/// however many they are; attempts that come in at several nodes at once leave no other sign.
+/// Back ends that must have ended beside those in a row to count once more. They may have ended together for
+/// another reason, however many they are; attempts that come in at several nodes at once leave no other sign.
 const BESIDE: u32 = 2;
-/// Strikes of one service that do not count while runs at other services end well. Where back ends are killed five times a second,
-/// three in a row at one service were met by an innocent request in the property tests; five were not.
+/// Strikes of one service that do not count while runs at other services end well. Where back ends are killed
+/// five times a second, three in a row at one service were met by an innocent request in the property tests;
+/// five were not.
 const DISCOUNT: u32 = 2;
 /// Services of which it is kept what took back what spoke against a request.
 const KEPT_SERVICES: usize = 16;
@@ -160,9 +163,9 @@
         self.crashes.remove(needless.unwrap_or(0));
     }
 
-    /// Back ends that ended under it one after the other, without a good run in between: at any services, or all at
-    /// the same. A request may be fatal to the back ends of one service alone, and run well at the others; that takes two more. Where several
-    /// more ended beside these, that counts as one.
+    /// Back ends that ended under it one after the other, without a good run in between: at any services, or
+    /// all at the same. A request may be fatal to the back ends of one service alone, and run well at the
+    /// others; that takes two more. Where several more ended beside these, that counts as one.
     pub fn strikes(&self) -> u32 {
         self.strikes_without(usize::MAX)
     }
@@ -234,7 +237,8 @@
     }
 }
 
-/// The greatest number of runs of which each was begun after the one before had ended. The runs come by when they ended.
+/// The greatest number of runs of which each was begun after the one before had ended. The runs come by when
+/// they ended.
 fn in_a_row<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> u32 {
     // Each run with the length of the longest row that ends with it.
     let mut rows: SmallVec<[(&CrashedRun, u32); KEPT_CRASHES]> = SmallVec::new();
--- a/crates/sablebay-dispatch/src/replica_table.rs
+++ b/crates/sablebay-dispatch/src/replica_table.rs
@@ -23,8 +23,8 @@
 const COLD_COST: f64 = 1.6;
 /// How long an abandoned call may go on at a replica that has slots to spare.
 const ABANDONED_PATIENCE: Micros = Micros::from_millis(350);
-/// How long a replica gets nothing whose process was seen to have ended. Its entry goes after three heartbeats of some 1.2 s; one
-/// that is there for longer lives, and merely refused a connection.
+/// How long a replica gets nothing whose process was seen to have ended. Its entry goes after three heartbeats
+/// of some 1.2 s; one that is there for longer lives, and merely refused a connection.
 const ENDED_FOR: Micros = Micros::from_secs(5);
 /// Costs are spread by up to this part, so that nodes that see the same do not choose alike.
 const SPREAD: f64 = 0.25;
@@ -79,8 +79,8 @@
         self.evacuated = zones;
     }
 
-    /// The processes of these replicas have ended. What listens at their addresses from now on has other ids, and turns
-    /// away what is meant for them.
+    /// The processes of these replicas have ended. What listens at their addresses from now on has other ids,
+    /// and turns away what is meant for them.
     pub fn note_ended(&mut self, replicas: impl IntoIterator<Item = (ReplicaId, Micros)>, now: Micros) {
         let until = replicas.into_iter().map(|(replica, ended_at)| (replica, ended_at.plus(ENDED_FOR)));
         self.ended.extend(until);
--- a/crates/sablebay-dispatch/tests/quarantine.rs
+++ b/crates/sablebay-dispatch/tests/quarantine.rs
@@ -326,6 +326,22 @@
     assert!(quarantine.is_empty());
 }
 
+#[test]
+fn a_request_that_nothing_speaks_against_is_soon_forgotten() {
+    let mut quarantine = struck(1);
+    assert!(quarantine.survived(&digest(1), &service(0), at(60)));
+    quarantine.expire(at(1_000));
+    let late = struck(1).notice(&digest(1), at(1_000)).expect("it is known");
+    quarantine.heard(&late, false, at(1_000));
+    assert_eq!(
+        quarantine.standing(&digest(1), at(1_000)),
+        Standing::Clear,
+        "late word of what was taken back"
+    );
+    quarantine.expire(at(40_000));
+    assert!(quarantine.is_empty());
+}
+
 /// A node of the simulated fleet.
 #[derive(Default)]
 struct Node {
@@ -512,7 +528,8 @@
         (held || late || attempt.waiting.is_empty()) && attempt.running.is_empty()
     }
 
-    /// Plays attempts that come in together, each at a node. Returns which of them reached back ends, and when all were over.
+    /// Plays attempts that come in together, each at a node. Returns which of them reached back ends, and when
+    /// all were over.
     fn play(&mut self, mut begun: Vec<Attempt>, shards: u64, now: u64) -> (Vec<(usize, bool)>, u64) {
         let mut now = now;
         let mut done = Vec::new();
@@ -536,8 +553,8 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
-    /// From four seconds after the third back end has ended, no more than three attempts reach any, from nodes that have been
-    /// up and reached for four seconds: however many attempts come in at once.
+    /// From four seconds after the third back end has ended, no more than three attempts reach any, from nodes
+    /// that have been up and reached for four seconds: however many attempts come in at once.
     #[test]
     fn a_request_that_ends_back_ends_is_contained(
         size in prop::sample::select(vec![8_usize, 64, 300]),
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -11,16 +11,15 @@
 
 use sablebay_catalogue::RoutableReplica;
 use sablebay_dispatch::{
-    CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LoadHint, PlaceRequest, RunId, RunPermit,
-    alone_limit,
+    CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LoadHint, PlaceRequest, RunId, alone_limit,
 };
 use sablebay_model::{Micros, RequestDigest};
 
 use crate::connections::{Lease, Liveness, ReplicaConnections};
-use crate::context::{Context, Withheld};
+use crate::context::Context;
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, WholeAnswer};
 use crate::merge::MergedPart;
-use crate::quarantine::{OnlyPlace, PlaceAnswer, ask_for_place};
+use crate::prepare_call::{Unsent, note_unsent, prepare};
 
 /// The longest answer of a back end.
 const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
@@ -106,69 +105,6 @@
     pub events: mpsc::UnboundedSender<CallEvent>,
 }
 
-/// Why nothing of a call was sent.
-#[derive(Clone, Copy, Debug)]
-enum Unsent {
-    /// Its request is held back.
-    HeldBack,
-    /// No connection came about.
-    Unreached,
-    /// The replica may not get it any more.
-    Withheld(Withheld),
-    /// It could not be sent before its deadline.
-    Late,
-}
-
-/// Waits until a run of a request may begin. Returns the request's only place where it needs that.
-async fn enter<C: CallerProtocol, B: BackendProtocol>(
-    context: &Arc<Context<C, B>>,
-    replica: &RoutableReplica,
-    request: &ForwardedRequest,
-    wanted: PlaceRequest,
-) -> Result<Option<OnlyPlace<C, B>>, Unsent> {
-    loop {
-        match context.permit_run(request, &replica.replica.service) {
-            RunPermit::Free => return Ok(None),
-            RunPermit::Refused { .. } => return Err(Unsent::HeldBack),
-            RunPermit::Alone => {}
-        }
-        match ask_for_place(context, context.digest_of(request), wanted).await {
-            PlaceAnswer::Granted(place) => return Ok(Some(place)),
-            PlaceAnswer::Taken => context.node.quarantine.wait().await,
-            PlaceAnswer::Unreached => return Err(Unsent::HeldBack),
-        }
-    }
-}
-
-/// Waits until a call may be sent, with a connection to send it on.
-async fn prepare<C: CallerProtocol, B: BackendProtocol>(
-    context: &Arc<Context<C, B>>,
-    connections: &ReplicaConnections,
-    replica: &RoutableReplica,
-    request: &ForwardedRequest,
-    wanted: PlaceRequest,
-) -> Result<(Lease, Option<OnlyPlace<C, B>>), Unsent> {
-    loop {
-        let place = enter(context, replica, request, wanted).await?;
-        let lease = connections.lease().await.ok_or(Unsent::Unreached)?;
-        // A back end may have ended under the request meanwhile.
-        let may_begin = match context.permit_run(request, &replica.replica.service) {
-            RunPermit::Free => true,
-            RunPermit::Alone => place.is_some(),
-            RunPermit::Refused { .. } => false,
-        };
-        if !may_begin {
-            connections.give_back(lease);
-            continue;
-        }
-        if let Err(why) = context.permit_sending(replica) {
-            connections.give_back(lease);
-            return Err(Unsent::Withheld(why));
-        }
-        return Ok((lease, place));
-    }
-}
-
 /// Makes a call.
 pub async fn run_call<C: CallerProtocol, B: BackendProtocol>(
     context: Arc<Context<C, B>>,
@@ -219,42 +155,6 @@
     let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
 
-/// Notes that nothing of a call was sent. Returns how it failed.
-fn note_unsent<C: CallerProtocol, B: BackendProtocol>(
-    context: &Context<C, B>,
-    replica: &RoutableReplica,
-    key: CallKey,
-    request: &ForwardedRequest,
-    why: Unsent,
-) -> CallFailure {
-    let id = &replica.replica.id;
-    match why {
-        Unsent::HeldBack => {
-            context.dispatch.lock().table.forget(id, key);
-            return CallFailure::HeldBack;
-        }
-        Unsent::Unreached => context.dispatch.lock().table.failed(id, key, context.clock().now()),
-        Unsent::Late => context.dispatch.lock().table.forget(id, key),
-        Unsent::Withheld(why) => note_withheld(context, replica, key, request, why),
-    }
-    CallFailure::NoConnection
-}
-
-/// Notes that a call was given up before anything of it was sent.
-fn note_withheld<C: CallerProtocol, B: BackendProtocol>(
-    context: &Context<C, B>,
-    replica: &RoutableReplica,
-    key: CallKey,
-    request: &ForwardedRequest,
-    why: Withheld,
-) {
-    context.dispatch.lock().table.forget(&replica.replica.id, key);
-    if context.metrics.log_budget.take(context.clock().now()) {
-        let request = request.id.to_str().unwrap_or("unreadable");
-        log::info!(request = request, replica = replica.replica.id.as_str(), zone = replica.replica.zone.as_str(), catalogue_age_ms = context.catalogue_age().as_millis(); "gateway: nothing is sent to a replica that was chosen before: {why}.");
-    }
-}
-
 /// Notes what a run says of its request: whether its back end outlived it.
 async fn note_run<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -16,15 +16,14 @@
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
     AnswerLag, ArrivalRate, CallKey, Callers, ColdBearing, DelegatedShards, GathererInputs, GathererTable,
-    ObserverId, QuarantineNotice, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets,
-    RouteLatency, RunPermit, ShardTargets, Standing, UsualPatience, WeightedChoice, choose_gatherers,
-    cold_share, connection_share, has_room_for_all, own_replicas, shard_owners,
+    ObserverId, ReplicaShareInputs, ReplicaTable, RetryAllowance, RetryBudgets, RouteLatency, ShardTargets,
+    UsualPatience, WeightedChoice, choose_gatherers, cold_share, connection_share, has_room_for_all,
+    own_replicas, shard_owners,
 };
 use sablebay_fleet::MemberInfo;
-use sablebay_model::{Micros, NodeId, RequestDigest, ZoneName};
+use sablebay_model::{Micros, NodeId, ZoneName};
 use sablebay_node::{Clock, Shared, TrafficSpan};
 
-use crate::call::ForwardedRequest;
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
 use crate::fleet_view::FleetView;
@@ -141,7 +140,8 @@
     /// Counts and latencies.
     pub metrics: GatewayMetrics,
     next_call: AtomicU64,
-    digest_key: DigestKey,
+    /// What requests are named under.
+    pub digest_key: DigestKey,
     observer: ObserverId,
 }
 
@@ -196,95 +196,11 @@
         self.node.clock
     }
 
-    /// Since when the catalogue was not confirmed; since long before the start when it never was.
-    pub fn catalogue_age(&self) -> Micros {
-        let now = self.clock().now();
-        self.node.catalogue.confirmed_ago(now).unwrap_or(now)
-    }
-
-    /// Looks whether the machine was suspended. Connections that rested meanwhile are closed: their other ends have
-    /// forgotten them, or have passed their addresses on.
-    pub fn look_for_suspension(&self) {
-        let Some(slept) = self.node.suspension.look(&self.clock()) else {
-            return;
-        };
-        log::warn!(suspended_ms = slept.as_millis(), catalogue_age_ms = self.catalogue_age().as_millis(); "node: the machine was suspended; nothing is sent until the catalogue is confirmed.");
-        for connections in self.connections.lock().values() {
-            connections.close_idle();
-        }
-    }
-
-    /// Whether what this node knows may be acted on: not after its machine was suspended, until the catalogue has
-    /// been confirmed.
-    pub fn is_confirmed(&self) -> bool {
-        self.look_for_suspension();
-        self.node.suspension.is_confirmed(self.node.catalogue.confirmed_at(), self.clock().now())
-    }
-
-    /// Notes that the catalogue was as it is known at some moment after `at`, by an answer to what was asked at
-    /// `asked_at`. One that may have waited here while the machine was suspended confirms nothing.
-    pub fn confirm_catalogue(&self, asked_at: Micros, at: Micros) {
-        self.look_for_suspension();
-        if !self.node.suspension.woke_since(asked_at) {
-            self.node.catalogue.confirm(at);
-        }
-    }
-
-    /// Whether the configuration may well have been replaced without this node's knowing: the
-    /// source fails, and did not confirm it of late.
-    pub fn catalogue_is_old(&self) -> bool {
-        const OLD: Micros = Micros::from_millis(1_500);
-        self.source_fails.load(Ordering::Relaxed) && self.catalogue_age() > OLD
-    }
-
     /// A number for one more call.
     pub fn next_call(&self) -> CallKey {
         CallKey(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// What names a request by what it asks for.
-    pub fn digest_of(&self, request: &ForwardedRequest) -> RequestDigest {
-        let digest = || self.digest_key.digest(request, &self.settings.load().caller_headers);
-        *request.digest.get_or_init(digest)
-    }
-
-    /// When a request may come back that is held back; nothing when it may be tried.
-    pub fn held_back(&self, request: &ForwardedRequest) -> Option<Micros> {
-        if !self.is_suspect(request) {
-            return None;
-        }
-        let now = self.clock().now();
-        match self.node.quarantine.standing(&self.digest_of(request), now) {
-            Standing::Held { until } => Some(until.since(now)),
-            _ => None,
-        }
-    }
-
-    /// What is known of back ends that ended under a request.
-    pub fn quarantine_notice(&self, request: &ForwardedRequest, now: Micros) -> Option<QuarantineNotice> {
-        if self.node.quarantine.is_empty() {
-            return None;
-        }
-        self.node.quarantine.notice(&self.digest_of(request), now)
-    }
-
-    /// Whether back ends ended under requests that asked for the same.
-    pub fn is_suspect(&self, request: &ForwardedRequest) -> bool {
-        let quarantine = &self.node.quarantine;
-        self.mechanisms.quarantine
-            && !quarantine.is_empty()
-            && quarantine.standing(&self.digest_of(request), self.clock().now()) != Standing::Clear
-    }
-
-    /// Whether a run of a request may begin at a service. Every first call, hedge, retry and gathered part asks, before and after
-    /// it waited for a connection.
-    pub fn permit_run(&self, request: &ForwardedRequest, service: &ServiceName) -> RunPermit {
-        if !self.is_suspect(request) {
-            return RunPermit::Free;
-        }
-        self.node.quarantine.permit(&self.digest_of(request), service, self.clock().now())
-    }
-
     /// What the fleet may send beyond first calls.
     pub fn allowance(&self) -> RetryAllowance {
         let settings = self.settings.load();
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -113,7 +113,8 @@
     if !matches!(result.outcome, FanoutOutcome::Answered { .. }) {
         record.digest = Some(context.digest_of(&forwarded));
     }
-    conclude(context, record, &route, result)
+    let held_back = context.held_back(&forwarded);
+    conclude(context, record, &route, result, held_back)
 }
 
 /// How many of a request's shards are crowded.
@@ -191,6 +192,7 @@
     record: RequestRecord,
     route: &Route,
     result: DriverResult,
+    held_back: Option<Micros>,
 ) -> http::Response<Full<Bytes>> {
     let DriverResult { outcome, parts, failed_answer, partial_at, work } = result;
     context.metrics.work(&work);
@@ -203,6 +205,9 @@
             note_lag(context, partial_at, missing);
             return response;
         }
+        FanoutOutcome::NotRun | FanoutOutcome::Expired { may_have_run: false } if held_back.is_some() => {
+            Refusal::HeldBack { retry_after: held_back.unwrap_or_default().as_duration() }
+        }
         FanoutOutcome::NotRun => {
             let nobody_to_ask = work.calls == 0 && work.gatherers == 0;
             Refusal::NotRun { retry_after: if nobody_to_ask { NO_REPLICA_RETRY } else { REJECTED_RETRY } }
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod catalogue_reader;
+mod confirmation;
 mod connections;
 mod context;
 mod counted_stream;
@@ -24,6 +25,7 @@
 #[cfg(test)]
 mod ownership_tests;
 mod peer_catalogue;
+mod prepare_call;
 mod quarantine;
 mod readiness;
 mod request_body;
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -1,8 +1,9 @@
 //! Tells other nodes of requests that back ends ended under, and compares what is known with theirs.
 //!
-//! Every node is told at once. Where back ends that ended together leave more requests with a first strike than that is done for,
-//! only the few nodes that keep account of each are told. A node that was not reached, or that has just started,
-//! learns of it by comparing. The first keeper that can be reached gives out the only place of a suspect request.
+//! Every node is told at once. Where back ends that ended together leave more requests with a first strike than
+//! that is done for, only the few nodes that keep account of each are told. A node that was not reached, or
+//! that has just started, learns of it by comparing. The first keeper that can be reached gives out the only
+//! place of a suspect request.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,11 +11,13 @@
 
 use tokio::time::Instant;
 
-use sablebay_dispatch::{Audience, PlaceRequest, QuarantineNotice, RunId};
-use sablebay_model::RequestDigest;
+use sablebay_catalogue::ServiceName;
+use sablebay_dispatch::{Audience, PlaceRequest, QuarantineNotice, RunId, RunPermit, Standing};
+use sablebay_model::{Micros, RequestDigest};
 use sablebay_node::Lane;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
 
+use crate::call::ForwardedRequest;
 use crate::context::Context;
 use crate::edge::{BackendProtocol, CallerProtocol};
 
@@ -25,14 +28,59 @@
 const LONELY_PERIOD: Duration = Duration::from_millis(100);
 /// How long news are collected: back ends of one search end within some milliseconds of one another.
 const COLLECT: Duration = Duration::from_millis(5);
-/// How long the node that gives out the only place of a request may take to answer before the next is asked: some ways
-/// there and back.
+/// How long the node that gives out the only place of a request may take to answer before the next is asked:
+/// some ways there and back.
 const PLACE_PATIENCE: Duration = Duration::from_millis(60);
 /// How long after a refusal the place is asked for again. Runs end within some ten milliseconds.
 const ASK_PAUSE: Duration = Duration::from_millis(10);
 /// How long another node may take to answer.
 const PATIENCE: Duration = Duration::from_millis(900);
 
+impl<C: CallerProtocol, B: BackendProtocol> Context<C, B> {
+    /// What names a request by what it asks for.
+    pub fn digest_of(&self, request: &ForwardedRequest) -> RequestDigest {
+        let digest = || self.digest_key.digest(request, &self.settings.load().caller_headers);
+        *request.digest.get_or_init(digest)
+    }
+
+    /// When a request may come back that is held back; nothing when it may be tried.
+    pub fn held_back(&self, request: &ForwardedRequest) -> Option<Micros> {
+        if !self.is_suspect(request) {
+            return None;
+        }
+        let now = self.clock().now();
+        match self.node.quarantine.standing(&self.digest_of(request), now) {
+            Standing::Held { until } => Some(until.since(now)),
+            _ => None,
+        }
+    }
+
+    /// What is known of back ends that ended under a request.
+    pub fn quarantine_notice(&self, request: &ForwardedRequest, now: Micros) -> Option<QuarantineNotice> {
+        if self.node.quarantine.is_empty() {
+            return None;
+        }
+        self.node.quarantine.notice(&self.digest_of(request), now)
+    }
+
+    /// Whether back ends ended under requests that asked for the same.
+    pub fn is_suspect(&self, request: &ForwardedRequest) -> bool {
+        let quarantine = &self.node.quarantine;
+        self.mechanisms.quarantine
+            && !quarantine.is_empty()
+            && quarantine.standing(&self.digest_of(request), self.clock().now()) != Standing::Clear
+    }
+
+    /// Whether a run of a request may begin at a service. Every first call, hedge, retry and gathered part
+    /// asks, before and after it waited for a connection.
+    pub fn permit_run(&self, request: &ForwardedRequest, service: &ServiceName) -> RunPermit {
+        if !self.is_suspect(request) {
+            return RunPermit::Free;
+        }
+        self.node.quarantine.permit(&self.digest_of(request), service, self.clock().now())
+    }
+}
+
 /// Tells and compares until the node ends.
 pub async fn share_quarantine<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut changes = context.node.quarantine.subscribe();
--- a/crates/sablebay-node/src/clock.rs
+++ b/crates/sablebay-node/src/clock.rs
@@ -59,8 +59,8 @@
         START.plus(Micros::from(self.running_for()))
     }
 
-    /// How long the clock has run: since the start of the node. The time that the machine was suspended counts: callers
-    /// waited meanwhile, replicas left, and leases ran out.
+    /// How long the clock has run: since the start of the node. The time that the machine was suspended counts:
+    /// callers waited meanwhile, replicas left, and leases ran out.
     pub fn running_for(&self) -> Duration {
         (self.source.elapsed)().saturating_sub(self.started)
     }
--- a/crates/sablebay-node/src/quarantine_store.rs
+++ b/crates/sablebay-node/src/quarantine_store.rs
@@ -1,5 +1,5 @@
-//! The requests that back ends ended under, as this node knows them: shared by whoever sends them on, answers peers, and
-//! shows them to operators.
+//! The requests that back ends ended under, as this node knows them: shared by whoever sends them on, answers
+//! peers, and shows them to operators.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -20,8 +20,8 @@
 /// The requests that back ends ended under, as this node knows them.
 pub struct QuarantineStore {
     known: Mutex<Quarantine>,
-    /// The run of this node that asks for, or has, the only place of a request, and until when others do not.
-    asking: Mutex<HashMap<RequestDigest, (RunId, Micros)>>,
+    /// The run of this node that asks for, or has, the only place of a request.
+    asking: Mutex<HashMap<RequestDigest, AskingRun>>,
     changed: watch::Sender<u64>,
 }
 
@@ -31,6 +31,13 @@
     }
 }
 
+/// A run that asks for, or has, the only place of its request.
+struct AskingRun {
+    run: RunId,
+    /// Until when no other run of this node asks.
+    until: Micros,
+}
+
 /// A request that something speaks against, as operators see it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SuspectReport {
@@ -106,22 +113,22 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Whether a run may ask for the only place of its request: one of this node at a time does, so that a search over
-    /// many shards asks once and not for each.
+    /// Whether a run may ask for the only place of its request: one of this node at a time does, so that a
+    /// search over many shards asks once and not for each.
     pub fn may_ask(&self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
         let mut asking = self.asking.lock();
-        let others = |(asker, until): &(RunId, Micros)| *asker != wanted.run && now < *until;
+        let others = |asking: &AskingRun| asking.run != wanted.run && now < asking.until;
         if asking.get(digest).is_some_and(others) {
             return false;
         }
-        asking.insert(*digest, (wanted.run, now.plus(wanted.lasts)));
+        asking.insert(*digest, AskingRun { run: wanted.run, until: now.plus(wanted.lasts) });
         true
     }
 
     /// A run asks no longer for the only place of its request, nor has it.
     pub fn stop_asking(&self, digest: &RequestDigest, run: RunId) {
         let mut asking = self.asking.lock();
-        if asking.get(digest).is_some_and(|(asker, _)| *asker == run) {
+        if asking.get(digest).is_some_and(|asking| asking.run == run) {
             asking.remove(digest);
             drop(asking);
             self.note_change();
--- a/crates/sablebay-node/src/suspension.rs
+++ b/crates/sablebay-node/src/suspension.rs
@@ -6,11 +6,11 @@
 
 use crate::clock::Clock;
 
-/// The shortest suspension that counts. The two clocks are read one after the other, and a busy machine takes its time
-/// between; what is known is confirmed each second, so that less changes nothing.
+/// The shortest suspension that counts. The two clocks are read one after the other, and a busy machine takes
+/// its time between; what is known is confirmed each second, so that less changes nothing.
 const SHORTEST: Micros = Micros::from_millis(250);
-/// How long after it has woken a node waits for its catalogue to be confirmed. A node that reaches neither its source nor
-/// a peer for so long goes on with what it knows, as one does that is cut off.
+/// How long after it has woken a node waits for its catalogue to be confirmed. A node that reaches neither its
+/// source nor a peer for so long goes on with what it knows, as one does that is cut off.
 const PATIENCE: Micros = Micros::from_secs(3);
 
 /// Notices that the machine was suspended.
--- a/crates/sablebay-node/tests/clock.rs
+++ b/crates/sablebay-node/tests/clock.rs
@@ -1,5 +1,5 @@
-//! A machine that is suspended for seconds: the steady clock stands still meanwhile, as tokio's timers do, and every age
-//! that a decision depends on must not.
+//! A machine that is suspended for seconds: the steady clock stands still meanwhile, as tokio's timers do, and
+//! every age that a decision depends on must not.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
--- a/crates/sablebay/tests/platform/quarantine.rs
+++ b/crates/sablebay/tests/platform/quarantine.rs
@@ -1,11 +1,10 @@
 //! A request that ends each back end which begins to run it.
 //!
-//! Seen: a search of which 20 shards with two replicas each were asked at once, and their second replicas after the
-//! first had gone; all 40 back ends of the service ended within 150 ms, again at each repeat, at whichever node it came in.
-//! How: nothing was remembered of a request beyond its own attempt, so that a repeat was a new request, and an end was one more
-//! failed call to send on.
-//! Cause: failures were counted by replica alone, never by request.
-//! Proof: the same with stand-ins, which end on one path and live on all others.
+//! Seen: a search of which 20 shards with two replicas each were asked at once, and their second replicas after
+//! the first had gone; all 40 back ends of the service ended within 150 ms, again at each repeat, at whichever
+//! node it came in. How: nothing was remembered of a request beyond its own attempt, so that a repeat was a new
+//! request, and an end was one more failed call to send on. Cause: failures were counted by replica alone,
+//! never by request. Proof: the same with stand-ins, which end on one path and live on all others.
 
 use std::time::Duration;
 
@@ -87,8 +86,8 @@
         self.leaves.iter().map(|leaf| leaf.arrivals_of(FATAL)).sum()
     }
 
-    /// Waits until every back end is there, and every node gets answers from all shards and from the single service, and
-    /// so knows their new lives.
+    /// Waits until every back end is there, and every node gets answers from all shards and from the single
+    /// service, and so knows their new lives.
     async fn wait_whole(&self, name: &str) {
         eventually("all back ends are there", || async { self.leaves.iter().all(RestartingLeaf::is_up) })
             .await;
@@ -105,8 +104,8 @@
         }
     }
 
-    /// Makes attempts at one node after the other, each once all back ends are back. Returns the answers, and how many
-    /// attempts reached a back end after three had ended.
+    /// Makes attempts at one node after the other, each once all back ends are back. Returns the answers, and
+    /// how many attempts reached a back end after three had ended.
     async fn attempt(&self, path: &str, attempts: usize) -> (Vec<CallerAnswer>, usize) {
         let mut answers = Vec::new();
         let mut late = 0;
@@ -134,9 +133,9 @@
     check_gathered(&near, "near-miss");
 }
 
-/// Seen: after the first repair a request was still sent on four times too often. Attempts come in at several nodes at
-/// once; together they end every back end in the first moment, so that no node meets a second end one after the other, and the
-/// next time each node tried it carefully, all of them at the same moment.
+/// Seen: after the first repair a request was still sent on four times too often. Attempts come in at several
+/// nodes at once; together they end every back end in the first moment, so that no node meets a second end one
+/// after the other, and the next time each node tried it carefully, all of them at the same moment.
 #[tokio::test(flavor = "multi_thread")]
 async fn attempts_that_come_in_at_all_nodes_at_once_cost_few_back_ends() {
     let fleet = Fleet::start(3).await;
@@ -163,7 +162,8 @@
     );
 }
 
-/// Two of three nodes have no back end in their zone: they have the third gather for them, once the fleet has settled.
+/// Two of three nodes have no back end in their zone: they have the third gather for them, once the fleet has
+/// settled.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_search_that_others_gather_is_kept_from_the_rest_too() {
     let fleet = Fleet::start_in(&["zone-a", "zone-b", "zone-b"]).await;
