--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -38,9 +38,9 @@
     GathererInputs, GathererNode, choose_gatherers, gathering_nodes, owned_shards, shard_owners,
 };
 pub use quarantine::{
-    Audience, CrashNotice, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
-    NOTICES_PER_MESSAGE, ObserverId, PlaceRequest, Quarantine, QuarantineNotice, RunId, RunPermit, STRIKES,
-    Standing, Suspect, alone_limit,
+    Audience, CrashNotice, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, LeaseRequest,
+    MAXIMUM_REQUESTS, NOTICES_PER_MESSAGE, ObserverId, Quarantine, QuarantineNotice, RunId, RunPermit,
+    STRIKES, Standing, Suspect, alone_limit,
 };
 pub use records::{RECORD_BYTES, TopRecords};
 pub use replica_health::{LoadHint, ReplicaHealth};
--- a/crates/sablebay-dispatch/src/quarantine.rs
+++ b/crates/sablebay-dispatch/src/quarantine.rs
@@ -68,9 +68,9 @@
     pub call: u64,
 }
 
-/// A run that wants the only place of its request.
+/// A run that wants the lease of its suspect request, which one run at a time has over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct PlaceRequest {
+pub struct LeaseRequest {
     /// The run.
     pub run: RunId,
     /// How long it keeps others waiting at the most; see [`alone_limit`].
@@ -102,7 +102,7 @@
 pub enum RunPermit {
     /// It may.
     Free,
-    /// It may once it has the request's only place; see [`Quarantine::grant`].
+    /// It may once it has the request's lease; see [`Quarantine::grant`].
     Alone,
     /// Not before this time has passed.
     Refused {
@@ -120,9 +120,9 @@
     Everyone,
 }
 
-/// The run that has the only place of a request.
+/// The run that has the lease of a request.
 #[derive(Clone, Copy, Debug)]
-struct TakenPlace {
+struct HeldLease {
     run: RunId,
     /// When another may have it although this one is not over.
     until: Micros,
@@ -139,8 +139,8 @@
 struct Entry {
     route: String,
     evidence: Evidence,
-    /// The run that has the only place. Kept by the node that is asked for it.
-    place: Option<TakenPlace>,
+    /// The run that has the lease. Kept by the node that is asked for it.
+    lease: Option<HeldLease>,
     /// The strikes that every node was told of.
     told_everyone: u32,
     /// Whether something was learnt that the keepers were not told.
@@ -225,28 +225,28 @@
         }
     }
 
-    /// Gives a run the only place of its request; false while another has it. All nodes ask one of them, so
+    /// Gives a run the lease of its request; false while another has it. All nodes ask one of them, so
     /// that attempts which come in at several at once cost one back end.
-    pub fn grant(&mut self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
+    pub fn grant(&mut self, digest: &RequestDigest, wanted: LeaseRequest, now: Micros) -> bool {
         let Some(entry) = self.requests.get_mut(digest) else {
             // Nothing speaks against it here; what the asker knows was told before.
             return true;
         };
-        let taken = entry.place.is_some_and(|place| place.run != wanted.run && now < place.until);
+        let taken = entry.lease.is_some_and(|lease| lease.run != wanted.run && now < lease.until);
         if !taken {
-            entry.place = Some(TakenPlace { run: wanted.run, until: now.plus(wanted.lasts) });
+            entry.lease = Some(HeldLease { run: wanted.run, until: now.plus(wanted.lasts) });
         }
         !taken
     }
 
-    /// A run is over: another may begin. Returns whether it had the only place.
+    /// A run is over: another may begin. Returns whether it had the lease.
     pub fn over(&mut self, digest: &RequestDigest, run: RunId) -> bool {
         let Some(entry) = self.requests.get_mut(digest) else {
             return false;
         };
-        let had = entry.place.is_some_and(|place| place.run == run);
+        let had = entry.lease.is_some_and(|lease| lease.run == run);
         if had {
-            entry.place = None;
+            entry.lease = None;
         }
         had
     }
--- a/crates/sablebay-dispatch/tests/quarantine.rs
+++ b/crates/sablebay-dispatch/tests/quarantine.rs
@@ -5,9 +5,9 @@
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_dispatch::{
-    Audience, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, MAXIMUM_REQUESTS,
-    NOTICES_PER_MESSAGE, ObserverId, PlaceRequest, Quarantine, QuarantineNotice, RunId, RunPermit, STRIKES,
-    Standing, alone_limit,
+    Audience, CrashedRun, Evidence, FIRST_HOLD, KEPT_CRASHES, LONGEST_HOLD, LeaseRequest, MAXIMUM_REQUESTS,
+    NOTICES_PER_MESSAGE, ObserverId, Quarantine, QuarantineNotice, RunId, RunPermit, STRIKES, Standing,
+    alone_limit,
 };
 use sablebay_model::{Micros, RequestDigest};
 
@@ -159,8 +159,8 @@
 }
 
 /// A run on a route whose calls usually take 12 ms.
-fn wanted(run: RunId) -> PlaceRequest {
-    PlaceRequest { run, lasts: alone_limit(Micros::from_millis(12)) }
+fn wanted(run: RunId) -> LeaseRequest {
+    LeaseRequest { run, lasts: alone_limit(Micros::from_millis(12)) }
 }
 
 #[test]
@@ -381,7 +381,7 @@
     messages: Vec<Message>,
 }
 
-/// The node that gives out the only place of the request.
+/// The node that gives out the lease of the request.
 const FIRST_KEEPER: usize = 0;
 /// How long an attempt may take.
 const ATTEMPT_MS: u64 = 1_500;
@@ -454,7 +454,7 @@
         }
     }
 
-    /// Whether a run may begin: the first keeper gives out the only place, and is asked over the same bad network.
+    /// Whether a run may begin: the first keeper gives out the lease, and is asked over the same bad network.
     fn may_run(&mut self, node: usize, shard: u64, run: RunId, now: u64) -> Option<bool> {
         match self.nodes[node].quarantine.permit(&digest(1), &service(shard), at(now)) {
             RunPermit::Free => Some(true),
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -11,7 +11,7 @@
 
 use sablebay_catalogue::RoutableReplica;
 use sablebay_dispatch::{
-    CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LoadHint, PlaceRequest, RunId, alone_limit,
+    CallFailure, CallKey, CallNumber, CrashedRun, GatheredShards, LeaseRequest, LoadHint, RunId, alone_limit,
 };
 use sablebay_model::{Micros, RequestDigest};
 
@@ -113,7 +113,7 @@
     let connections = context.connections_to(&call.replica);
     let OutgoingCall { number, key, replica, request, extra, usual, deadline, mut abandoned, events } = call;
     let wanted =
-        PlaceRequest { run: RunId { node: context.observer(), call: key.0 }, lasts: alone_limit(usual) };
+        LeaseRequest { run: RunId { node: context.observer(), call: key.0 }, lasts: alone_limit(usual) };
     let prepared = tokio::select! {
         prepared = prepare(&context, &connections, &replica, &request, wanted) => prepared,
         _ = &mut abandoned => {
@@ -123,7 +123,7 @@
         }
         () = tokio::time::sleep_until(context.clock().instant(deadline)) => Err(Unsent::Late),
     };
-    let (lease, place) = match prepared {
+    let (lease, run_lease) = match prepared {
         Ok(prepared) => prepared,
         Err(why) => {
             let failure = note_unsent(&context, &replica, key, &request, why);
@@ -139,7 +139,7 @@
         result = &mut exchange => Some(result),
         _ = &mut abandoned => {
             let now = context.clock().now();
-            let patience = match place {
+            let patience = match run_lease {
                 // Others wait for word of how this ends.
                 Some(_) => wanted.lasts,
                 None => context.dispatch.lock().table.abandoned_patience(&replica.replica.id, now),
@@ -150,7 +150,7 @@
     };
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
     note_run(&context, &connections, &replica, &request, started_at, &result.0).await;
-    drop(place);
+    drop(run_lease);
     note(&context, &replica, key, &request, &result);
     let _ = events.send(CallEvent { call: number, news: CallNews::Ended(result.0) });
 }
--- a/crates/sablebay-gateway/src/fleet_view.rs
+++ b/crates/sablebay-gateway/src/fleet_view.rs
@@ -140,7 +140,7 @@
         if peers.is_empty() { None } else { Some(peers[(self.own_rank + turn) % peers.len()]) }
     }
 
-    /// The nodes that keep account of a request, the first of which gives out its only place. Nothing stands for
+    /// The nodes that keep account of a request, the first of which gives out its lease. Nothing stands for
     /// this node itself.
     pub fn keepers_of(&self, digest: &RequestDigest) -> Vec<Option<SocketAddr>> {
         let others = self.ranked.iter().filter(|peer| peer.shares_quarantine);
--- a/crates/sablebay-gateway/src/prepare_call.rs
+++ b/crates/sablebay-gateway/src/prepare_call.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use sablebay_catalogue::RoutableReplica;
-use sablebay_dispatch::{CallFailure, CallKey, PlaceRequest, RunPermit};
+use sablebay_dispatch::{CallFailure, CallKey, LeaseRequest, RunPermit};
 
 use crate::call::ForwardedRequest;
 use crate::connections::{Lease, ReplicaConnections};
 use crate::context::{Context, Withheld};
 use crate::edge::{BackendProtocol, CallerProtocol};
-use crate::quarantine::{OnlyPlace, PlaceAnswer, ask_for_place};
+use crate::quarantine::{LeaseAnswer, RunLease, acquire_lease};
 
 /// Why nothing of a call was sent.
 #[derive(Clone, Copy, Debug)]
@@ -24,23 +24,23 @@
     Late,
 }
 
-/// Waits until a run of a request may begin. Returns the request's only place where it needs that.
+/// Waits until a run of a request may begin. Returns the request's lease where it needs that.
 async fn enter<C: CallerProtocol, B: BackendProtocol>(
     context: &Arc<Context<C, B>>,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
-    wanted: PlaceRequest,
-) -> Result<Option<OnlyPlace<C, B>>, Unsent> {
+    wanted: LeaseRequest,
+) -> Result<Option<RunLease<C, B>>, Unsent> {
     loop {
         match context.permit_run(request, &replica.replica.service) {
             RunPermit::Free => return Ok(None),
             RunPermit::Refused { .. } => return Err(Unsent::HeldBack),
             RunPermit::Alone => {}
         }
-        match ask_for_place(context, context.digest_of(request), wanted).await {
-            PlaceAnswer::Granted(place) => return Ok(Some(place)),
-            PlaceAnswer::Taken => context.node.quarantine.wait().await,
-            PlaceAnswer::Unreached => return Err(Unsent::HeldBack),
+        match acquire_lease(context, context.digest_of(request), wanted).await {
+            LeaseAnswer::Granted(run_lease) => return Ok(Some(run_lease)),
+            LeaseAnswer::Taken => context.node.quarantine.wait().await,
+            LeaseAnswer::Unreached => return Err(Unsent::HeldBack),
         }
     }
 }
@@ -51,15 +51,15 @@
     connections: &ReplicaConnections,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
-    wanted: PlaceRequest,
-) -> Result<(Lease, Option<OnlyPlace<C, B>>), Unsent> {
+    wanted: LeaseRequest,
+) -> Result<(Lease, Option<RunLease<C, B>>), Unsent> {
     loop {
-        let place = enter(context, replica, request, wanted).await?;
+        let run_lease = enter(context, replica, request, wanted).await?;
         let lease = connections.lease().await.ok_or(Unsent::Unreached)?;
         // A back end may have ended under the request meanwhile.
         let may_begin = match context.permit_run(request, &replica.replica.service) {
             RunPermit::Free => true,
-            RunPermit::Alone => place.is_some(),
+            RunPermit::Alone => run_lease.is_some(),
             RunPermit::Refused { .. } => false,
         };
         if !may_begin {
@@ -70,7 +70,7 @@
             connections.give_back(lease);
             return Err(Unsent::Withheld(why));
         }
-        return Ok((lease, place));
+        return Ok((lease, run_lease));
     }
 }
 
--- a/crates/sablebay-gateway/src/quarantine.rs
+++ b/crates/sablebay-gateway/src/quarantine.rs
@@ -2,8 +2,8 @@
 //!
 //! Every node is told at once. Where back ends that ended together leave more requests with a first strike than
 //! that is done for, only the few nodes that keep account of each are told. A node that was not reached, or
-//! that has just started, learns of it by comparing. The first keeper that can be reached gives out the only
-//! place of a suspect request.
+//! that has just started, learns of it by comparing. The first keeper that can be reached gives out the lease
+//! of a suspect request: at most one run of it has that, over all nodes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use sablebay_catalogue::ServiceName;
-use sablebay_dispatch::{Audience, PlaceRequest, QuarantineNotice, RunId, RunPermit, Standing};
+use sablebay_dispatch::{Audience, LeaseRequest, QuarantineNotice, RunId, RunPermit, Standing};
 use sablebay_model::{Micros, RequestDigest};
 use sablebay_node::Lane;
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
@@ -28,10 +28,10 @@
 const LONELY_PERIOD: Duration = Duration::from_millis(100);
 /// How long news are collected: back ends of one search end within some milliseconds of one another.
 const COLLECT: Duration = Duration::from_millis(5);
-/// How long the node that gives out the only place of a request may take to answer before the next is asked:
+/// How long the node that gives out the lease of a request may take to answer before the next is asked:
 /// some ways there and back.
-const PLACE_PATIENCE: Duration = Duration::from_millis(60);
-/// How long after a refusal the place is asked for again. Runs end within some ten milliseconds.
+const KEEPER_PATIENCE: Duration = Duration::from_millis(60);
+/// How long after a refusal the lease is asked for again. Runs end within some ten milliseconds.
 const ASK_PAUSE: Duration = Duration::from_millis(10);
 /// How long another node may take to answer.
 const PATIENCE: Duration = Duration::from_millis(900);
@@ -174,7 +174,7 @@
     }
 }
 
-/// A run of this node that asks for the only place of its request, until this is dropped.
+/// A run of this node that asks for the lease of its request, until this is dropped.
 struct Asking<C: CallerProtocol, B: BackendProtocol> {
     context: Arc<Context<C, B>>,
     digest: RequestDigest,
@@ -187,14 +187,14 @@
     }
 }
 
-/// The only place of a suspect request, until this is dropped.
-pub struct OnlyPlace<C: CallerProtocol, B: BackendProtocol> {
+/// The lease of a suspect request, until this is dropped.
+pub struct RunLease<C: CallerProtocol, B: BackendProtocol> {
     asking: Asking<C, B>,
     /// Who gave it; nothing when this node did.
     keeper: Option<SocketAddr>,
 }
 
-impl<C: CallerProtocol, B: BackendProtocol> Drop for OnlyPlace<C, B> {
+impl<C: CallerProtocol, B: BackendProtocol> Drop for RunLease<C, B> {
     fn drop(&mut self) {
         let Asking { context, digest, run } = &self.asking;
         let quarantine = &context.node.quarantine;
@@ -206,33 +206,33 @@
             return;
         };
         let context = context.clone();
-        let request = PeerRequest::QuarantinePlaceFree { notice, run: *run };
+        let request = PeerRequest::QuarantineLeaseEnd { notice, run: *run };
         tokio::spawn(async move {
             let until = Instant::now() + PATIENCE;
-            // A keeper that does not hear this gives the place to another after a while.
+            // A keeper that does not hear this gives the lease to another after a while.
             let _ = context.node.peers.request(address, Lane::Control, request, until).await;
         });
     }
 }
 
-/// What became of asking for the only place of a request.
-pub enum PlaceAnswer<C: CallerProtocol, B: BackendProtocol> {
+/// What became of asking for the lease of a request.
+pub enum LeaseAnswer<C: CallerProtocol, B: BackendProtocol> {
     /// It is this run's.
-    Granted(OnlyPlace<C, B>),
+    Granted(RunLease<C, B>),
     /// Another run has it.
     Taken,
     /// Nobody who could give it was reached.
     Unreached,
 }
 
-/// Asks for the only place of a request: the first of its keepers that can be reached.
-pub async fn ask_for_place<C: CallerProtocol, B: BackendProtocol>(
+/// Asks for the lease of a request: the first of its keepers that can be reached.
+pub async fn acquire_lease<C: CallerProtocol, B: BackendProtocol>(
     context: &Arc<Context<C, B>>,
     digest: RequestDigest,
-    wanted: PlaceRequest,
-) -> PlaceAnswer<C, B> {
+    wanted: LeaseRequest,
+) -> LeaseAnswer<C, B> {
     if !context.node.quarantine.may_ask(&digest, wanted, context.clock().now()) {
-        return PlaceAnswer::Taken;
+        return LeaseAnswer::Taken;
     }
     let asking = Asking { context: context.clone(), digest, run: wanted.run };
     let keepers = context.fleet.lock().keepers_of(&digest);
@@ -241,27 +241,27 @@
         let Some(address) = keeper else {
             let granted = context.node.quarantine.grant(&digest, wanted, now);
             return if granted {
-                PlaceAnswer::Granted(OnlyPlace { asking, keeper })
+                LeaseAnswer::Granted(RunLease { asking, keeper })
             } else {
-                PlaceAnswer::Taken
+                LeaseAnswer::Taken
             };
         };
         let Some(notice) = context.node.quarantine.notice(&digest, now) else {
-            return PlaceAnswer::Taken;
+            return LeaseAnswer::Taken;
         };
-        let request = PeerRequest::QuarantinePlace { notice, wanted };
-        let until = Instant::now() + PLACE_PATIENCE;
+        let request = PeerRequest::QuarantineLease { notice, wanted };
+        let until = Instant::now() + KEEPER_PATIENCE;
         let answer = context.node.peers.request(address, Lane::Control, request, until).await;
-        if let Ok(PeerResponse::QuarantinePlace { granted, notice }) = answer {
+        if let Ok(PeerResponse::QuarantineLease { granted, notice }) = answer {
             let known: Vec<QuarantineNotice> = notice.into_iter().collect();
             context.node.quarantine.hear("a keeper", &known, false, context.clock().now());
             if granted {
-                return PlaceAnswer::Granted(OnlyPlace { asking, keeper });
+                return LeaseAnswer::Granted(RunLease { asking, keeper });
             }
             // Other runs of this node do not ask meanwhile.
             tokio::time::sleep(ASK_PAUSE).await;
-            return PlaceAnswer::Taken;
+            return LeaseAnswer::Taken;
         }
     }
-    PlaceAnswer::Unreached
+    LeaseAnswer::Unreached
 }
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -300,14 +300,14 @@
                 let known = if compare { shared.quarantine.notices(now) } else { Vec::new() };
                 PeerResponse::Quarantine(known)
             }
-            PeerRequest::QuarantinePlace { notice, wanted } => {
+            PeerRequest::QuarantineLease { notice, wanted } => {
                 let now = shared.clock.now();
                 let quarantine = &shared.quarantine;
                 quarantine.hear(from.node.as_str(), std::slice::from_ref(&notice), false, now);
                 let granted = quarantine.grant(&notice.digest, wanted, now);
-                PeerResponse::QuarantinePlace { granted, notice: quarantine.notice(&notice.digest, now) }
+                PeerResponse::QuarantineLease { granted, notice: quarantine.notice(&notice.digest, now) }
             }
-            PeerRequest::QuarantinePlaceFree { notice, run } => {
+            PeerRequest::QuarantineLeaseEnd { notice, run } => {
                 let now = shared.clock.now();
                 shared.quarantine.hear(from.node.as_str(), std::slice::from_ref(&notice), false, now);
                 shared.quarantine.over(&notice.digest, run);
--- a/crates/sablebay-node/src/quarantine_store.rs
+++ b/crates/sablebay-node/src/quarantine_store.rs
@@ -10,17 +10,17 @@
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_dispatch::{
-    Audience, CrashedRun, PlaceRequest, Quarantine, QuarantineNotice, RunId, RunPermit, Standing, Suspect,
+    Audience, CrashedRun, LeaseRequest, Quarantine, QuarantineNotice, RunId, RunPermit, Standing, Suspect,
 };
 use sablebay_model::{Micros, RequestDigest};
 
-/// How often a run that has to wait looks again by itself: the place may be kept by another node.
+/// How often a run that has to wait looks again by itself: the lease may be given out by another node.
 const RECHECK: Duration = Duration::from_millis(20);
 
 /// The requests that back ends ended under, as this node knows them.
 pub struct QuarantineStore {
     known: Mutex<Quarantine>,
-    /// The run of this node that asks for, or has, the only place of a request.
+    /// The run of this node that asks for, or has, the lease of a request.
     asking: Mutex<HashMap<RequestDigest, AskingRun>>,
     changed: watch::Sender<u64>,
 }
@@ -31,7 +31,7 @@
     }
 }
 
-/// A run that asks for, or has, the only place of its request.
+/// A run that asks for, or has, the lease of its request.
 struct AskingRun {
     run: RunId,
     /// Until when no other run of this node asks.
@@ -92,8 +92,8 @@
         self.known.lock().permit(digest, service, now)
     }
 
-    /// Gives a run the only place of its request. See [`Quarantine::grant`].
-    pub fn grant(&self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
+    /// Gives a run the lease of its request. See [`Quarantine::grant`].
+    pub fn grant(&self, digest: &RequestDigest, wanted: LeaseRequest, now: Micros) -> bool {
         self.known.lock().grant(digest, wanted, now)
     }
 
@@ -113,9 +113,9 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Whether a run may ask for the only place of its request: one of this node at a time does, so that a
+    /// Whether a run may ask for the lease of its request: one of this node at a time does, so that a
     /// search over many shards asks once and not for each.
-    pub fn may_ask(&self, digest: &RequestDigest, wanted: PlaceRequest, now: Micros) -> bool {
+    pub fn may_ask(&self, digest: &RequestDigest, wanted: LeaseRequest, now: Micros) -> bool {
         let mut asking = self.asking.lock();
         let others = |asking: &AskingRun| asking.run != wanted.run && now < asking.until;
         if asking.get(digest).is_some_and(others) {
@@ -125,7 +125,7 @@
         true
     }
 
-    /// A run asks no longer for the only place of its request, nor has it.
+    /// A run asks no longer for the lease of its request, nor has it.
     pub fn stop_asking(&self, digest: &RequestDigest, run: RunId) {
         let mut asking = self.asking.lock();
         if asking.get(digest).is_some_and(|asking| asking.run == run) {
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -4,7 +4,7 @@
 use musli::{Decode, Encode};
 
 use sablebay_catalogue::{CatalogueSnapshot, ServiceName, ZoneNotice};
-use sablebay_dispatch::{PlaceRequest, QuarantineNotice, RunId};
+use sablebay_dispatch::{LeaseRequest, QuarantineNotice, RunId};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
 };
@@ -103,15 +103,15 @@
         /// Whether the receiver's own knowledge is wanted.
         compare: bool,
     },
-    /// May this run have the only place of its request? Sent to the node that keeps account of the request first.
-    QuarantinePlace {
+    /// May this run have the lease of its request? Sent to the node that keeps account of the request first.
+    QuarantineLease {
         /// What the sender knows of the request.
         notice: QuarantineNotice,
         /// The run, and how long it would keep others waiting.
-        wanted: PlaceRequest,
+        wanted: LeaseRequest,
     },
-    /// The run that had the only place of its request is over.
-    QuarantinePlaceFree {
+    /// The run that had the lease of its request is over.
+    QuarantineLeaseEnd {
         /// What the sender knows of the request.
         notice: QuarantineNotice,
         /// The run.
@@ -248,8 +248,8 @@
     Gathered(Box<GatheredPart>),
     /// What is known of requests that back ends ended under; nothing where that was not wanted.
     Quarantine(Vec<QuarantineNotice>),
-    /// Whether a run has the only place of its request.
-    QuarantinePlace {
+    /// Whether a run has the lease of its request.
+    QuarantineLease {
         /// Whether it has.
         granted: bool,
         /// What is known of the request.
