The quarantine's property tests draw the same cases at every run; what was eased in their rewriting is back

When the simulated fleet was written anew for attempts at several nodes at once, loss went from up to 40 to up to 30 in 100 messages and the bound on back ends ended was left out; no reason was given. Change: seed fixed as in the other crates, 48 cases; loss up to 40 again; a bound on ends (12 for each shard, and 40).

--- a/crates/sablebay-dispatch/tests/quarantine.rs
+++ b/crates/sablebay-dispatch/tests/quarantine.rs
@@ -2,6 +2,7 @@
 //! lose messages makes of it.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_dispatch::{
@@ -550,8 +551,13 @@
     }
 }
 
+/// The same cases at every run.
+fn settings() -> ProptestConfig {
+    ProptestConfig { cases: 48, rng_seed: RngSeed::Fixed(33), ..ProptestConfig::default() }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(48))]
+    #![proptest_config(settings())]
 
     /// From four seconds after the third back end has ended, no more than three attempts reach any, from nodes
     /// that have been up and reached for four seconds: however many attempts come in at once.
@@ -559,7 +565,7 @@
     fn a_request_that_ends_back_ends_is_contained(
         size in prop::sample::select(vec![8_usize, 64, 300]),
         shards in prop::sample::select(vec![1_u64, 4, 20, 90]),
-        loss_percent in 0_u64..30,
+        loss_percent in 0_u64..40,
         spells in prop::collection::vec((20_u64..9_000, 1_usize..7), 12),
         seed in any::<u64>(),
     ) {
@@ -602,6 +608,8 @@
             }
         }
         prop_assert!(late <= 3, "{late} late attempts, {} ended", fleet.ended);
+        // Six attempts may meet two back ends of each shard before anything is known; later ones cost few.
+        prop_assert!(fleet.ended <= shards * 12 + 40, "{} ended", fleet.ended);
     }
 
     /// Whatever order word comes in, every node counts the same.
