Red: a small change behind a large configuration, and a large one over a thin link

Cause of the incident, as far as the readings go: whole configurations in answers to everybody, and answers given up while they arrive.

--- /dev/null
+++ b/crates/sablebay/tests/platform/large_configurations.rs
@@ -0,0 +1,107 @@
+//! Large configurations, and small ones right behind them.
+//!
+//! What was seen: 5 s after an operator was told that a route was added, a node still served by the configuration before.
+//! How it came about: 1,400 routes had been added two seconds earlier. Every node asks the same few nodes for news, and each
+//! was answered with the whole configuration, whatever had changed in it. The answers filled the links of those few for
+//! 5 to 15 s and their memory up to its limit; their own questions waited behind them. Who asked gave up on answers that were
+//! still arriving and asked the next node, which then was in the same trouble.
+//! What caused it: an answer as large as the configuration, to everybody at once, and a limit on its time that does not
+//! depend on its size.
+//! What proved it: the bytes that single nodes gave out in each second, at the limit of their links, and these tests.
+
+use sablebay_catalogue::RoutingConfiguration;
+use sablebay_platform_standin::StoreMode;
+use sablebay_standin::{Faults, Proxy};
+
+use crate::gathering::metric;
+use crate::support::{Deployment, NodeProcess, configuration, eventually, settings_text};
+
+/// The routes that a large configuration has more.
+const ROUTES: usize = 1_400;
+/// Nodes of one zone, enough for it to have relays.
+const NODES: usize = 9;
+/// What the fleet may send for one more route: 5 kB a node, questions and answers of some seconds among them. The whole
+/// configuration has some 200 kB.
+const SMALL_CHANGE_BYTES: u64 = 5_000 * NODES as u64;
+/// Bytes a second of a link that the whole configuration needs several seconds for.
+const THIN_LINK: u64 = 50_000;
+
+/// The first configuration, with this many routes more.
+fn grown(version: u64, routes: usize) -> RoutingConfiguration {
+    let mut configuration = configuration(version);
+    let template = configuration.routes[1].clone();
+    configuration.routes.extend((0..routes).map(|number| {
+        let mut route = template.clone();
+        route.name = format!("added-{number}");
+        route.host = format!("host-{number}-{:x}.example", number * 2_654_435_761);
+        route.prefix = format!("/{:x}/", number * 40_503 + 7);
+        route
+    }));
+    configuration
+}
+
+fn version_of(node: &NodeProcess) -> u64 {
+    metric(node, "sablebay_gateway_configuration_version")
+}
+
+async fn until_in_force(nodes: &[NodeProcess], version: u64) {
+    for node in nodes {
+        eventually("a configuration is in force", || async { version_of(node) >= version }).await;
+    }
+}
+
+/// What all nodes sent for the catalogue so far.
+fn catalogue_bytes(nodes: &[NodeProcess]) -> u64 {
+    let sent = |node: &NodeProcess| -> u64 {
+        let text = node.admin_text("/metrics");
+        let counts =
+            text.lines().filter(|line| line.contains("traffic_sent_bytes") && line.contains("\"catalogue_"));
+        counts.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    };
+    nodes.iter().map(sent).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_small_change_of_a_large_configuration_costs_little() {
+    let deployment = Deployment::start().await;
+    let mut nodes: Vec<NodeProcess> = Vec::new();
+    for number in 0..NODES {
+        let seeds: Vec<_> = nodes.iter().take(3).map(|node| node.peers).collect();
+        nodes.push(NodeProcess::start(&format!("node-{number}"), deployment.store.address, &seeds));
+    }
+    for node in &nodes {
+        node.wait_ready().await;
+    }
+    deployment.store.publish(&grown(2, ROUTES));
+    until_in_force(&nodes, 2).await;
+    let before = catalogue_bytes(&nodes);
+    deployment.store.publish(&grown(3, ROUTES + 1));
+    until_in_force(&nodes, 3).await;
+    let sent = catalogue_bytes(&nodes) - before;
+    assert!(sent <= SMALL_CHANGE_BYTES, "{sent} bytes for one route; {SMALL_CHANGE_BYTES} may be sent");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_arrives_over_a_thin_link() {
+    let deployment = Deployment::start().await;
+    let link = Proxy::start_without_target(1).await.expect("a proxy");
+    let settings = settings_text("node-1", deployment.store.address, &[]);
+    let settings = format!("advertised_peer_address = \"{}\"\n{settings}", link.address);
+    let first = NodeProcess::start_with(&settings);
+    link.set_target(first.peers);
+    first.wait_ready().await;
+    // The second node has no store: it learns everything from the first.
+    let closed = deployment_without_store().await;
+    let second = NodeProcess::start("node-2", closed.address, &[link.address]);
+    second.wait_ready().await;
+    link.set(Faults { bandwidth: Some(THIN_LINK), ..Faults::default() });
+    deployment.store.publish(&grown(2, ROUTES));
+    until_in_force(&[first, second], 2).await;
+}
+
+/// A store that refuses everything.
+async fn deployment_without_store() -> sablebay_platform_standin::StoreStandIn {
+    let store = sablebay_platform_standin::StoreStandIn::start().await.expect("a store");
+    store.set_mode(StoreMode::Refusing);
+    store
+}
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod catalogue;
 mod evacuation;
 mod gathering;
+mod large_configurations;
 mod life;
 mod link;
 mod odd_answers;
