Sight: questions to peers by outcome, and bytes that wait to be sent

Cause: an answer that was given up left no line and no count, and nothing told how much waits for a link. gateway_peer_questions counts outcomes, the first failure in a row has a line; traffic_queued_bytes counts what stands before the socket. The quota kind was missing in the ledger's list (13 of 14). No logic changes.

--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -76,6 +76,8 @@
     pub caller_fault_log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
     pub source_reads: Family<OutcomeLabel, Counter>,
+    /// Questions to peers for news of the catalogue, by outcome.
+    pub peer_questions: Family<OutcomeLabel, Counter>,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
     /// Since anybody said that there is nothing newer than the catalogue, in milliseconds.
@@ -112,6 +114,7 @@
             log_budget: LogBudget::default(),
             caller_fault_log_budget: LogBudget::default(),
             source_reads: Family::default(),
+            peer_questions: Family::default(),
             configuration_version: Gauge::default(),
             catalogue_age: Gauge::default(),
             configuration_age: Histogram::new(AGE_BUCKETS),
@@ -194,6 +197,11 @@
         self.source_reads.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// A question to a peer for news of the catalogue ended.
+    pub fn peer_question(&self, outcome: &'static str) {
+        self.peer_questions.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// All of them, for a registry.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("gateway");
@@ -236,6 +244,11 @@
         );
         registry.register("latency_seconds", "Time from request to answer", self.latency.clone());
         registry.register("source_reads", "Reads of the catalogue by outcome", self.source_reads.clone());
+        registry.register(
+            "peer_questions",
+            "Questions to peers for news of the catalogue, by outcome",
+            self.peer_questions.clone(),
+        );
         registry.register("configuration_version", "Version in force", self.configuration_version.clone());
         registry.register(
             "catalogue_age_milliseconds",
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -7,7 +7,7 @@
 use sablebay_catalogue::LimitedAge;
 use sablebay_dispatch::SETTLING_TIME;
 use sablebay_model::Micros;
-use sablebay_node::Lane;
+use sablebay_node::{Lane, PeerFailure};
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
 
 use crate::context::Context;
@@ -111,9 +111,18 @@
     let asked_at = context.clock().now();
     let until = tokio::time::Instant::now() + wait + PATIENCE;
     let answer = context.node.peers.request(peer.address, Lane::Control, request, until).await;
-    let Ok(PeerResponse::Catalogue(snapshot)) = answer else {
-        return false;
+    let snapshot = match answer {
+        Ok(PeerResponse::Catalogue(snapshot)) => snapshot,
+        Ok(_) => {
+            note_no_news(context, peer, turn, asked_at, "another answer");
+            return false;
+        }
+        Err(failure) => {
+            note_no_news(context, peer, turn, asked_at, outcome_of(&failure));
+            return false;
+        }
     };
+    context.metrics.peer_question("answered");
     let now = context.clock().now();
     let told =
         (snapshot.configuration.as_ref().map(|configuration| configuration.version), snapshot.replicas_at);
@@ -133,3 +142,28 @@
     }
     true
 }
+
+fn outcome_of(failure: &PeerFailure) -> &'static str {
+    match failure {
+        PeerFailure::NotSent => "not_sent",
+        PeerFailure::Broken => "broken",
+        PeerFailure::TimedOut => "timed_out",
+        PeerFailure::Refused(_) => "refused",
+    }
+}
+
+/// Counts a question without an answer; the first of several in a row has a line in the log.
+fn note_no_news<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    peer: &FleetPeer,
+    turn: PeerTurn,
+    asked_at: Micros,
+    outcome: &'static str,
+) {
+    context.metrics.peer_question(outcome);
+    if turn.is_first_try() {
+        let waited = context.clock().now().since(asked_at).as_millis();
+        let age = context.catalogue_age().as_millis();
+        log::warn!(peer = peer.node.as_str(), outcome = outcome, waited_ms = waited, catalogue_age_ms = age; "catalogue: no news from a peer.");
+    }
+}
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -125,13 +125,22 @@
     const MESSAGES_PER_WRITE: usize = 64;
     let mut messages = Vec::new();
     while queue.recv_many(&mut messages, MESSAGES_PER_WRITE).await > 0 {
+        let mut put = Vec::with_capacity(messages.len());
         for message in messages.drain(..) {
             match writer.put(&message) {
-                Ok(bytes) => context.traffic.sent(TrafficKind::of(&message), span, bytes as u64),
+                Ok(bytes) => put.push((TrafficKind::of(&message), bytes as u64)),
                 Err(error) => log::warn!("peer: a message was not sent: {error}."),
             }
         }
-        if writer.flush().await.is_err() {
+        for (kind, bytes) in &put {
+            context.traffic.sent(*kind, span, *bytes);
+            context.traffic.queued(*kind, span, *bytes);
+        }
+        let flushed = writer.flush().await;
+        for (kind, bytes) in &put {
+            context.traffic.unqueued(*kind, span, *bytes);
+        }
+        if flushed.is_err() {
             return;
         }
     }
--- a/crates/sablebay-node/src/traffic.rs
+++ b/crates/sablebay-node/src/traffic.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 use sablebay_fleet::FleetMessage;
@@ -44,7 +45,7 @@
 }
 
 impl TrafficKind {
-    const ALL: [Self; 13] = [
+    const ALL: [Self; 14] = [
         Self::Greeting,
         Self::Probe,
         Self::Rumour,
@@ -57,6 +58,7 @@
         Self::MergedPart,
         Self::FirstCall,
         Self::ExtraCall,
+        Self::Quota,
         Self::Other,
     ];
 
@@ -175,11 +177,12 @@
     TrafficLabels { kind: kind.label(), zone: span.label() }
 }
 
-/// Bytes sent and received since the start, without the headers of TCP and IP.
+/// Bytes sent and received since the start, and those that wait to be sent, without the headers of TCP and IP.
 #[derive(Clone, Debug, Default)]
 pub struct TrafficLedger {
     sent: Family<TrafficLabels, Counter>,
     received: Family<TrafficLabels, Counter>,
+    queued: Family<TrafficLabels, Gauge>,
 }
 
 impl TrafficLedger {
@@ -193,6 +196,16 @@
         self.received.get_or_create(&labels(kind, span)).inc_by(bytes);
     }
 
+    /// Notes bytes that wait until a link has room for them.
+    pub fn queued(&self, kind: TrafficKind, span: TrafficSpan, bytes: u64) {
+        self.queued.get_or_create(&labels(kind, span)).inc_by(bytes as i64);
+    }
+
+    /// Notes that they wait no more.
+    pub fn unqueued(&self, kind: TrafficKind, span: TrafficSpan, bytes: u64) {
+        self.queued.get_or_create(&labels(kind, span)).dec_by(bytes as i64);
+    }
+
     /// Bytes sent of a kind, to all zones.
     pub fn total_sent(&self, kind: TrafficKind) -> u64 {
         TrafficSpan::ALL.iter().map(|span| self.sent.get_or_create(&labels(kind, *span)).get()).sum()
@@ -220,6 +233,11 @@
     /// Adds the counts to a registry.
     pub fn register(&self, registry: &mut Registry) {
         registry.register("traffic_sent_bytes", "Bytes sent, by kind and zone", self.sent.clone());
+        registry.register(
+            "traffic_queued_bytes",
+            "Bytes that wait to be sent, by kind and zone",
+            self.queued.clone(),
+        );
         registry.register(
             "traffic_received_bytes",
             "Bytes received, by kind and zone",
