Nodes pass on steps between configurations, and large answers in chunks

Change: steps with a digest in place of wholes (ConfigurationStep, ConfigurationHistory); answers over 16 kB are documents, fetched in chunks from a tree of those who ask, crossing a zone's border once; four chunks at once leave a node; what has arrived stays; a node that knows itself behind says so, confirms nothing, and answers 503 in place of 404.

--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -5,8 +5,12 @@
 //! here: how that source spells things, which is an adapter's matter. No I/O and no clock.
 
 mod configuration;
+mod configuration_history;
+mod configuration_step;
 mod confirmation;
+mod document;
 mod evacuation;
+mod incoming_configuration;
 mod reading;
 mod replica;
 mod route_table;
@@ -18,14 +22,18 @@
     BackendService, CallerLimits, Destination, Gather, Repeatability, Route, RoutingConfiguration, WarmUp,
     WeightedService,
 };
+pub use configuration_history::ConfigurationHistory;
+pub use configuration_step::{ConfigurationStep, StepError};
 pub use confirmation::{
     ConfigurationRevisions, PeerConfirmation, WATCH_SILENCE, bound_of_listing, bound_of_wait,
 };
+pub use document::{CHUNK_BYTES, Distribution, DocumentDigest, DocumentOffer, FAN_OUT, INLINE_BYTES};
 pub use evacuation::{Evacuations, ZoneNotice};
+pub use incoming_configuration::{HeardVersion, IncomingConfiguration};
 pub use reading::{
     LONGEST_UNAWARE, LimitedAge, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
 };
 pub use replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
-pub use view::{CatalogueView, Listing, ReplicaChange, RoutableReplica};
+pub use view::{CatalogueView, ConfigurationNews, Listing, ReplicaChange, RoutableReplica};
--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -1,17 +1,25 @@
-//! The whole of a node's catalogue, as one node passes it on to another.
+//! What one node knows of the catalogue, as it passes it on to another.
 
 use musli::{Decode, Encode};
 
 use crate::configuration::RoutingConfiguration;
+use crate::configuration_step::ConfigurationStep;
 use crate::confirmation::{ConfigurationRevisions, PeerConfirmation};
+use crate::document::DocumentOffer;
 use crate::evacuation::ZoneNotice;
 use crate::replica::{Replica, ReplicaId};
 
 /// What one node knows, with the revisions that order it.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct CatalogueSnapshot {
-    /// The configuration, when the receiver had an older one.
+    /// The configuration, when the receiver had an older one that no steps are known from.
     pub configuration: Option<RoutingConfiguration>,
+    /// The steps to the newest configuration from the one that the receiver had.
+    #[musli(default)]
+    pub steps: Vec<ConfigurationStep>,
+    /// Where there is more that the receiver is missing: too much for one answer.
+    #[musli(default)]
+    pub offer: Option<DocumentOffer>,
     /// The revision up to which the replicas are known; 0 when nothing is known.
     pub replicas_at: u64,
     /// How long ago the sender last heard that its knowledge is the newest, in milliseconds; nothing when it never
@@ -39,3 +47,21 @@
     #[musli(default)]
     pub revisions: ConfigurationRevisions,
 }
+
+impl CatalogueSnapshot {
+    /// The version of the newest configuration that it holds; nothing when it holds none.
+    pub fn version(&self) -> Option<u64> {
+        let steps = self.steps.last().map(|step| step.version);
+        self.configuration.as_ref().map(|configuration| configuration.version).max(steps)
+    }
+
+    /// As a document. Nothing when it cannot be encoded.
+    pub fn to_document(&self) -> Option<Vec<u8>> {
+        musli::wire::to_vec(self).ok()
+    }
+
+    /// Out of a document. Nothing when it is none.
+    pub fn from_document(content: &[u8]) -> Option<Self> {
+        musli::wire::from_slice(content).ok()
+    }
+}
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -16,8 +16,11 @@
 use sablebay_model::{Micros, ZoneName};
 
 use crate::configuration::RoutingConfiguration;
+use crate::configuration_history::ConfigurationHistory;
+use crate::configuration_step::ConfigurationStep;
 use crate::confirmation::ConfigurationRevisions;
 use crate::evacuation::{Evacuations, ZoneNotice};
+use crate::incoming_configuration::IncomingConfiguration;
 use crate::replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
 use crate::route_table::RouteTable;
 use crate::snapshot::CatalogueSnapshot;
@@ -39,6 +42,17 @@
     Gone(ReplicaId),
 }
 
+/// What a peer is missing of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigurationNews {
+    /// Nothing.
+    None,
+    /// These steps, of this many bytes.
+    Steps(Vec<ConfigurationStep>, usize),
+    /// All of it: no steps are known from what the peer has.
+    Whole,
+}
+
 /// Every replica that there was when a listing was taken.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
@@ -79,6 +93,9 @@
 #[derive(Debug, Default)]
 pub struct CatalogueView {
     routes: Option<Arc<RouteTable>>,
+    /// How the configuration in force came about.
+    history: ConfigurationHistory,
+    incoming: IncomingConfiguration,
     entries: HashMap<ReplicaId, Entry>,
     replicas_at: u64,
     /// The highest revision of an entry that vanished and was forgotten.
@@ -129,13 +146,76 @@
         !self.keeps_evacuated && self.evacuations.is_evacuated(zone)
     }
 
+    /// The version of the configuration in force; 0 when none is.
+    pub fn version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |routes| routes.version())
+    }
+
+    /// What is known of newer configurations.
+    pub fn incoming(&self) -> &IncomingConfiguration {
+        &self.incoming
+    }
+
+    /// What is known of newer configurations, for whoever fetches them.
+    pub fn incoming_mut(&mut self) -> &mut IncomingConfiguration {
+        &mut self.incoming
+    }
+
+    /// Notes that somebody has a version.
+    pub fn hear_of(&mut self, version: u64, now: Micros) {
+        self.incoming.hear_of(version, self.version(), now);
+    }
+
     /// Takes a configuration into force if it is newer. Returns whether it was.
     pub fn offer_configuration(&mut self, configuration: RoutingConfiguration) -> bool {
-        let newer = self.routes.as_ref().is_none_or(|routes| configuration.version > routes.version());
-        if newer {
-            self.routes = Some(Arc::new(RouteTable::new(configuration)));
+        self.offer_configurations(vec![configuration])
+    }
+
+    /// Takes the last of these configurations into force that is newer than all before it. Peers may have any of
+    /// them, and are told what follows on it. Returns whether there was one.
+    pub fn offer_configurations(&mut self, configurations: Vec<RoutingConfiguration>) -> bool {
+        let mut reached: Option<RoutingConfiguration> = None;
+        for configuration in configurations {
+            let before = reached.as_ref().or(self.routes.as_ref().map(|routes| routes.configuration()));
+            if before.is_some_and(|before| configuration.version <= before.version) {
+                continue;
+            }
+            if let Some(before) = before {
+                self.history.keep(ConfigurationStep::between(before, &configuration));
+            }
+            reached = Some(configuration);
         }
-        newer
+        reached.is_some_and(|configuration| self.put_in_force(configuration))
+    }
+
+    /// Takes steps of a peer. Returns whether they led to a newer configuration. Those that start from one that is still
+    /// being fetched wait for it.
+    pub fn take_steps(&mut self, steps: Vec<ConfigurationStep>) -> bool {
+        let Some(routes) = self.routes.clone() else {
+            return false;
+        };
+        let Some(first) = steps.iter().position(|step| step.base == routes.version()) else {
+            self.incoming.stage(steps);
+            return false;
+        };
+        let Ok(next) = ConfigurationStep::follow(&steps[first..], routes.configuration()) else {
+            self.incoming.need_whole();
+            return false;
+        };
+        for step in steps.into_iter().skip(first) {
+            self.history.keep(step);
+        }
+        self.put_in_force(next)
+    }
+
+    fn put_in_force(&mut self, configuration: RoutingConfiguration) -> bool {
+        let version = configuration.version;
+        self.routes = Some(Arc::new(RouteTable::new(configuration)));
+        let waiting = self.incoming.reached(version);
+        if !waiting.is_empty() {
+            self.take_steps(waiting);
+        }
+        true
     }
 
     /// Notes which configurations could be read, and could not.
@@ -292,14 +372,41 @@
             || self.replicas_at > replicas_at
     }
 
-    /// What a peer that has these revisions is missing. A peer that knew the catalogue at a moment
-    /// whose vanished entries are forgotten here is told everything.
+    /// What a peer that has a version is missing of the configuration.
+    pub fn configuration_news(&self, version: u64) -> ConfigurationNews {
+        if self.version() <= version {
+            return ConfigurationNews::None;
+        }
+        match self.history.since(version) {
+            Some((steps, bytes)) => ConfigurationNews::Steps(steps.into_iter().cloned().collect(), bytes),
+            None => ConfigurationNews::Whole,
+        }
+    }
+
+    /// Whether a peer that knows the replicas up to a revision is told of all of them: the catalogue's vanished entries
+    /// may be forgotten here since.
+    pub fn lists_all_replicas(&self, replicas_at: u64) -> bool {
+        self.replicas_at > replicas_at && (replicas_at == 0 || replicas_at < self.forgotten_up_to)
+    }
+
+    /// The number of replicas that are known, those that went lately among them.
+    pub fn known_replicas(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The whole configuration, and the replicas that a peer is missing that knows them up to a revision.
     pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
         let routes = self.routes.as_ref().filter(|routes| routes.version() > version);
+        let configuration = routes.map(|routes| routes.configuration().clone());
+        CatalogueSnapshot { configuration, ..self.replica_news(replicas_at) }
+    }
+
+    /// What a peer that knows the replicas up to a revision is missing of them. One that knew the catalogue at a moment
+    /// whose vanished entries are forgotten here is told everything.
+    pub fn replica_news(&self, replicas_at: u64) -> CatalogueSnapshot {
         let whole = replicas_at == 0 || replicas_at < self.forgotten_up_to;
         let known_from = if whole { 0 } else { replicas_at };
         let mut snapshot = CatalogueSnapshot {
-            configuration: routes.map(|routes| routes.configuration().clone()),
             replicas_at: self.replicas_at,
             whole,
             zones: Some(self.evacuations.notices()),
@@ -325,8 +432,14 @@
     /// for them any more.
     pub fn merge(&mut self, snapshot: CatalogueSnapshot, now: Micros) -> bool {
         self.revisions.merge(snapshot.revisions);
-        let mut changed =
-            snapshot.configuration.is_some_and(|configuration| self.offer_configuration(configuration));
+        if let Some(version) = snapshot.version().max(snapshot.offer.map(|offer| offer.version)) {
+            self.hear_of(version, now);
+        }
+        let mut changed = self.take_steps(snapshot.steps);
+        if let Some(configuration) = snapshot.configuration {
+            self.incoming.got_whole();
+            changed |= self.offer_configuration(configuration);
+        }
         let Some(zones) = snapshot.zones else {
             return changed;
         };
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -81,7 +81,8 @@
     };
     record.version = routes.version();
     let Some(route) = find_route(&routes, &request) else {
-        if context.catalogue_is_old() {
+        // A newer configuration may have it: another node serves it by then, or this one does.
+        if context.catalogue_is_old() || context.is_behind() {
             let refusal = Refusal::NotRun { retry_after: UNPREPARED_RETRY };
             return refuse(context, record, refusal, "no route in an old configuration");
         }
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod counted_stream;
 mod delegated;
 mod destinations;
+mod document_fetch;
 mod driver;
 pub mod edge;
 mod error;
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -78,8 +78,14 @@
     pub source_reads: Family<OutcomeLabel, Counter>,
     /// Questions to peers for news of the catalogue, by outcome.
     pub peer_questions: Family<OutcomeLabel, Counter>,
+    /// Documents that were fetched from peers, by outcome.
+    pub documents: Family<OutcomeLabel, Counter>,
     /// The version of the configuration in force.
     pub configuration_version: Gauge,
+    /// The newest version that was heard of.
+    pub heard_version: Gauge,
+    /// For how long a newer version than the one in force has been heard of, in milliseconds; 0 when there is none.
+    pub behind: Gauge,
     /// Since anybody said that there is nothing newer than the catalogue, in milliseconds.
     pub catalogue_age: Gauge,
     /// The age of the moment up to which the configuration is the newest for certain, observed at each question to a peer: more
@@ -115,7 +121,10 @@
             caller_fault_log_budget: LogBudget::default(),
             source_reads: Family::default(),
             peer_questions: Family::default(),
+            documents: Family::default(),
             configuration_version: Gauge::default(),
+            heard_version: Gauge::default(),
+            behind: Gauge::default(),
             catalogue_age: Gauge::default(),
             configuration_age: Histogram::new(AGE_BUCKETS),
             requests: Family::default(),
@@ -202,6 +211,11 @@
         self.peer_questions.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// A document was fetched, or given up.
+    pub fn document(&self, outcome: &'static str) {
+        self.documents.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// All of them, for a registry.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("gateway");
@@ -249,7 +263,18 @@
             "Questions to peers for news of the catalogue, by outcome",
             self.peer_questions.clone(),
         );
+        registry.register("documents", "Documents fetched from peers, by outcome", self.documents.clone());
         registry.register("configuration_version", "Version in force", self.configuration_version.clone());
+        registry.register(
+            "configuration_heard_version",
+            "The newest version that was heard of",
+            self.heard_version.clone(),
+        );
+        registry.register(
+            "configuration_behind_milliseconds",
+            "For how long a newer version than the one in force has been heard of",
+            self.behind.clone(),
+        );
         registry.register(
             "catalogue_age_milliseconds",
             "Since anybody said that there is nothing newer than the catalogue",
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -4,13 +4,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use sablebay_catalogue::LimitedAge;
+use tokio::task::JoinSet;
+
+use sablebay_catalogue::{DocumentOffer, LimitedAge};
 use sablebay_dispatch::SETTLING_TIME;
 use sablebay_model::Micros;
 use sablebay_node::{Lane, PeerFailure};
 use sablebay_protocol::peer::{PeerRequest, PeerResponse};
 
 use crate::context::Context;
+use crate::document_fetch::fetch_document;
 use crate::edge::{BackendProtocol, CallerProtocol};
 use crate::fleet_view::FleetPeer;
 use crate::peer_turn::PeerTurn;
@@ -35,6 +38,7 @@
 /// Asks peers until the node ends.
 pub async fn follow_peers<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut turn = PeerTurn::default();
+    let mut fetches = JoinSet::new();
     loop {
         note_nodes(&context);
         // Also where nothing is asked for: the line says when the machine was suspended.
@@ -47,7 +51,23 @@
             tokio::time::sleep(LONELY_PERIOD).await;
             continue;
         };
-        let answered = ask(&context, &peer, turn).await;
+        let answered = match ask(&context, &peer, turn).await {
+            Answer::None => false,
+            Answer::News => true,
+            Answer::Offer(offer) => {
+                // What was fetched decides what is offered next; without a list of replicas nothing else helps.
+                while fetches.join_next().await.is_some() {}
+                context.node.catalogue.update(|view| {
+                    view.incoming_mut().begin_fetch(offer.version);
+                    false
+                });
+                fetches.spawn(fetch_document(context.clone(), offer, peer.address));
+                if offer.lists_replicas {
+                    while fetches.join_next().await.is_some() {}
+                }
+                true
+            }
+        };
         let hurried = is_near_limit(&context);
         if answered && !hurried {
             if context.catalogue_age() > BEHIND {
@@ -96,36 +116,45 @@
     if relays { RELAY_WAIT } else { WAIT }
 }
 
-/// Asks one peer; false when it did not answer.
+/// What a peer said.
+enum Answer {
+    /// Nothing.
+    None,
+    /// What is new, or that nothing is.
+    News,
+    /// Where there is more than one answer holds.
+    Offer(DocumentOffer),
+}
+
+/// Asks one peer.
 async fn ask<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     peer: &FleetPeer,
     turn: PeerTurn,
-) -> bool {
-    let (version, replicas_at) = context
-        .node
-        .catalogue
-        .read(|view| (view.routes().map_or(0, |routes| routes.version()), view.replicas_at()));
+) -> Answer {
+    let (version, replicas_at) =
+        context.node.catalogue.read(|view| (view.incoming().asks_from(view.version()), view.replicas_at()));
     let wait = wait_for_news(context, turn);
-    let request = PeerRequest::Catalogue { version, replicas_at, wait_ms: wait.as_millis() as u64 };
+    let wait_ms = wait.as_millis() as u64;
+    let request = PeerRequest::Catalogue { version, replicas_at, wait_ms, takes_documents: true };
     let asked_at = context.clock().now();
     let until = tokio::time::Instant::now() + wait + PATIENCE;
     let answer = context.node.peers.request(peer.address, Lane::Control, request, until).await;
     let snapshot = match answer {
         Ok(PeerResponse::Catalogue(snapshot)) => snapshot,
         Ok(_) => {
-            note_no_news(context, peer, turn, asked_at, "another answer");
-            return false;
+            note_no_news(context, peer, turn, asked_at, "another_answer");
+            return Answer::None;
         }
         Err(failure) => {
             note_no_news(context, peer, turn, asked_at, outcome_of(&failure));
-            return false;
+            return Answer::None;
         }
     };
     context.metrics.peer_question("answered");
     let now = context.clock().now();
-    let told =
-        (snapshot.configuration.as_ref().map(|configuration| configuration.version), snapshot.replicas_at);
+    let told = (snapshot.version(), snapshot.replicas_at);
+    let offer = snapshot.offer;
     // A node of an earlier release does not know which zones are evacuated: it confirms nothing.
     let contact_ago = snapshot.heard_ms_ago.filter(|_| snapshot.zones.is_some());
     let confirmation = snapshot.confirmation;
@@ -133,14 +162,20 @@
     if context.node.catalogue.update(|view| view.merge(*snapshot, now)) {
         log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1, had = replicas_at, heard_ms_ago = contact_ago.unwrap_or(0), confirmed_ms_ago = confirmation.map_or(-1, |said| said.age.as_millis() as i64); "catalogue: news from a peer.");
     }
-    // The peer's word holds for what it knows; this node knows as much by now, or more.
+    if let Some(offer) = offer {
+        return Answer::Offer(offer);
+    }
+    // The peer's word holds for what it knows; this node knows as much by now, or more: unless it is still fetching it.
+    if context.is_behind() {
+        return Answer::News;
+    }
     if let Some(ago) = contact_ago {
         context.note_contact(asked_at, now.since(Micros::from_millis(ago)));
     }
     if let Some(said) = confirmation {
         context.confirm_configuration(asked_at, said.bound(asked_at, now));
     }
-    true
+    Answer::News
 }
 
 fn outcome_of(failure: &PeerFailure) -> &'static str {
--- a/crates/sablebay-node/src/catalogue_store.rs
+++ b/crates/sablebay-node/src/catalogue_store.rs
@@ -6,9 +6,41 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use sablebay_catalogue::{CatalogueSnapshot, CatalogueView, PeerConfirmation};
+use sablebay_catalogue::{
+    CatalogueSnapshot, CatalogueView, ConfigurationNews, DocumentDigest, INLINE_BYTES, PeerConfirmation,
+};
 use sablebay_model::Micros;
 
+use crate::document_store::DocumentStore;
+
+/// Replicas from which on a list of all of them is a document: a hundred entries of some 90 bytes are 9 kB.
+const LARGE_LISTING: usize = 100;
+/// How long a list of all replicas is given to further askers: many nodes may start at one moment, and what changed
+/// since is a small answer afterwards.
+const LISTING_LIFETIME: Micros = Micros::from_secs(1);
+/// Documents whose names are remembered at the most, for askers that need the same.
+const REMEMBERED_DOCUMENTS: usize = 8;
+
+/// What is too much for one answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LargeNews {
+    /// The document that holds it.
+    pub digest: DocumentDigest,
+    /// The version of the configuration that it leads to.
+    pub version: u64,
+    /// Whether it also lists all replicas.
+    pub lists_replicas: bool,
+}
+
+/// A document that was made for an asker.
+#[derive(Clone, Copy, Debug)]
+struct MadeDocument {
+    /// The version that it leads on from.
+    base: u64,
+    news: LargeNews,
+    made_at: Micros,
+}
+
 /// The catalogue as this node knows it.
 pub struct CatalogueStore {
     view: Mutex<CatalogueView>,
@@ -19,6 +51,9 @@
     confirmed_at: AtomicU64,
     /// The number of nodes met, once it can be told to others; 0 before.
     nodes_met: AtomicU64,
+    /// What is passed on in chunks.
+    pub documents: DocumentStore,
+    made: Mutex<Vec<MadeDocument>>,
 }
 
 impl Default for CatalogueStore {
@@ -29,6 +64,8 @@
             last_contact: AtomicU64::new(0),
             confirmed_at: AtomicU64::new(0),
             nodes_met: AtomicU64::new(0),
+            documents: DocumentStore::default(),
+            made: Mutex::default(),
         }
     }
 }
@@ -97,6 +134,11 @@
         self.nodes_met.store(nodes as u64, Ordering::Relaxed);
     }
 
+    /// Notes that a peer has a version of the configuration.
+    pub fn hear_of(&self, version: u64, now: Micros) {
+        self.view.lock().hear_of(version, now);
+    }
+
     /// Waits until there is something that a peer with these revisions is missing.
     pub async fn wait_for_newer(&self, version: u64, replicas_at: u64, wait: Duration) {
         let mut changes = self.subscribe();
@@ -105,11 +147,99 @@
         let _ = tokio::time::timeout(wait, newer).await;
     }
 
-    /// What a peer that has these revisions is missing. It asked `held` before `now`.
+    /// What a peer that has these revisions is missing, in one answer however large. It asked `held` before `now`.
     pub fn snapshot(&self, version: u64, replicas_at: u64, held: Micros, now: Micros) -> CatalogueSnapshot {
+        self.with_ages(held, now, || self.view.lock().snapshot(version, replicas_at))
+    }
+
+    /// What a peer that has these revisions is missing, as far as it is little, and where there is more. It asked `held`
+    /// before `now`.
+    pub fn news(
+        &self,
+        version: u64,
+        replicas_at: u64,
+        held: Micros,
+        now: Micros,
+    ) -> (CatalogueSnapshot, Option<LargeNews>) {
+        let mut large = None;
+        let answer = self.with_ages(held, now, || {
+            let view = self.view.lock();
+            let (small, made) = self.split(&view, version, replicas_at, now);
+            large = made;
+            small
+        });
+        (answer, large)
+    }
+
+    /// Splits what a peer is missing into what one answer holds and a document.
+    fn split(
+        &self,
+        view: &CatalogueView,
+        version: u64,
+        replicas_at: u64,
+        now: Micros,
+    ) -> (CatalogueSnapshot, Option<LargeNews>) {
+        let lists_replicas = view.lists_all_replicas(replicas_at) && view.known_replicas() >= LARGE_LISTING;
+        match view.configuration_news(version) {
+            ConfigurationNews::None if !lists_replicas => (view.replica_news(replicas_at), None),
+            ConfigurationNews::Steps(steps, bytes) if bytes <= INLINE_BYTES && !lists_replicas => {
+                (CatalogueSnapshot { steps, ..view.replica_news(replicas_at) }, None)
+            }
+            news => match self.document(view, version, news, lists_replicas, now) {
+                Some(large) if lists_replicas => (CatalogueSnapshot::default(), Some(large)),
+                Some(large) => (view.replica_news(replicas_at), Some(large)),
+                // It cannot be encoded, and no other answer can.
+                None => (CatalogueSnapshot::default(), None),
+            },
+        }
+    }
+
+    /// The document of what a peer that has `version` is missing.
+    fn document(
+        &self,
+        view: &CatalogueView,
+        version: u64,
+        news: ConfigurationNews,
+        lists_replicas: bool,
+        now: Micros,
+    ) -> Option<LargeNews> {
+        let serves = |made: &&MadeDocument| {
+            let same = made.base == version && made.news.lists_replicas == lists_replicas;
+            let fresh = !lists_replicas || now.since(made.made_at) < LISTING_LIFETIME;
+            same && fresh && made.news.version == view.version() && self.documents.is_whole(made.news.digest)
+        };
+        let mut made = self.made.lock();
+        if let Some(made) = made.iter().find(serves) {
+            return Some(made.news);
+        }
+        let listing = if lists_replicas { view.replica_news(0) } else { CatalogueSnapshot::default() };
+        let content = match news {
+            ConfigurationNews::None => listing,
+            ConfigurationNews::Steps(steps, _) => CatalogueSnapshot { steps, ..listing },
+            ConfigurationNews::Whole => {
+                let configuration = view.routes().map(|routes| routes.configuration().clone());
+                CatalogueSnapshot { configuration, ..listing }
+            }
+        };
+        let digest = self.documents.hold(content.to_document()?, now);
+        let news = LargeNews { digest, version: view.version(), lists_replicas };
+        made.push(MadeDocument { base: version, news, made_at: now });
+        if made.len() > REMEMBERED_DOCUMENTS {
+            made.remove(0);
+        }
+        Some(news)
+    }
+
+    /// What `read` gives, with how old it is.
+    fn with_ages(
+        &self,
+        held: Micros,
+        now: Micros,
+        read: impl FnOnce() -> CatalogueSnapshot,
+    ) -> CatalogueSnapshot {
         // Before the view is looked at: what is told is as new as the bound, or newer.
         let confirmation = self.confirmed_ago(now).map(|age| PeerConfirmation { held, age });
-        let snapshot = self.view.lock().snapshot(version, replicas_at);
+        let snapshot = read();
         let nodes_met = self.nodes_met.load(Ordering::Relaxed);
         CatalogueSnapshot {
             heard_ms_ago: self.contact_ago(now).map(Micros::as_millis),
--- /dev/null
+++ b/crates/sablebay-node/src/document_store.rs
@@ -0,0 +1,170 @@
+//! The documents that this node passes on in chunks, whole ones and those that it is still fetching itself.
+//!
+//! A chunk is passed on as soon as it is here: a document is on its way to the last node of a zone before the first
+//! one has all of it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use sablebay_catalogue::{CHUNK_BYTES, Distribution, DocumentDigest, FAN_OUT};
+use sablebay_model::{Micros, ZoneName};
+
+/// How long a document is kept after somebody last asked for it: the askers of a zone come within a second or two.
+const KEPT_FOR: Micros = Micros::from_secs(10);
+/// Documents that are kept at the most. Each has some hundred kilobytes, and the smallest nodes 112 MB.
+const MAXIMUM_DOCUMENTS: usize = 8;
+/// How long a question for a chunk waits until it arrives here: less than who asks waits before it asks another node.
+const ARRIVAL_PATIENCE: Duration = Duration::from_millis(250);
+/// The largest document that is fetched, in bytes: four times the store's largest value.
+pub const MAXIMUM_DOCUMENT_BYTES: u64 = 4 << 20;
+
+struct Document {
+    chunks: Vec<Option<Bytes>>,
+    used_at: Micros,
+    /// Who fetches it from whom, by zone.
+    distribution: HashMap<ZoneName, Distribution>,
+}
+
+impl Document {
+    fn new(chunks: Vec<Option<Bytes>>, now: Micros) -> Self {
+        Self { chunks, used_at: now, distribution: HashMap::new() }
+    }
+}
+
+/// The documents of one node.
+pub struct DocumentStore {
+    documents: Mutex<HashMap<DocumentDigest, Document>>,
+    /// Counts chunks that arrived.
+    arrivals: watch::Sender<u64>,
+}
+
+impl Default for DocumentStore {
+    fn default() -> Self {
+        Self { documents: Mutex::default(), arrivals: watch::channel(0).0 }
+    }
+}
+
+impl DocumentStore {
+    /// Keeps a whole document.
+    pub fn hold(&self, content: Vec<u8>, now: Micros) -> DocumentDigest {
+        let digest = DocumentDigest::of(&content);
+        let content = Bytes::from(content);
+        let slice = |from: usize| Some(content.slice(from..content.len().min(from + CHUNK_BYTES)));
+        let chunks = (0..content.len()).step_by(CHUNK_BYTES).map(slice).collect();
+        let mut documents = self.documents.lock();
+        let kept = documents.entry(digest).or_insert_with(|| Document::new(Vec::new(), now));
+        kept.chunks = chunks;
+        kept.used_at = now;
+        make_room(&mut documents, digest);
+        drop(documents);
+        self.arrivals.send_modify(|count| *count += 1);
+        digest
+    }
+
+    /// Makes room for a document that is about to be fetched. What is here of it already stays.
+    pub fn begin(&self, digest: DocumentDigest, now: Micros) {
+        let mut documents = self.documents.lock();
+        let empty = || Document::new(vec![None; digest.chunks()], now);
+        documents.entry(digest).or_insert_with(empty).used_at = now;
+        make_room(&mut documents, digest);
+    }
+
+    /// The chunks that are missing.
+    pub fn missing(&self, digest: DocumentDigest) -> Vec<usize> {
+        let documents = self.documents.lock();
+        let chunks = documents.get(&digest).map(|document| document.chunks.as_slice()).unwrap_or_default();
+        let missing = chunks.iter().enumerate().filter(|(_, chunk)| chunk.is_none());
+        missing.map(|(number, _)| number).collect()
+    }
+
+    /// Keeps a chunk that arrived. Returns whether it was missing.
+    pub fn put(&self, digest: DocumentDigest, number: usize, content: Vec<u8>) -> bool {
+        let mut documents = self.documents.lock();
+        let chunk = documents.get_mut(&digest).and_then(|document| document.chunks.get_mut(number));
+        let Some(chunk) = chunk.filter(|chunk| chunk.is_none()) else {
+            return false;
+        };
+        *chunk = Some(Bytes::from(content));
+        drop(documents);
+        self.arrivals.send_modify(|count| *count += 1);
+        true
+    }
+
+    /// Whether a document is here whole.
+    pub fn is_whole(&self, digest: DocumentDigest) -> bool {
+        let documents = self.documents.lock();
+        documents.get(&digest).is_some_and(|document| document.chunks.iter().all(Option::is_some))
+    }
+
+    /// A document, once all of it is here and is what it is called. One that is not is forgotten.
+    pub fn content(&self, digest: DocumentDigest) -> Option<Vec<u8>> {
+        let mut documents = self.documents.lock();
+        let chunks: Option<Vec<Bytes>> = documents.get(&digest)?.chunks.iter().cloned().collect();
+        let content = chunks?.concat();
+        if DocumentDigest::of(&content) != digest {
+            documents.remove(&digest);
+            return None;
+        }
+        Some(content)
+    }
+
+    /// Forgets a document.
+    pub fn forget(&self, digest: DocumentDigest) {
+        self.documents.lock().remove(&digest);
+    }
+
+    /// A chunk that a peer asks for; waited for while it is on its way here. Nothing when it did not arrive.
+    pub async fn chunk(&self, digest: DocumentDigest, number: u64, now: Micros) -> Option<Bytes> {
+        let number = usize::try_from(number).ok()?;
+        let mut arrivals = self.arrivals.subscribe();
+        let arrived = arrivals.wait_for(|_| self.here(digest, number, now).is_some());
+        // What there is after the time is over is given all the same.
+        let _ = tokio::time::timeout(ARRIVAL_PATIENCE, arrived).await;
+        self.here(digest, number, now)
+    }
+
+    fn here(&self, digest: DocumentDigest, number: usize, now: Micros) -> Option<Bytes> {
+        let mut documents = self.documents.lock();
+        let document = documents.get_mut(&digest)?;
+        document.used_at = document.used_at.max(now);
+        document.chunks.get(number).cloned().flatten()
+    }
+
+    /// From whom a peer is to fetch a document; nothing: from this node.
+    pub fn source_for(
+        &self,
+        digest: DocumentDigest,
+        asker: SocketAddr,
+        zone: &ZoneName,
+        is_own_zone: bool,
+    ) -> Option<SocketAddr> {
+        // A document crosses a zone's border once, and is passed on behind it.
+        let roots = if is_own_zone { FAN_OUT } else { 1 };
+        let mut documents = self.documents.lock();
+        let document = documents.get_mut(&digest)?;
+        let distribution = document.distribution.entry(zone.clone());
+        distribution.or_insert_with(|| Distribution::new(roots)).source_for(asker)
+    }
+
+    /// Forgets what nobody has asked for lately.
+    pub fn expire(&self, now: Micros) {
+        self.documents.lock().retain(|_, document| now.since(document.used_at) < KEPT_FOR);
+    }
+}
+
+/// Drops those that were asked for longest ago, but not `newest`.
+fn make_room(documents: &mut HashMap<DocumentDigest, Document>, newest: DocumentDigest) {
+    while documents.len() > MAXIMUM_DOCUMENTS {
+        let others = documents.iter().filter(|(digest, _)| **digest != newest);
+        let Some(oldest) = others.min_by_key(|(_, document)| document.used_at).map(|(digest, _)| *digest)
+        else {
+            return;
+        };
+        documents.remove(&oldest);
+    }
+}
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::admin_api::{admin_routes, start_draining};
 use crate::caller_api::caller_routes;
 use crate::caller_counts::CallerCounts;
+use crate::catalogue_answer::{CatalogueQuestion, answer_catalogue};
 use crate::catalogue_store::CatalogueStore;
 use crate::clock::Clock;
 use crate::cluster_view::ClusterView;
@@ -34,7 +35,9 @@
 use crate::mechanisms::NodeMechanisms;
 use crate::metrics::Metrics;
 use crate::partial_search::partial_search;
-use crate::peers::{PeerContext, PeerCounters, PeerTransport, ProgressSender, RequestHandler, run_listener};
+use crate::peers::{
+    PeerContext, PeerCounters, PeerTransport, ProgressSender, RequestHandler, large_answer_room, run_listener,
+};
 use crate::platform::run_platform_reader;
 use crate::quarantine_store::QuarantineStore;
 use crate::report::short_report;
@@ -58,8 +61,6 @@
 
 /// Incoming fleet messages that wait at the most.
 const FLEET_QUEUE: usize = 65_536;
-/// How long a peer may be kept waiting for news of the catalogue, in milliseconds.
-const LONGEST_CATALOGUE_WAIT_MS: u64 = 5_000;
 /// How long the listeners stay open after the last request, for callers that have not yet heard
 /// that the node is stopping.
 const LINGER: Duration = Duration::from_millis(300);
@@ -219,6 +220,7 @@
         incoming,
         counters: PeerCounters::default(),
         traffic: TrafficLedger::default(),
+        large_answers: large_answer_room(),
     });
     let mut fleet_settings = FleetSettings::with_probe_period(Micros::from_millis(settings.probe_period_ms));
     fleet_settings.mechanisms = mechanisms.fleet;
@@ -295,13 +297,16 @@
                 let answer = shared.claims.lock().question(&ticket, shared.clock.wall());
                 PeerResponse::Claim(answer)
             }
-            PeerRequest::Catalogue { version, replicas_at, wait_ms } => {
-                let asked_at = shared.clock.now();
-                let wait = Duration::from_millis(wait_ms.min(LONGEST_CATALOGUE_WAIT_MS));
-                shared.catalogue.wait_for_newer(version, replicas_at, wait).await;
-                let now = shared.clock.now();
-                let snapshot = shared.catalogue.snapshot(version, replicas_at, now.since(asked_at), now);
-                PeerResponse::Catalogue(Box::new(snapshot))
+            PeerRequest::Catalogue { version, replicas_at, wait_ms, takes_documents } => {
+                let wait = Duration::from_millis(wait_ms);
+                let question = CatalogueQuestion { version, replicas_at, wait, takes_documents };
+                PeerResponse::Catalogue(Box::new(answer_catalogue(shared, &from, question).await))
+            }
+            PeerRequest::DocumentChunk { digest, number } => {
+                match shared.catalogue.documents.chunk(digest, number, shared.clock.now()).await {
+                    Some(content) => PeerResponse::DocumentChunk { content: content.to_vec() },
+                    None => PeerResponse::NoDocumentChunk,
+                }
             }
             PeerRequest::Quarantine { notices, to_everyone, compare } => {
                 let now = shared.clock.now();
--- a/crates/sablebay-node/src/peers.rs
+++ b/crates/sablebay-node/src/peers.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use sablebay_fleet::{FleetMessage, MemberInfo};
 use sablebay_model::{FleetName, InstanceKey, Refusal};
@@ -22,7 +22,7 @@
 
 use crate::traffic::TrafficLedger;
 
-use connection::{Connection, open_connection};
+use connection::{Connection, Outgoing, open_connection};
 
 pub use connection::{PeerNews, PendingAnswer};
 
@@ -64,14 +64,14 @@
 /// Tells a peer how far its request is, before the answer.
 pub struct ProgressSender {
     number: u64,
-    answers: mpsc::Sender<PeerMessage>,
+    answers: mpsc::Sender<Outgoing>,
 }
 
 impl ProgressSender {
     /// Sends a part of the answer. It waits for room in the peer's queue.
     pub async fn send(&self, response: PeerResponse) {
         // A peer that is gone wants no answer.
-        let _ = self.answers.send(PeerMessage::Progress { number: self.number, response }).await;
+        let _ = self.answers.send(PeerMessage::Progress { number: self.number, response }.into()).await;
     }
 }
 
@@ -111,6 +111,17 @@
     pub counters: PeerCounters,
     /// The bytes of all connections, by kind.
     pub traffic: TrafficLedger,
+    /// How many large answers may be on their way to peers at one moment; the others wait.
+    pub large_answers: Arc<Semaphore>,
+}
+
+/// Large answers, of one chunk each, that are on their way to peers at one moment: 64 kB, which hold a link of 14 Mbit/s
+/// for 37 ms. What the node asks and is asked else waits no longer behind them.
+const LARGE_ANSWERS_AT_ONCE: usize = 4;
+
+/// The room for large answers of one node.
+pub fn large_answer_room() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(LARGE_ANSWERS_AT_ONCE))
 }
 
 /// How long a connection attempt may take.
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use sablebay_fleet::{FleetMessage, MemberInfo};
 use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
@@ -20,6 +20,24 @@
 /// Messages that wait to be written at the most; more are dropped.
 const QUEUE_LENGTH: usize = 8_192;
 
+/// How long a large answer may keep others waiting: a peer that takes nothing any more holds nobody up.
+const ROOM_PATIENCE: Duration = Duration::from_millis(300);
+
+/// A message that waits to be written.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The message.
+    pub message: PeerMessage,
+    /// Its part of what large answers may take of the link; given back once it is written.
+    pub room: Option<OwnedSemaphorePermit>,
+}
+
+impl From<PeerMessage> for Outgoing {
+    fn from(message: PeerMessage) -> Self {
+        Self { message, room: None }
+    }
+}
+
 /// What a peer says to a request.
 #[derive(Debug)]
 pub enum PeerNews {
@@ -33,7 +51,7 @@
 
 /// The sending side of a connection.
 pub struct Connection {
-    queue: mpsc::Sender<PeerMessage>,
+    queue: mpsc::Sender<Outgoing>,
     pending: Pending,
     open: Arc<AtomicBool>,
     last_used: Mutex<Instant>,
@@ -44,7 +62,7 @@
     number: u64,
     receiver: mpsc::UnboundedReceiver<PeerNews>,
     pending: Pending,
-    queue: mpsc::Sender<PeerMessage>,
+    queue: mpsc::Sender<Outgoing>,
 }
 
 impl PendingAnswer {
@@ -59,7 +77,7 @@
         // An answered request is no longer pending.
         if self.pending.lock().remove(&self.number).is_some() {
             // A full queue loses the cancellation: the peer then works in vain, and no more.
-            let _ = self.queue.try_send(PeerMessage::Cancel { number: self.number });
+            let _ = self.queue.try_send(PeerMessage::Cancel { number: self.number }.into());
         }
     }
 }
@@ -77,7 +95,7 @@
 
     fn put(&self, message: PeerMessage) -> bool {
         *self.last_used.lock() = Instant::now();
-        self.queue.try_send(message).is_ok()
+        self.queue.try_send(message.into()).is_ok()
     }
 
     /// Sends a fleet message; false when it was dropped.
@@ -119,14 +137,16 @@
 pub async fn run_writer(
     context: Arc<PeerContext>,
     mut writer: MessageWriter,
-    mut queue: mpsc::Receiver<PeerMessage>,
+    mut queue: mpsc::Receiver<Outgoing>,
     span: TrafficSpan,
 ) {
     const MESSAGES_PER_WRITE: usize = 64;
     let mut messages = Vec::new();
     while queue.recv_many(&mut messages, MESSAGES_PER_WRITE).await > 0 {
         let mut put = Vec::with_capacity(messages.len());
-        for message in messages.drain(..) {
+        let mut rooms = Vec::new();
+        for Outgoing { message, room } in messages.drain(..) {
+            rooms.extend(room);
             match writer.put(&message) {
                 Ok(bytes) => put.push((TrafficKind::of(&message), bytes as u64)),
                 Err(error) => log::warn!("peer: a message was not sent: {error}."),
@@ -136,7 +156,7 @@
             context.traffic.sent(*kind, span, *bytes);
             context.traffic.queued(*kind, span, *bytes);
         }
-        let flushed = writer.flush().await;
+        let flushed = flush(&mut writer, rooms).await;
         for (kind, bytes) in &put {
             context.traffic.unqueued(*kind, span, *bytes);
         }
@@ -146,6 +166,19 @@
     }
 }
 
+/// Sends what was put, and gives the room of large answers back when that is done or takes long.
+async fn flush(writer: &mut MessageWriter, rooms: Vec<OwnedSemaphorePermit>) -> std::io::Result<()> {
+    if rooms.is_empty() {
+        return writer.flush().await;
+    }
+    let mut flushing = std::pin::pin!(writer.flush());
+    if let Ok(flushed) = tokio::time::timeout(ROOM_PATIENCE, flushing.as_mut()).await {
+        return flushed;
+    }
+    drop(rooms);
+    flushing.await
+}
+
 /// Reads answers and fleet messages on a connection that this node opened.
 async fn run_reader(
     context: Arc<PeerContext>,
--- a/crates/sablebay-node/src/peers/listener.rs
+++ b/crates/sablebay-node/src/peers/listener.rs
@@ -8,9 +8,9 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::AbortHandle;
 
-use sablebay_protocol::peer::{PeerMessage, PeerRequest};
+use sablebay_protocol::peer::{PeerMessage, PeerRequest, PeerResponse};
 
-use super::connection::{deliver, run_writer};
+use super::connection::{Outgoing, deliver, run_writer};
 use super::handshake::handshake;
 use super::{PeerContext, ProgressSender, RequestHandler};
 use crate::traffic::TrafficSpan;
@@ -69,6 +69,7 @@
                     request,
                     answers.clone(),
                     running.clone(),
+                    context.large_answers.clone(),
                 );
                 let mut table = running.lock();
                 let task = tokio::spawn(answering);
@@ -95,12 +96,18 @@
     from: sablebay_model::InstanceKey,
     number: u64,
     request: PeerRequest,
-    answers: mpsc::Sender<PeerMessage>,
+    answers: mpsc::Sender<Outgoing>,
     running: Arc<Mutex<HashMap<u64, AbortHandle>>>,
+    large_answers: Arc<Semaphore>,
 ) {
     let progress = ProgressSender { number, answers: answers.clone() };
     let response = handler.handle(from, request, progress).await;
     running.lock().remove(&number);
+    // The semaphore is never closed.
+    let room = match &response {
+        PeerResponse::DocumentChunk { .. } => large_answers.acquire_owned().await.ok(),
+        _ => None,
+    };
     // A peer that is gone wants no answer.
-    let _ = answers.send(PeerMessage::Response { number, response }).await;
+    let _ = answers.send(Outgoing { message: PeerMessage::Response { number, response }, room }).await;
 }
--- a/crates/sablebay-node/src/traffic.rs
+++ b/crates/sablebay-node/src/traffic.rs
@@ -28,6 +28,8 @@
     CatalogueQuestion,
     /// Answers to these.
     CatalogueAnswer,
+    /// Chunks of answers that are too large to be given at once, and questions for them.
+    CatalogueChunk,
     /// What is known of requests that back ends ended under, and the leases of these requests.
     Quarantine,
     /// Requests to gather shards, and their cancellation.
@@ -45,7 +47,7 @@
 }
 
 impl TrafficKind {
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 15] = [
         Self::Greeting,
         Self::Probe,
         Self::Rumour,
@@ -53,6 +55,7 @@
         Self::Configuration,
         Self::CatalogueQuestion,
         Self::CatalogueAnswer,
+        Self::CatalogueChunk,
         Self::Quarantine,
         Self::GatherRequest,
         Self::MergedPart,
@@ -71,6 +74,7 @@
             Self::Configuration => "configuration",
             Self::CatalogueQuestion => "catalogue_question",
             Self::CatalogueAnswer => "catalogue_answer",
+            Self::CatalogueChunk => "catalogue_chunk",
             Self::Quarantine => "quarantine",
             Self::GatherRequest => "gather_request",
             Self::MergedPart => "merged_part",
@@ -85,7 +89,7 @@
     pub fn is_control(self) -> bool {
         match self {
             Self::Greeting | Self::Probe | Self::Rumour | Self::MemberList | Self::Configuration => true,
-            Self::CatalogueQuestion | Self::CatalogueAnswer => true,
+            Self::CatalogueQuestion | Self::CatalogueAnswer | Self::CatalogueChunk => true,
             Self::Quarantine | Self::GatherRequest | Self::MergedPart => false,
             Self::FirstCall | Self::ExtraCall | Self::Quota | Self::Other => false,
         }
@@ -122,6 +126,7 @@
     fn of_request(request: &PeerRequest) -> Self {
         match request {
             PeerRequest::Catalogue { .. } => Self::CatalogueQuestion,
+            PeerRequest::DocumentChunk { .. } => Self::CatalogueChunk,
             PeerRequest::PartialGather(_) => Self::GatherRequest,
             PeerRequest::Quarantine { .. }
             | PeerRequest::QuarantineLease { .. }
@@ -134,6 +139,7 @@
     fn of_response(response: &PeerResponse) -> Self {
         match response {
             PeerResponse::Catalogue(_) => Self::CatalogueAnswer,
+            PeerResponse::DocumentChunk { .. } | PeerResponse::NoDocumentChunk => Self::CatalogueChunk,
             PeerResponse::Gathered(_) => Self::MergedPart,
             PeerResponse::Quarantine(_) | PeerResponse::QuarantineLease { .. } => Self::Quarantine,
             PeerResponse::Quota(_) => Self::Quota,
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -3,7 +3,7 @@
 
 use musli::{Decode, Encode};
 
-use sablebay_catalogue::{CatalogueSnapshot, ServiceName, ZoneNotice};
+use sablebay_catalogue::{CatalogueSnapshot, DocumentDigest, ServiceName, ZoneNotice};
 use sablebay_dispatch::{LeaseRequest, QuarantineNotice, RunId};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
@@ -92,6 +92,9 @@
         replicas_at: u64,
         /// How long the receiver may wait until it has something new, in milliseconds.
         wait_ms: u64,
+        /// Whether the sender takes steps between configurations, and fetches large answers in chunks.
+        #[musli(default)]
+        takes_documents: bool,
     },
     /// Ask one replica of each of some shards on the sender's behalf, and merge their answers.
     PartialGather(Box<PartialGather>),
@@ -120,6 +123,13 @@
     },
     /// May requests of a tenant run? Sent to the node that keeps its account, if it says that it keeps some.
     Quota(QuotaQuestion),
+    /// A chunk of a document that was offered to the sender.
+    DocumentChunk {
+        /// The document.
+        digest: DocumentDigest,
+        /// The number of the chunk.
+        number: u64,
+    },
 }
 
 /// A search of some partitions.
@@ -260,4 +270,12 @@
     },
     /// How many of a tenant's requests may run.
     Quota(QuotaGrant),
+    /// A chunk of a document.
+    DocumentChunk {
+        /// What it holds.
+        #[musli(bytes)]
+        content: Vec<u8>,
+    },
+    /// The document is not here, or the chunk did not arrive here in time.
+    NoDocumentChunk,
 }
