--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -153,7 +153,7 @@
 }
 
 fn apply(view: &mut CatalogueView, news: CatalogueNews, now: Micros) -> bool {
-    let mut changed = news.configuration.is_some_and(|configuration| view.offer_configuration(configuration));
+    let mut changed = view.offer_configurations(news.configurations);
     view.note_revisions(news.revisions);
     for (change, revision) in news.replicas {
         changed |= view.apply(change, revision, now);
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -200,8 +200,8 @@
 /// What changed after a revision.
 #[derive(Clone, Debug, Default)]
 pub struct CatalogueNews {
-    /// The newest configuration, when it changed.
-    pub configuration: Option<RoutingConfiguration>,
+    /// The configurations that were published, in order.
+    pub configurations: Vec<RoutingConfiguration>,
     /// Changes of replicas with their revisions, in order.
     pub replicas: Vec<(ReplicaChange, u64)>,
     /// What the operator said of zones, in order.
--- a/crates/sablebay/tests/platform/large_configurations.rs
+++ b/crates/sablebay/tests/platform/large_configurations.rs
@@ -91,7 +91,7 @@
     link.set_target(first.peers);
     first.wait_ready().await;
     // The second node has no store: it learns everything from the first.
-    let closed = deployment_without_store().await;
+    let closed = refusing_store().await;
     let second = NodeProcess::start("node-2", closed.address, &[link.address]);
     second.wait_ready().await;
     link.set(Faults { bandwidth: Some(THIN_LINK), ..Faults::default() });
@@ -99,8 +99,21 @@
     until_in_force(&[first, second], 2).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_is_read_over_a_thin_link_at_the_first_try() {
+    let deployment = Deployment::start().await;
+    let link = Proxy::start(deployment.store.address, 1).await.expect("a proxy");
+    let node = NodeProcess::start("node-1", link.address, &[]);
+    node.wait_ready().await;
+    link.set(Faults { bandwidth: Some(4 * THIN_LINK), ..Faults::default() });
+    deployment.store.publish(&grown(2, ROUTES));
+    let nodes = [node];
+    until_in_force(&nodes, 2).await;
+    assert_eq!(metric(&nodes[0], "sablebay_gateway_source_reads_total{outcome=\"unavailable\"}"), 0);
+}
+
 /// A store that refuses everything.
-async fn deployment_without_store() -> sablebay_platform_standin::StoreStandIn {
+async fn refusing_store() -> sablebay_platform_standin::StoreStandIn {
     let store = sablebay_platform_standin::StoreStandIn::start().await.expect("a store");
     store.set_mode(StoreMode::Refusing);
     store
