Operators see which node has the oldest routes; a node that knows itself behind says so once a version

Cause: nothing named the node that is last. Change: status names it with what it has heard of; a log line with both versions and the age from 1,000 ms on.

--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -35,15 +35,21 @@
 /// once then.
 const BEHIND_PAUSE: Duration = Duration::from_millis(200);
 
+/// How long a newer configuration than the one in force may be heard of before the log says so: a large one needs some
+/// tenths of a second to get here.
+const WORTH_A_LINE: Micros = Micros::from_millis(1_000);
+
 /// Asks peers until the node ends.
 pub async fn follow_peers<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut turn = PeerTurn::default();
     let mut fetches = JoinSet::new();
+    let mut told_of = 0;
     loop {
         note_nodes(&context);
         // Also where nothing is asked for: the line says when the machine was suspended.
         context.look_for_suspension();
         context.note_ages();
+        note_behind(&context, &mut told_of);
         // A relay's word is older by what it waits itself, which a limited age has no room for.
         let through_relays = context.revocation_limit().is_none();
         let peer = context.fleet.lock().source_of_news(turn, through_relays).cloned();
@@ -82,6 +88,19 @@
     }
 }
 
+/// Says once a version that this node knows itself behind it.
+fn note_behind<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, told_of: &mut u64) {
+    let (version, heard) = context.node.catalogue.read(|view| (view.version(), view.incoming().heard()));
+    let Some(heard) = heard.filter(|heard| heard.version > *told_of) else {
+        return;
+    };
+    let behind = context.clock().now().since(heard.since);
+    if behind >= WORTH_A_LINE {
+        *told_of = heard.version;
+        log::warn!(version = version, heard = heard.version, behind_ms = behind.as_millis(), catalogue_age_ms = context.catalogue_age().as_millis(); "catalogue: a newer configuration was heard of and is not here yet.");
+    }
+}
+
 /// Budgets and connections are shared by the nodes met in this life: a node that loses sight of
 /// others must not take their part, since they may be there for everybody else.
 fn note_nodes<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
--- a/crates/sablebay-node/src/report.rs
+++ b/crates/sablebay-node/src/report.rs
@@ -49,6 +49,12 @@
 pub struct CatalogueReport {
     /// The version of the routing configuration in force; 0 when none is.
     pub version: u64,
+    /// A newer version that it has heard of; absent when there is none.
+    #[serde(default)]
+    pub heard_version: Option<u64>,
+    /// For how long, in milliseconds.
+    #[serde(default)]
+    pub behind_ms: Option<u64>,
     /// The revision up to which it knows the replicas.
     pub replicas_at: u64,
     /// Replicas that may get new work.
@@ -123,7 +129,9 @@
     let now = shared.clock.now();
     let confirmed_ms_ago = shared.catalogue.confirmed_ago(now).map(|ago| ago.as_millis());
     Some(shared.catalogue.read(|view| CatalogueReport {
-        version: view.routes().map_or(0, |routes| routes.version()),
+        version: view.version(),
+        heard_version: view.incoming().heard().map(|heard| heard.version),
+        behind_ms: view.incoming().heard().map(|heard| now.since(heard.since).as_millis()),
         replicas_at: view.replicas_at(),
         replicas: view.routable(now).values().map(Vec::len).sum(),
         evacuated_zones: view.evacuations().evacuated().map(ToString::to_string).collect(),
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 
-use sablebay_node::{NodeReport, SuspectReport};
+use sablebay_node::{CatalogueReport, NodeReport, SuspectReport};
 
 use crate::CommandResult;
 use crate::admin_client::{AdminClient, block_on};
@@ -127,13 +127,33 @@
         "\n{:<24} {:>8} {:>9} {:>12} {:>12}",
         "GATEWAY", "ROUTES", "REPLICAS", "UP TO", "CONFIRMED"
     ));
-    for (node, catalogue) in known {
+    for (node, catalogue) in &known {
         let confirmed = catalogue.confirmed_ms_ago.map_or("never".to_string(), |ms| format!("{ms} ms ago"));
         print_line(&format!(
             "{node:<24} {:>8} {:>9} {:>12} {confirmed:>12}",
             catalogue.version, catalogue.replicas, catalogue.replicas_at
         ));
     }
+    print_last_version(&known);
+}
+
+/// Which node has the oldest routes, where not all have the same.
+fn print_last_version(known: &[(&String, &CatalogueReport)]) {
+    let newest = known.iter().map(|(_, catalogue)| catalogue.version).max().unwrap_or_default();
+    let behind: Vec<_> = known.iter().filter(|(_, catalogue)| catalogue.version < newest).collect();
+    let Some((node, catalogue)) = behind.iter().min_by_key(|(_, catalogue)| catalogue.version) else {
+        return;
+    };
+    let aware = match (catalogue.heard_version, catalogue.behind_ms) {
+        (Some(heard), Some(ms)) => format!("it heard of version {heard}, {ms} ms ago of a newer one"),
+        _ => "it has heard of no newer one".to_string(),
+    };
+    print_line(&format!(
+        "{} of {} nodes have older routes than version {newest}; the last is {node} with version {}: {aware}",
+        behind.len(),
+        known.len(),
+        catalogue.version
+    ));
 }
 
 /// What nodes with a gateway know of tenants, and how many requests they refused because nobody knew the caller.
