--- /dev/null
+++ b/crates/sablebay/tests/platform/lives.rs
@@ -0,0 +1,26 @@
+//! Back ends that start again under the name that they had.
+
+use sablebay_platform_standin::LeafStandIn;
+
+use crate::support::{Deployment, NodeProcess, SAFE_PATH, eventually, single_service};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_that_starts_again_under_its_name_elsewhere_gets_work() {
+    let mut deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    for number in 0..20 {
+        assert_eq!(node.get(SAFE_PATH, &format!("before-{number}")).await.status.as_u16(), 200);
+    }
+    assert!(deployment.singles[0].record().arrivals > 0);
+    drop(deployment.singles.remove(0));
+    let again = LeafStandIn::start("i-single-0", &single_service(), 200, "zone-a").await.expect("a back end");
+    deployment.store.announce(&again.replica);
+    let number = std::sync::atomic::AtomicU32::new(0);
+    eventually("its new life gets work", || async {
+        let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        node.get(SAFE_PATH, &format!("after-{number}")).await;
+        again.record().arrivals > 0
+    })
+    .await;
+}
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod large_configurations;
 mod life;
 mod link;
+mod lives;
 mod odd_answers;
 mod overload;
 mod quarantine;
