Replicas are known by their lives; entries by other writers name no replica

Cause: all that is known of a replica was kept by its name; an entry that could not be read left what lay there before in use, and values were made up for missing fields. Change: ReplicaId is a life (name and start), the catalogue keeps entries by name, peers are told names with the start beside them; an entry that lacks a field, has one of another type or an unknown state takes its name out of use; the log has 5 lines an answer, a counter the rest; warm-up takes configured services first. One of the soak's fragile back ends starts again under its name.

--- a/crates/sablebay-bench/src/soak/deployment.rs
+++ b/crates/sablebay-bench/src/soak/deployment.rs
@@ -173,6 +173,8 @@
     async fn start_fragile(&self, copy: u8) -> Result<RestartingLeaf, BenchError> {
         let identity = LeafIdentity {
             name: format!("fragile-{copy}"),
+            // One of them starts again under its name.
+            keeps_name: copy % 2 == 1,
             service: fragile_service(),
             shard: SINGLE_SEED + COPIES + copy,
             zone: ZONES[0].to_string(),
--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -33,7 +33,7 @@
 pub use reading::{
     LONGEST_UNAWARE, LimitedAge, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
 };
-pub use replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
+pub use replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
 pub use view::{CatalogueView, ConfigurationNews, Listing, ReplicaChange, RoutableReplica};
--- a/crates/sablebay-catalogue/src/replica.rs
+++ b/crates/sablebay-catalogue/src/replica.rs
@@ -29,7 +29,11 @@
     }
 }
 
-/// One life of one replica: a replica that starts again has another.
+/// Between a replica's name and the start of its life. No name may hold it.
+const LIFE_MARK: char = '@';
+
+/// One life of one replica: a replica that starts again has another, also under the name that it had. All that is known of
+/// a replica is kept by its life: a new one has no latencies, no failures, no open calls and no connections.
 #[derive(
     Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
 )]
@@ -38,15 +42,43 @@
 pub struct ReplicaId(Arc<str>);
 
 impl ReplicaId {
-    /// Wraps an identifier.
+    /// Wraps a name, of a replica that does not tell when it started.
     pub fn new(name: impl AsRef<str>) -> Self {
         Self(Arc::from(name.as_ref()))
     }
 
-    /// The identifier as text.
+    /// The life of a replica that started at `born_ms`, in Unix milliseconds; 0 when it does not tell.
+    pub fn of_life(name: impl AsRef<str>, born_ms: u64) -> Self {
+        match born_ms {
+            0 => Self::new(name),
+            _ => Self(Arc::from(format!("{}{LIFE_MARK}{born_ms}", name.as_ref()))),
+        }
+    }
+
+    /// Whether a name can be one: requests can carry it in a header, and it does not look like one with a life.
+    pub fn is_name(name: &str) -> bool {
+        !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic()) && !name.contains(LIFE_MARK)
+    }
+
+    /// The identifier as text, the life in it.
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// The replica's name, the same in all of its lives.
+    pub fn name(&self) -> &str {
+        self.0.split_once(LIFE_MARK).map_or(&self.0, |(name, _)| name)
+    }
+
+    /// When the life began, in Unix milliseconds; 0 when that is not known.
+    pub fn born_ms(&self) -> u64 {
+        self.0.split_once(LIFE_MARK).and_then(|(_, born)| born.parse().ok()).unwrap_or_default()
+    }
+
+    /// What all lives of the replica are known by.
+    pub fn any_life(&self) -> Self {
+        if self.0.contains(LIFE_MARK) { Self::new(self.name()) } else { self.clone() }
+    }
 }
 
 /// Whether a replica takes new work.
@@ -61,7 +93,7 @@
 }
 
 /// A replica as it announces itself.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Replica {
     /// Which life of which replica.
     pub id: ReplicaId,
@@ -78,3 +110,47 @@
     /// How much longer it is slow from its start, in milliseconds, when it wrote this.
     pub warm_up_left_ms: u64,
 }
+
+/// A replica as nodes tell each other of it. Its life stands in a field of its own: nodes of an earlier release know
+/// replicas by their names.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ReplicaEntry {
+    name: ReplicaId,
+    service: ServiceName,
+    address: SocketAddr,
+    zone: ZoneName,
+    slots: u32,
+    phase: ReplicaPhase,
+    warm_up_left_ms: u64,
+    #[musli(default)]
+    born_ms: u64,
+}
+
+impl From<&Replica> for ReplicaEntry {
+    fn from(replica: &Replica) -> Self {
+        Self {
+            name: replica.id.any_life(),
+            service: replica.service.clone(),
+            address: replica.address,
+            zone: replica.zone.clone(),
+            slots: replica.slots,
+            phase: replica.phase,
+            warm_up_left_ms: replica.warm_up_left_ms,
+            born_ms: replica.id.born_ms(),
+        }
+    }
+}
+
+impl From<ReplicaEntry> for Replica {
+    fn from(entry: ReplicaEntry) -> Self {
+        Self {
+            id: ReplicaId::of_life(entry.name.name(), entry.born_ms),
+            service: entry.service,
+            address: entry.address,
+            zone: entry.zone,
+            slots: entry.slots,
+            phase: entry.phase,
+            warm_up_left_ms: entry.warm_up_left_ms,
+        }
+    }
+}
--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::confirmation::{ConfigurationRevisions, PeerConfirmation};
 use crate::document::DocumentOffer;
 use crate::evacuation::ZoneNotice;
-use crate::replica::{Replica, ReplicaId};
+use crate::replica::{ReplicaEntry, ReplicaId};
 
 /// What one node knows, with the revisions that order it.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -31,8 +31,8 @@
     /// revision that the receiver knew.
     pub whole: bool,
     /// The replicas with the revisions of their entries.
-    pub replicas: Vec<(Replica, u64)>,
-    /// The replicas whose entries went since the revision that the receiver knew, with the
+    pub replicas: Vec<(ReplicaEntry, u64)>,
+    /// The names of the replicas whose entries went since the revision that the receiver knew, with the
     /// revisions at which they went.
     pub gone: Vec<(ReplicaId, u64)>,
     /// What operators said of zones, all of it. Nothing from a node of an earlier release, which takes
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -21,7 +21,7 @@
 use crate::confirmation::ConfigurationRevisions;
 use crate::evacuation::{Evacuations, ZoneNotice};
 use crate::incoming_configuration::IncomingConfiguration;
-use crate::replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
+use crate::replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
 use crate::route_table::RouteTable;
 use crate::snapshot::CatalogueSnapshot;
 
@@ -38,7 +38,7 @@
 pub enum ReplicaChange {
     /// Its entry as written.
     Written(Replica),
-    /// Its entry is gone.
+    /// Its entry is gone, or names no replica: whichever life it was.
     Gone(ReplicaId),
 }
 
@@ -96,6 +96,7 @@
     /// How the configuration in force came about.
     history: ConfigurationHistory,
     incoming: IncomingConfiguration,
+    /// By the name of the replica, which an entry lies under: a new life's takes the place of the one before.
     entries: HashMap<ReplicaId, Entry>,
     replicas_at: u64,
     /// The highest revision of an entry that vanished and was forgotten.
@@ -263,7 +264,7 @@
     fn replace_replicas(&mut self, at: u64, replicas: Vec<(Replica, u64)>, now: Micros) -> bool {
         let mut changed = false;
         let listed: std::collections::HashSet<ReplicaId> =
-            replicas.iter().map(|(replica, _)| replica.id.clone()).collect();
+            replicas.iter().map(|(replica, _)| replica.id.any_life()).collect();
         for (replica, revision) in replicas {
             changed |= self.write(replica, revision, now);
         }
@@ -280,7 +281,7 @@
     }
 
     fn write(&mut self, replica: Replica, revision: u64, now: Micros) -> bool {
-        let id = replica.id.clone();
+        let id = replica.id.any_life();
         if self.entries.get(&id).is_some_and(|entry| entry.revision >= revision) {
             return false;
         }
@@ -292,7 +293,7 @@
 
     fn vanish(&mut self, id: &ReplicaId, revision: u64, now: Micros) -> bool {
         let absent = || Entry { replica: None, revision: 0, warm_at: Micros(0), vanished_at: Some(now) };
-        let entry = self.entries.entry(id.clone()).or_insert_with(absent);
+        let entry = self.entries.entry(id.any_life()).or_insert_with(absent);
         if entry.revision >= revision {
             return false;
         }
@@ -418,7 +419,9 @@
         }
         for (id, entry) in self.entries.iter().filter(|(_, entry)| entry.revision > known_from) {
             match (&entry.replica, entry.vanished_at) {
-                (Some(replica), None) => snapshot.replicas.push(((**replica).clone(), entry.revision)),
+                (Some(replica), None) => {
+                    snapshot.replicas.push((ReplicaEntry::from(&**replica), entry.revision))
+                }
                 _ => snapshot.gone.push((id.clone(), entry.revision)),
             }
         }
@@ -453,10 +456,11 @@
             changed |= self.vanish(&id, revision, now);
         }
         if snapshot.whole {
-            changed |= self.replace_replicas(snapshot.replicas_at, snapshot.replicas, now);
+            let replicas = snapshot.replicas.into_iter().map(|(entry, revision)| (entry.into(), revision));
+            changed |= self.replace_replicas(snapshot.replicas_at, replicas.collect(), now);
         } else {
-            for (replica, revision) in snapshot.replicas {
-                changed |= self.write(replica, revision, now);
+            for (entry, revision) in snapshot.replicas {
+                changed |= self.write(entry.into(), revision, now);
             }
         }
         self.advance(snapshot.replicas_at);
--- /dev/null
+++ b/crates/sablebay-catalogue/tests/lives.rs
@@ -0,0 +1,116 @@
+//! Replicas that start again under the name that they had, and entries that name no replica any more.
+
+use musli::{Decode, Encode};
+
+use sablebay_catalogue::{
+    CatalogueView, Replica, ReplicaChange, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName,
+};
+use sablebay_model::{Micros, ZoneName};
+
+const START: Micros = Micros::from_secs(10);
+
+fn replica(born_ms: u64, phase: ReplicaPhase) -> Replica {
+    Replica {
+        id: ReplicaId::of_life("a", born_ms),
+        service: ServiceName::new("s"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::new("z"),
+        slots: 2,
+        phase,
+        warm_up_left_ms: 0,
+    }
+}
+
+fn written(born_ms: u64, phase: ReplicaPhase) -> ReplicaChange {
+    ReplicaChange::Written(replica(born_ms, phase))
+}
+
+/// The lives that may get new work, and whether only as a last resort.
+fn lives(view: &CatalogueView) -> Vec<(u64, bool)> {
+    let services = view.routable(START);
+    let replicas = services.get(&ServiceName::new("s")).map(Vec::as_slice).unwrap_or_default();
+    replicas.iter().map(|known| (known.replica.id.born_ms(), known.last_resort)).collect()
+}
+
+#[test]
+fn lives_of_one_name_are_told_apart() {
+    let (first, second) = (ReplicaId::of_life("a", 5), ReplicaId::of_life("a", 6));
+    assert_ne!(first, second);
+    assert_eq!((first.name(), first.born_ms(), first.to_string().as_str()), ("a", 5, "a@5"));
+    assert_eq!(first.any_life(), second.any_life());
+    assert_eq!(ReplicaId::of_life("a", 0), ReplicaId::new("a"));
+    assert!(ReplicaId::is_name("i-7f3a91c2"));
+    for name in ["", "a@5", "two words", "line\nbreak", "caf\u{e9}"] {
+        assert!(!ReplicaId::is_name(name), "{name:?}");
+    }
+}
+
+#[test]
+fn a_new_life_takes_the_place_of_the_one_before() {
+    let mut view = CatalogueView::default();
+    view.apply(written(5, ReplicaPhase::Ready), 1, START);
+    view.apply(written(5, ReplicaPhase::Draining), 2, START);
+    assert_eq!(lives(&view), []);
+    // It takes back that the one before was leaving; its clock may be behind.
+    view.apply(written(4, ReplicaPhase::Ready), 3, START);
+    assert_eq!(lives(&view), [(4, false)]);
+    // Word of the one before that comes late changes nothing.
+    view.apply(written(5, ReplicaPhase::Draining), 2, START);
+    view.apply(written(5, ReplicaPhase::Ready), 1, START);
+    assert_eq!(lives(&view), [(4, false)]);
+}
+
+#[test]
+fn an_entry_that_went_names_no_life() {
+    let mut view = CatalogueView::default();
+    view.apply(written(5, ReplicaPhase::Ready), 1, START);
+    view.apply(ReplicaChange::Gone(ReplicaId::new("a")), 2, START);
+    assert_eq!(lives(&view), [(5, true)]);
+    view.apply(written(6, ReplicaPhase::Ready), 3, START);
+    assert_eq!(lives(&view), [(6, false)]);
+}
+
+#[test]
+fn peers_tell_each_other_of_lives() {
+    let (mut teller, mut hearer) = (CatalogueView::default(), CatalogueView::default());
+    for view in [&mut teller, &mut hearer] {
+        view.apply(written(5, ReplicaPhase::Draining), 1, START);
+        view.advance(1);
+    }
+    teller.apply(written(6, ReplicaPhase::Ready), 2, START);
+    teller.advance(2);
+    assert!(hearer.merge(teller.snapshot(0, 1), START));
+    assert_eq!(lives(&hearer), [(6, false)]);
+    teller.apply(ReplicaChange::Gone(ReplicaId::new("a")), 3, START);
+    teller.advance(3);
+    assert!(hearer.merge(teller.snapshot(0, 2), START));
+    assert_eq!(lives(&hearer), [(6, true)]);
+    let mut starting = CatalogueView::default();
+    teller.apply(written(7, ReplicaPhase::Ready), 4, START);
+    teller.advance(4);
+    assert!(starting.merge(teller.snapshot(0, 0), START));
+    assert_eq!(lives(&starting), [(7, false)]);
+}
+
+/// A replica as nodes of the release before lives told each other of it.
+#[derive(Debug, PartialEq, Encode, Decode)]
+struct FormerReplica {
+    id: ReplicaId,
+    service: ServiceName,
+    address: std::net::SocketAddr,
+    zone: ZoneName,
+    slots: u32,
+    phase: ReplicaPhase,
+    warm_up_left_ms: u64,
+}
+
+#[test]
+fn nodes_that_know_no_lives_are_told_names() {
+    let told =
+        musli::wire::to_vec(&ReplicaEntry::from(&replica(5, ReplicaPhase::Ready))).expect("it is encoded");
+    let heard: FormerReplica = musli::wire::from_slice(&told).expect("a former node reads it");
+    assert_eq!(heard.id, ReplicaId::new("a"));
+    let told = musli::wire::to_vec(&heard).expect("it is encoded");
+    let entry: ReplicaEntry = musli::wire::from_slice(&told).expect("a node reads it");
+    assert_eq!(Replica::from(entry), replica(0, ReplicaPhase::Ready));
+}
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -112,7 +112,7 @@
 ) -> Result<bool, SourceError> {
     let asked_at = context.clock().now();
     let read = source.list(patience).await?;
-    note_rejected(&read.rejected);
+    note_rejected(context, &read.rejected);
     let now = context.clock().now();
     context.node.catalogue.update(|view| {
         let configured =
@@ -134,7 +134,7 @@
 ) -> Result<bool, SourceError> {
     let asked_at = context.clock().now();
     let news = source.watch(after, wait, patience).await?;
-    note_rejected(&news.rejected);
+    note_rejected(context, &news.rejected);
     let now = context.clock().now();
     let partial = news.partial;
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
@@ -145,10 +145,19 @@
     Ok(changed)
 }
 
-/// What cannot be read is left out; what is known of it stays, and everything else is taken.
-fn note_rejected(rejected: &[String]) {
-    for finding in rejected {
-        log::error!(finding = finding.as_str(); "catalogue: an item is rejected; what is in force stays.");
+/// Lines about items of one answer that cannot be read: somebody may write thousands at once.
+const REJECTION_LINES: usize = 5;
+
+/// What cannot be read is left out, and everything else is taken: the configuration in force stays, an entry names no
+/// replica.
+fn note_rejected<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, rejected: &[String]) {
+    context.metrics.rejected_items.inc_by(rejected.len() as u64);
+    for finding in rejected.iter().take(REJECTION_LINES) {
+        log::error!(finding = finding.as_str(); "catalogue: an item cannot be read and is left out.");
+    }
+    if rejected.len() > REJECTION_LINES {
+        let more = rejected.len() - REJECTION_LINES;
+        log::error!(more = more; "catalogue: further items cannot be read and are left out.");
     }
 }
 
--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Where they lead.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Changes the limit. A lower one takes hold as connections come back.
     pub fn set_limit(&self, limit: usize) {
         let before = self.limit.swap(limit, Ordering::AcqRel);
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -176,8 +176,9 @@
     }
 }
 
+/// Its name: nodes of an earlier release know no lives.
 fn spare_text(spare: &Option<ReplicaId>) -> String {
-    spare.as_ref().map_or_else(String::new, ToString::to_string)
+    spare.as_ref().map_or_else(String::new, |spare| spare.name().to_string())
 }
 
 fn note_heard<C: CallerProtocol, B: BackendProtocol>(
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -111,7 +111,8 @@
         context.node.quarantine.hear(from.node.as_str(), std::slice::from_ref(notice), false, now);
     }
     let crowded = crowded(context, &targets, now);
-    let mut fanout = Fanout::new(settings, targets).on_behalf_of(tenant).keeping_spares(spares(&partial));
+    let spares = spares(&partial, &targets);
+    let mut fanout = Fanout::new(settings, targets).on_behalf_of(tenant).keeping_spares(spares);
     if partial.continued {
         fanout = fanout.continuing();
     }
@@ -162,9 +163,13 @@
     targets
 }
 
-/// The spare replica of each shard, where there is one.
-fn spares(partial: &PartialGather) -> Vec<Option<ReplicaId>> {
-    partial.spares.iter().map(|text| (!text.is_empty()).then(|| ReplicaId::new(text))).collect()
+/// The spare replica of each shard, where there is one, in the life that it has here.
+fn spares(partial: &PartialGather, targets: &[ShardTargets]) -> Vec<Option<ReplicaId>> {
+    let spare = |(name, targets): (&String, &ShardTargets)| {
+        let known = targets.replicas.iter().map(|known| &known.replica.id).find(|id| id.name() == name);
+        (!name.is_empty()).then(|| known.cloned().unwrap_or_else(|| ReplicaId::new(name)))
+    };
+    partial.spares.iter().zip(targets).map(spare).collect()
 }
 
 fn crowded<C: CallerProtocol, B: BackendProtocol>(
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -76,6 +76,8 @@
     pub caller_fault_log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
     pub source_reads: Family<OutcomeLabel, Counter>,
+    /// Items of the catalogue's source that could not be read.
+    pub rejected_items: Counter,
     /// Questions to peers for news of the catalogue, by outcome.
     pub peer_questions: Family<OutcomeLabel, Counter>,
     /// Documents that were fetched from peers, by outcome.
@@ -120,6 +122,7 @@
             log_budget: LogBudget::default(),
             caller_fault_log_budget: LogBudget::default(),
             source_reads: Family::default(),
+            rejected_items: Counter::default(),
             peer_questions: Family::default(),
             documents: Family::default(),
             configuration_version: Gauge::default(),
@@ -258,6 +261,11 @@
         );
         registry.register("latency_seconds", "Time from request to answer", self.latency.clone());
         registry.register("source_reads", "Reads of the catalogue by outcome", self.source_reads.clone());
+        registry.register(
+            "rejected_items",
+            "Items of the catalogue that could not be read",
+            self.rejected_items.clone(),
+        );
         registry.register(
             "peer_questions",
             "Questions to peers for news of the catalogue, by outcome",
--- a/crates/sablebay-gateway/src/replica_shares.rs
+++ b/crates/sablebay-gateway/src/replica_shares.rs
@@ -30,7 +30,9 @@
     /// The connections to a replica; made at their first use.
     pub fn connections_to(&self, replica: &RoutableReplica) -> Arc<ReplicaConnections> {
         let mut connections = self.connections.lock();
-        if let Some(known) = connections.get(&replica.replica.id) {
+        // One that does not tell its life may have started again elsewhere.
+        let at_address = |known: &&Arc<ReplicaConnections>| known.address() == replica.replica.address;
+        if let Some(known) = connections.get(&replica.replica.id).filter(at_address) {
             return known.clone();
         }
         let limit = self.connection_limit(&replica.replica.service);
--- a/crates/sablebay-gateway/src/warm_up.rs
+++ b/crates/sablebay-gateway/src/warm_up.rs
@@ -38,6 +38,13 @@
         }
         // Nodes that start together do not open connections to one replica at one moment.
         cold.shuffle(&mut rand::rng());
+        // Entries by strangers name services that no configuration has, and addresses where nobody answers: these
+        // come last, and replicas of an index that is about to be used before they are needed all the same.
+        let view = context.view.load_full();
+        let is_configured = |replica: &RoutableReplica| {
+            view.routes.as_ref().is_some_and(|routes| routes.service(&replica.replica.service).is_some())
+        };
+        cold.sort_by_key(|replica| !is_configured(replica));
         for replica in cold {
             if !context.keeps_connections_to(&replica) {
                 continue;
--- a/crates/sablebay/tests/platform/quarantine.rs
+++ b/crates/sablebay/tests/platform/quarantine.rs
@@ -42,6 +42,7 @@
         // Records are told apart by the number in the name.
         let identity = LeafIdentity {
             name: format!("i-{shard}-{copy}"),
+            keeps_name: false,
             service: service.clone(),
             shard,
             zone: "zone-a".to_string(),
