--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -11,6 +11,7 @@
 mod document;
 mod evacuation;
 mod incoming_configuration;
+mod known_configuration;
 mod reading;
 mod replica;
 mod route_table;
@@ -30,10 +31,11 @@
 pub use document::{CHUNK_BYTES, Distribution, DocumentDigest, DocumentOffer, FAN_OUT, INLINE_BYTES};
 pub use evacuation::{Evacuations, ZoneNotice};
 pub use incoming_configuration::{HeardVersion, IncomingConfiguration};
+pub use known_configuration::ConfigurationNews;
 pub use reading::{
     LONGEST_UNAWARE, LimitedAge, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
 };
 pub use replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
-pub use view::{CatalogueView, ConfigurationNews, Listing, ReplicaChange, RoutableReplica};
+pub use view::{CatalogueView, Listing, ReplicaChange, RoutableReplica};
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -16,11 +16,10 @@
 use sablebay_model::{Micros, ZoneName};
 
 use crate::configuration::RoutingConfiguration;
-use crate::configuration_history::ConfigurationHistory;
-use crate::configuration_step::ConfigurationStep;
 use crate::confirmation::ConfigurationRevisions;
 use crate::evacuation::{Evacuations, ZoneNotice};
 use crate::incoming_configuration::IncomingConfiguration;
+use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
 use crate::replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
 use crate::route_table::RouteTable;
 use crate::snapshot::CatalogueSnapshot;
@@ -42,17 +41,6 @@
     Gone(ReplicaId),
 }
 
-/// What a peer is missing of the configuration.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ConfigurationNews {
-    /// Nothing.
-    None,
-    /// These steps, of this many bytes.
-    Steps(Vec<ConfigurationStep>, usize),
-    /// All of it: no steps are known from what the peer has.
-    Whole,
-}
-
 /// Every replica that there was when a listing was taken.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
@@ -92,10 +80,7 @@
 /// What a node knows of the catalogue.
 #[derive(Debug, Default)]
 pub struct CatalogueView {
-    routes: Option<Arc<RouteTable>>,
-    /// How the configuration in force came about.
-    history: ConfigurationHistory,
-    incoming: IncomingConfiguration,
+    configuration: KnownConfiguration,
     /// By the name of the replica, which an entry lies under: a new life's takes the place of the one before.
     entries: HashMap<ReplicaId, Entry>,
     replicas_at: u64,
@@ -112,7 +97,7 @@
 impl CatalogueView {
     /// The routes in force.
     pub fn routes(&self) -> Option<&Arc<RouteTable>> {
-        self.routes.as_ref()
+        self.configuration.routes()
     }
 
     /// The revision up to which replicas and zones are known; 0 when nothing is known.
@@ -149,74 +134,37 @@
 
     /// The version of the configuration in force; 0 when none is.
     pub fn version(&self) -> u64 {
-        self.routes.as_ref().map_or(0, |routes| routes.version())
+        self.configuration.version()
     }
 
     /// What is known of newer configurations.
     pub fn incoming(&self) -> &IncomingConfiguration {
-        &self.incoming
+        self.configuration.incoming()
     }
 
     /// What is known of newer configurations, for whoever fetches them.
     pub fn incoming_mut(&mut self) -> &mut IncomingConfiguration {
-        &mut self.incoming
+        self.configuration.incoming_mut()
     }
 
     /// Notes that somebody has a version.
     pub fn hear_of(&mut self, version: u64, now: Micros) {
-        self.incoming.hear_of(version, self.version(), now);
+        self.configuration.hear_of(version, now);
     }
 
     /// Takes a configuration into force if it is newer. Returns whether it was.
     pub fn offer_configuration(&mut self, configuration: RoutingConfiguration) -> bool {
-        self.offer_configurations(vec![configuration])
+        self.configuration.offer(vec![configuration])
     }
 
-    /// Takes the last of these configurations into force that is newer than all before it. Peers may have any of
-    /// them, and are told what follows on it. Returns whether there was one.
+    /// Takes the last of these configurations into force that is newer than all before it. Returns whether there was one.
     pub fn offer_configurations(&mut self, configurations: Vec<RoutingConfiguration>) -> bool {
-        let mut reached: Option<RoutingConfiguration> = None;
-        for configuration in configurations {
-            let before = reached.as_ref().or(self.routes.as_ref().map(|routes| routes.configuration()));
-            if before.is_some_and(|before| configuration.version <= before.version) {
-                continue;
-            }
-            if let Some(before) = before {
-                self.history.keep(ConfigurationStep::between(before, &configuration));
-            }
-            reached = Some(configuration);
-        }
-        reached.is_some_and(|configuration| self.put_in_force(configuration))
-    }
-
-    /// Takes steps of a peer. Returns whether they led to a newer configuration. Those that start from one that is still
-    /// being fetched wait for it.
-    pub fn take_steps(&mut self, steps: Vec<ConfigurationStep>) -> bool {
-        let Some(routes) = self.routes.clone() else {
-            return false;
-        };
-        let Some(first) = steps.iter().position(|step| step.base == routes.version()) else {
-            self.incoming.stage(steps);
-            return false;
-        };
-        let Ok(next) = ConfigurationStep::follow(&steps[first..], routes.configuration()) else {
-            self.incoming.need_whole();
-            return false;
-        };
-        for step in steps.into_iter().skip(first) {
-            self.history.keep(step);
-        }
-        self.put_in_force(next)
+        self.configuration.offer(configurations)
     }
 
-    fn put_in_force(&mut self, configuration: RoutingConfiguration) -> bool {
-        let version = configuration.version;
-        self.routes = Some(Arc::new(RouteTable::new(configuration)));
-        let waiting = self.incoming.reached(version);
-        if !waiting.is_empty() {
-            self.take_steps(waiting);
-        }
-        true
+    /// What a peer that has a version is missing of the configuration.
+    pub fn configuration_news(&self, version: u64) -> ConfigurationNews {
+        self.configuration.news_since(version)
     }
 
     /// Notes which configurations could be read, and could not.
@@ -355,7 +303,7 @@
         let Some(returned_at) = self.evacuations.taken_back_at(&replica.zone) else {
             return entry.warm_at;
         };
-        let service = self.routes.as_ref().and_then(|routes| routes.service(&replica.service));
+        let service = self.routes().and_then(|routes| routes.service(&replica.service));
         let told = service.map_or(0, |service| service.warm_up.lasts_ms);
         let lasts = if told > 0 { Micros::from_millis(told) } else { ASSUMED_WARM_UP };
         entry.warm_at.max(returned_at.plus(lasts))
@@ -369,19 +317,7 @@
 
     /// Whether a peer that has these revisions is missing something.
     pub fn is_newer_than(&self, version: u64, replicas_at: u64) -> bool {
-        self.routes.as_ref().is_some_and(|routes| routes.version() > version)
-            || self.replicas_at > replicas_at
-    }
-
-    /// What a peer that has a version is missing of the configuration.
-    pub fn configuration_news(&self, version: u64) -> ConfigurationNews {
-        if self.version() <= version {
-            return ConfigurationNews::None;
-        }
-        match self.history.since(version) {
-            Some((steps, bytes)) => ConfigurationNews::Steps(steps.into_iter().cloned().collect(), bytes),
-            None => ConfigurationNews::Whole,
-        }
+        self.version() > version || self.replicas_at > replicas_at
     }
 
     /// Whether a peer that knows the replicas up to a revision is told of all of them: the catalogue's vanished entries
@@ -397,7 +333,7 @@
 
     /// The whole configuration, and the replicas that a peer is missing that knows them up to a revision.
     pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
-        let routes = self.routes.as_ref().filter(|routes| routes.version() > version);
+        let routes = self.routes().filter(|routes| routes.version() > version);
         let configuration = routes.map(|routes| routes.configuration().clone());
         CatalogueSnapshot { configuration, ..self.replica_news(replicas_at) }
     }
@@ -438,10 +374,9 @@
         if let Some(version) = snapshot.version().max(snapshot.offer.map(|offer| offer.version)) {
             self.hear_of(version, now);
         }
-        let mut changed = self.take_steps(snapshot.steps);
+        let mut changed = self.configuration.take_steps(snapshot.steps);
         if let Some(configuration) = snapshot.configuration {
-            self.incoming.got_whole();
-            changed |= self.offer_configuration(configuration);
+            changed |= self.configuration.take_whole(configuration);
         }
         let Some(zones) = snapshot.zones else {
             return changed;
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -184,6 +184,9 @@
     if let Some(offer) = offer {
         return Answer::Offer(offer);
     }
+    if context.node.catalogue.read(|view| view.incoming().needs_whole()) {
+        log::warn!(peer = peer.node.as_str(), version = version, told = told.0.unwrap_or(0); "catalogue: steps of a peer lead to other contents; the whole configuration is asked for.");
+    }
     // The peer's word holds for what it knows; this node knows as much by now, or more: unless it is still fetching it.
     if context.is_behind() {
         return Answer::News;
