--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -153,11 +153,11 @@
 fn note_rejected<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, rejected: &[String]) {
     context.metrics.rejected_items.inc_by(rejected.len() as u64);
     for finding in rejected.iter().take(REJECTION_LINES) {
-        log::error!(finding = finding.as_str(); "catalogue: an item cannot be read and is left out.");
+        log::error!(finding = finding.as_str(); "catalogue: an item is rejected and left out.");
     }
     if rejected.len() > REJECTION_LINES {
         let more = rejected.len() - REJECTION_LINES;
-        log::error!(more = more; "catalogue: further items cannot be read and are left out.");
+        log::error!(more = more; "catalogue: further items are rejected and left out.");
     }
 }
 
