--- a/crates/sablebay/tests/platform/lives.rs
+++ b/crates/sablebay/tests/platform/lives.rs
@@ -7,16 +7,22 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_back_end_that_starts_again_under_its_name_elsewhere_gets_work() {
     let mut deployment = Deployment::start().await;
+    // Its only one: among several the choice goes by latency, and need not fall on it.
+    let other = deployment.singles.remove(1);
+    deployment.store.remove(&other.replica.id);
+    drop(other);
     let node = NodeProcess::start("node-1", deployment.store.address, &[]);
     node.wait_ready().await;
-    for number in 0..20 {
-        assert_eq!(node.get(SAFE_PATH, &format!("before-{number}")).await.status.as_u16(), 200);
-    }
-    assert!(deployment.singles[0].record().arrivals > 0);
+    let number = std::sync::atomic::AtomicU32::new(0);
+    eventually("its first life gets work", || async {
+        let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        node.get(SAFE_PATH, &format!("before-{number}")).await;
+        deployment.singles[0].record().arrivals > 0
+    })
+    .await;
     drop(deployment.singles.remove(0));
     let again = LeafStandIn::start("i-single-0", &single_service(), 200, "zone-a").await.expect("a back end");
     deployment.store.announce(&again.replica);
-    let number = std::sync::atomic::AtomicU32::new(0);
     eventually("its new life gets work", || async {
         let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         node.get(SAFE_PATH, &format!("after-{number}")).await;
