Sight: the store's era and revision, a line when either goes back

Change: the store's answers carry their era; its revision is a metric, and one line says when it came back. No decision depends on either yet.

--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -14,6 +14,7 @@
 mod known_configuration;
 mod reading;
 mod replica;
+mod revision;
 mod route_table;
 mod snapshot;
 mod urgency;
@@ -36,6 +37,7 @@
     LONGEST_UNAWARE, LimitedAge, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
 };
 pub use replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
+pub use revision::Era;
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
 pub use view::{CatalogueView, Listing, ReplicaChange, RoutableReplica};
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 
 use sablebay_catalogue::{
-    CatalogueView, ReadFailure, ReadingInputs, ReadingPolicy, RoutableReplica, ServiceName, SourceRead,
+    CatalogueView, Era, ReadFailure, ReadingInputs, ReadingPolicy, RoutableReplica, ServiceName, SourceRead,
     SourceStep, bound_of_listing, bound_of_wait,
 };
 use sablebay_model::Micros;
@@ -105,6 +105,17 @@
     }
 }
 
+/// Keeps where the source is by its own word, beside what this node knows; a line where its revisions went back, or its
+/// era changed.
+fn note_source<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, era: Era, at: u64) {
+    let before = std::mem::replace(&mut *context.source_at.lock(), (era, at));
+    context.metrics.source_revision.set(at as i64);
+    if before != (Era::UNNAMED, 0) && (before.0 != era || at < before.1) {
+        let known = context.node.catalogue.read(CatalogueView::replicas_at);
+        log::warn!(era = era.to_string().as_str(), revision = at, era_before = before.0.to_string().as_str(), revision_before = before.1, known_revision = known; "catalogue: the source came back from an older copy.");
+    }
+}
+
 async fn read_all<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
     context: &Context<C, B>,
     source: &S,
@@ -113,6 +124,7 @@
     let asked_at = context.clock().now();
     let read = source.list(patience).await?;
     note_rejected(context, &read.rejected);
+    note_source(context, read.era, read.listing.at);
     let now = context.clock().now();
     context.node.catalogue.update(|view| {
         let configured =
@@ -135,6 +147,7 @@
     let asked_at = context.clock().now();
     let news = source.watch(after, wait, patience).await?;
     note_rejected(context, &news.rejected);
+    note_source(context, news.era, news.at);
     let now = context.clock().now();
     let partial = news.partial;
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 
 use sablebay_catalogue::{
-    ConfigurationRevisions, Listing, Replica, ReplicaChange, RoutingConfiguration, ZoneNotice,
+    ConfigurationRevisions, Era, Listing, Replica, ReplicaChange, RoutingConfiguration, ZoneNotice,
 };
 use sablebay_dispatch::LoadHint;
 use sablebay_tenants::{ApiKey, TenantName};
@@ -195,6 +195,8 @@
     pub rejected: Vec<String>,
     /// Where the configuration lay, and whether it could be read.
     pub revisions: ConfigurationRevisions,
+    /// The era of the source.
+    pub era: Era,
 }
 
 /// What changed after a revision.
@@ -214,6 +216,8 @@
     pub partial: bool,
     /// The revision to go on from.
     pub at: u64,
+    /// The era of the source.
+    pub era: Era,
 }
 
 /// Where the catalogue comes from.
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -76,6 +76,8 @@
     pub caller_fault_log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
     pub source_reads: Family<OutcomeLabel, Counter>,
+    /// The revision that the source was at by its last answer.
+    pub source_revision: Gauge,
     /// Items of the catalogue's source that could not be read.
     pub rejected_items: Counter,
     /// Questions to peers for news of the catalogue, by outcome.
@@ -122,6 +124,7 @@
             log_budget: LogBudget::default(),
             caller_fault_log_budget: LogBudget::default(),
             source_reads: Family::default(),
+            source_revision: Gauge::default(),
             rejected_items: Counter::default(),
             peer_questions: Family::default(),
             documents: Family::default(),
@@ -261,6 +264,11 @@
         );
         registry.register("latency_seconds", "Time from request to answer", self.latency.clone());
         registry.register("source_reads", "Reads of the catalogue by outcome", self.source_reads.clone());
+        registry.register(
+            "source_revision",
+            "The revision that the source was at by its last answer",
+            self.source_revision.clone(),
+        );
         registry.register(
             "rejected_items",
             "Items of the catalogue that could not be read",
