--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod quiet_path;
 mod quota;
+mod returning_store;
 mod revocation;
 mod support;
 mod tenant_secrets;
--- /dev/null
+++ b/crates/sablebay/tests/platform/returning_store.rs
@@ -0,0 +1,112 @@
+//! A store that comes back from an older copy of what it held.
+//!
+//! What was seen: 3 s after an operator was told that a configuration was accepted, every node still served by the one before,
+//! and went on until the next was written, 5.5 s later. No log had an error.
+//! How it came about: the store had been away for three seconds and had come back from a copy some seconds old, with its counter
+//! of revisions where the copy had it. The nodes went on from the highest revision that they had ever known. As long as the
+//! counter was lower, each wait for changes was refused and everything was read, three times a second; once the counter had come
+//! up to that revision, waits were answered again, with what was written *above* it. The configuration lay at it.
+//! What caused it: revisions of before and of after the return were taken for numbers of one order.
+//! What proved it: the revision of the next configuration that was heard of, one above the one where all nodes had stood since
+//! before the return; and these tests.
+
+use sablebay_catalogue::{Replica, ReplicaPhase};
+use sablebay_platform_standin::{LeafStandIn, StoreMode};
+
+use crate::gathering::metric;
+use crate::support::{Deployment, NodeProcess, SAFE_PATH, configuration, eventually};
+
+/// Nodes of a fleet: the two that read the store, and as many again.
+const NODES: usize = 4;
+
+/// A deployment whose store has a copy of its first state, and nodes that know what was written since.
+struct Fleet {
+    deployment: Deployment,
+    nodes: Vec<NodeProcess>,
+}
+
+fn version_of(node: &NodeProcess) -> u64 {
+    metric(node, "sablebay_gateway_configuration_version")
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let deployment = Deployment::start_over(["zone-a", "zone-b"]).await;
+        let mut nodes: Vec<NodeProcess> = Vec::new();
+        for number in 0..NODES {
+            let seeds: Vec<_> = nodes.iter().take(3).map(|node| node.peers).collect();
+            nodes.push(NodeProcess::start(&format!("node-{number}"), deployment.store.address, &seeds));
+        }
+        for node in &nodes {
+            node.wait_ready().await;
+        }
+        deployment.store.keep_copy();
+        let fleet = Self { deployment, nodes };
+        // Lost with the return: the counter stands higher than the copy's by these.
+        fleet.deployment.store.raise_revision(8);
+        fleet.deployment.store.publish(&configuration(2));
+        fleet.until_in_force(2).await;
+        fleet
+    }
+
+    async fn until_in_force(&self, version: u64) {
+        for node in &self.nodes {
+            eventually("a configuration is in force", || async { version_of(node) >= version }).await;
+        }
+    }
+
+    /// The store is away for a moment in which nobody can read, and comes back from its copy; `meanwhile` is written
+    /// before anybody can read again.
+    fn come_back(&self, meanwhile: impl FnOnce(&Deployment)) {
+        self.deployment.store.set_mode(StoreMode::Refusing);
+        self.deployment.store.return_from_copy();
+        meanwhile(&self.deployment);
+        self.deployment.store.set_mode(StoreMode::Serving);
+    }
+
+    /// Waits until a back end gets nothing more, whichever node is asked.
+    async fn until_without_work(&self, leaf: &LeafStandIn) {
+        let mut number = 0;
+        eventually("it gets no more work", || {
+            number += 1;
+            let before = leaf.record().arrivals;
+            async move {
+                for node in &self.nodes {
+                    for call in 0..10 {
+                        node.get(SAFE_PATH, &format!("work-{number}-{call}")).await;
+                    }
+                }
+                leaf.record().arrivals == before
+            }
+        })
+        .await;
+    }
+}
+
+/// The same with a return that nobody noticed by a refused wait: the counter has passed where the nodes stand.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_below_the_revision_known_before_the_return_is_in_force() {
+    let fleet = Fleet::start().await;
+    let known = fleet.deployment.store.at();
+    fleet.come_back(|deployment| {
+        deployment.store.write_all_again();
+        assert!(deployment.store.publish(&configuration(3)) < known.1);
+        deployment.store.raise_revision(40);
+    });
+    fleet.until_in_force(3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_that_leaves_after_the_return_gets_no_more_work() {
+    let fleet = Fleet::start().await;
+    let leaving = &fleet.deployment.singles[0];
+    // Its entry was last written at a revision that the counter is below again.
+    fleet.deployment.store.announce(&leaving.replica);
+    fleet.deployment.store.publish(&configuration(3));
+    fleet.until_in_force(3).await;
+    fleet.come_back(|deployment| {
+        deployment.store.write_all_again();
+        deployment.store.announce(&Replica { phase: ReplicaPhase::Draining, ..leaving.replica.clone() });
+    });
+    fleet.until_without_work(leaving).await;
+}
