--- a/crates/sablebay-catalogue/src/confirmation.rs
+++ b/crates/sablebay-catalogue/src/confirmation.rs
@@ -8,6 +8,8 @@
 
 use sablebay_model::Micros;
 
+use crate::revision::{CatalogueRevision, Era};
+
 /// How long waits for changes at the source may hear nothing while changes are made: a source that is about to drop
 /// its history stops telling of changes for so long before it ends the waits.
 pub const WATCH_SILENCE: Micros = Micros::from_secs(1);
@@ -41,28 +43,48 @@
     }
 }
 
-/// The revisions of the source at which the newest configurations lay that could be read, and could not; 0 where
-/// there was none.
+/// The revisions of the source at which the newest configurations lay that could be read, and could not.
 ///
 /// They travel with what nodes know: who goes on from a revision that another node told does not see again what
-/// that one could not read.
+/// that one could not read. The eras stand in fields of their own: nodes of an earlier release know numbers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct ConfigurationRevisions {
-    /// Of the newest that was read.
-    pub read: u64,
-    /// Of the newest that could not be read.
-    pub unreadable: u64,
+    read: u64,
+    unreadable: u64,
+    #[musli(default)]
+    read_era: Era,
+    #[musli(default)]
+    unreadable_era: Era,
 }
 
 impl ConfigurationRevisions {
+    /// Of the newest that was read, and of the newest that could not be; nothing is [`CatalogueRevision::NOTHING`].
+    pub fn new(read: CatalogueRevision, unreadable: CatalogueRevision) -> Self {
+        Self {
+            read: read.number(),
+            unreadable: unreadable.number(),
+            read_era: read.era(),
+            unreadable_era: unreadable.era(),
+        }
+    }
+
+    /// Of the newest that was read.
+    pub fn read(self) -> CatalogueRevision {
+        CatalogueRevision::new(self.read_era, self.read)
+    }
+
+    /// Of the newest that could not be read.
+    pub fn unreadable(self) -> CatalogueRevision {
+        CatalogueRevision::new(self.unreadable_era, self.unreadable)
+    }
+
     /// Takes what another answer said.
     pub fn merge(&mut self, other: Self) {
-        self.read = self.read.max(other.read);
-        self.unreadable = self.unreadable.max(other.unreadable);
+        *self = Self::new(self.read().max(other.read()), self.unreadable().max(other.unreadable()));
     }
 
     /// Whether no configuration is known to be newer than the one that was read.
-    pub fn newest_is_read(&self) -> bool {
-        self.read >= self.unreadable
+    pub fn newest_is_read(self) -> bool {
+        self.read() >= self.unreadable()
     }
 }
--- a/crates/sablebay-catalogue/src/evacuation.rs
+++ b/crates/sablebay-catalogue/src/evacuation.rs
@@ -1,7 +1,8 @@
 //! Zones that an operator has emptied: nothing new goes to their replicas.
 //!
 //! Invariant kept here: what is known of a zone is replaced by a word of a higher revision alone, so that
-//! neither a peer that lags nor a node that was cut off brings back what was overruled.
+//! neither a peer that lags nor a node that was cut off brings back what was overruled. Nor does a source that has come back
+//! from an older copy: what was known holds until the operator has spoken since.
 
 use std::collections::BTreeMap;
 
@@ -9,6 +10,9 @@
 
 use sablebay_model::{Micros, ZoneName};
 
+use crate::revision::{CatalogueRevision, Era};
+use crate::source_return::SourceEra;
+
 /// Whether the replicas of a zone get new work, as the operator said at a revision.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ZoneNotice {
@@ -16,14 +20,31 @@
     pub zone: ZoneName,
     /// Whether it is evacuated; otherwise it was taken back.
     pub evacuated: bool,
+    /// The number of the revision at which that was said. Its era stands in a field of its own: nodes of an earlier release
+    /// know numbers.
+    number: u64,
+    #[musli(default)]
+    era: Era,
+}
+
+impl ZoneNotice {
+    /// What was said of a zone at a revision.
+    pub fn new(zone: ZoneName, evacuated: bool, revision: CatalogueRevision) -> Self {
+        Self { zone, evacuated, number: revision.number(), era: revision.era() }
+    }
+
     /// The revision at which that was said.
-    pub revision: u64,
+    pub fn revision(&self) -> CatalogueRevision {
+        CatalogueRevision::new(self.era, self.number)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct KnownNotice {
     evacuated: bool,
-    revision: u64,
+    revision: CatalogueRevision,
+    /// The last revision at which it was said to be evacuated.
+    evacuated_by: Option<CatalogueRevision>,
     /// When this node learnt that the zone was taken back; nothing while it is evacuated.
     taken_back_at: Option<Micros>,
 }
@@ -37,9 +58,9 @@
 
 impl Evacuations {
     /// Takes a notice. Returns whether the zone is evacuated now and was not, or the other way round.
-    pub fn apply(&mut self, notice: &ZoneNotice, now: Micros) -> bool {
+    pub fn apply(&mut self, notice: &ZoneNotice, source: &SourceEra, settled: bool, now: Micros) -> bool {
         let known = self.notices.get(&notice.zone);
-        if known.is_some_and(|known| known.revision >= notice.revision) {
+        if known.is_some_and(|known| !replaces(notice, known, source, settled)) {
             return false;
         }
         let was_evacuated = known.is_some_and(|known| known.evacuated);
@@ -49,26 +70,42 @@
             (true, false) => Some(now),
             (false, false) => before,
         };
-        let next = KnownNotice { evacuated: notice.evacuated, revision: notice.revision, taken_back_at };
+        let revision = notice.revision();
+        let evacuated_by =
+            if notice.evacuated { Some(revision) } else { known.and_then(|known| known.evacuated_by) };
+        let next = KnownNotice { evacuated: notice.evacuated, revision, evacuated_by, taken_back_at };
         self.notices.insert(notice.zone.clone(), next);
         was_evacuated != notice.evacuated
     }
 
     /// Takes back the zones that were evacuated before revision `at`, but for those in `listed`, which were
-    /// evacuated then. Returns whether there was one.
-    pub fn take_back_others(&mut self, listed: impl Fn(&ZoneName) -> bool, at: u64, now: Micros) -> bool {
+    /// evacuated then. Those of before a return stay until the era is settled. Returns whether there was one.
+    pub fn take_back_others(
+        &mut self,
+        listed: impl Fn(&ZoneName) -> bool,
+        at: CatalogueRevision,
+        source: &SourceEra,
+        settled: bool,
+        now: Micros,
+    ) -> bool {
         let overruled = |(zone, known): &(&ZoneName, &KnownNotice)| {
-            known.evacuated && known.revision < at && !listed(zone)
+            let of_this_era = known.revision.era() == at.era();
+            known.evacuated && known.revision < at && (of_this_era || settled) && !listed(zone)
         };
         let zones: Vec<ZoneName> =
             self.notices.iter().filter(overruled).map(|(zone, _)| zone.clone()).collect();
         let taken_back = !zones.is_empty();
         for zone in zones {
-            self.apply(&ZoneNotice { zone, evacuated: false, revision: at }, now);
+            self.apply(&ZoneNotice::new(zone, false, at), source, settled, now);
         }
         taken_back
     }
 
+    /// The zones of which more is known than the source has said in an era.
+    pub fn known_before(&self, era: Era) -> usize {
+        self.notices.values().filter(|known| known.revision.era() < era && known.evacuated).count()
+    }
+
     /// Whether the replicas of a zone get nothing new.
     pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
         self.notices.get(zone).is_some_and(|known| known.evacuated)
@@ -86,11 +123,26 @@
 
     /// Everything that was said, for a peer.
     pub fn notices(&self) -> Vec<ZoneNotice> {
-        let notice = |(zone, known): (&ZoneName, &KnownNotice)| ZoneNotice {
-            zone: zone.clone(),
-            evacuated: known.evacuated,
-            revision: known.revision,
+        let notice = |(zone, known): (&ZoneName, &KnownNotice)| {
+            ZoneNotice::new(zone.clone(), known.evacuated, known.revision)
         };
         self.notices.iter().map(notice).collect()
     }
 }
+
+/// Whether a notice takes the place of what is known.
+fn replaces(notice: &ZoneNotice, known: &KnownNotice, source: &SourceEra, settled: bool) -> bool {
+    let told = notice.revision();
+    if told.era() == known.revision.era() {
+        return told > known.revision;
+    }
+    if told < known.revision {
+        // What is known may be the copy's: then it is older than what was said after it.
+        let is_copy = !source.is_written(known.revision);
+        return is_copy && told > known.revision.in_era(told.era());
+    }
+    // The copy may hold a notice that was taken back since. One that was never heard of is taken for the operator's: a zone that
+    // is left alone for some seconds costs less than one that is used when it is to be empty.
+    let is_overruled = known.evacuated_by.is_some_and(|by| by.in_era(told.era()) == told);
+    settled || source.is_written(told) || (notice.evacuated && !is_overruled)
+}
--- a/crates/sablebay-catalogue/src/lib.rs
+++ b/crates/sablebay-catalogue/src/lib.rs
@@ -17,6 +17,7 @@
 mod revision;
 mod route_table;
 mod snapshot;
+mod source_return;
 mod urgency;
 mod view;
 
@@ -37,7 +38,8 @@
     LONGEST_UNAWARE, LimitedAge, READERS, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
 };
 pub use replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
-pub use revision::Era;
+pub use revision::{CataloguePosition, CatalogueRevision, Era, EraStage};
 pub use route_table::RouteTable;
 pub use snapshot::CatalogueSnapshot;
+pub use source_return::{SETTLING, SourceEra};
 pub use view::{CatalogueView, Listing, ReplicaChange, RoutableReplica};
--- a/crates/sablebay-catalogue/src/reading.rs
+++ b/crates/sablebay-catalogue/src/reading.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use crate::revision::{CataloguePosition, CatalogueRevision};
+
 /// Nodes that read the source for all.
 pub const READERS: usize = 2;
 /// How long one wait for changes lasts.
@@ -24,6 +26,9 @@
 const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(700));
 /// The pause of another node after a failure: readers try for it too.
 const BYSTANDER_PAUSE: Duration = Duration::from_millis(1_200);
+/// Over how long the nodes that are no readers spread their listings after a return of the source: the first few tell the
+/// others, which then need none. All of a fleet are told within a second.
+const RETURN_SPREAD: Duration = Duration::from_millis(2_000);
 /// How long ago a node that is no reader heard of the catalogue when it reads by itself.
 const OLD_NEWS: Duration = Duration::from_millis(2_100);
 /// How often a node that waits looks again.
@@ -69,7 +74,7 @@
     /// For what changes after a revision.
     Changes {
         /// The revision.
-        after: u64,
+        after: CatalogueRevision,
         /// How long the source may wait for a change.
         wait: Duration,
         /// How long the answer may take.
@@ -91,6 +96,8 @@
 pub enum ReadFailure {
     /// What changed cannot be told any more.
     MustReadAll,
+    /// The source has come back from an older copy: what changed since a revision of before means nothing.
+    Returned,
     /// No answer came in time.
     NoAnswer,
     /// The source refused for now.
@@ -116,8 +123,10 @@
     pub configuration_age: Option<LimitedAge>,
     /// Where this node stands among all, from 0 to 1.
     pub position: f64,
-    /// The revision up to which it knows the catalogue; 0 when it knows nothing.
-    pub known_up_to: u64,
+    /// Up to where it knows the catalogue.
+    pub known_up_to: CataloguePosition,
+    /// Whether everything is to be listed anew, since the source's era is settled now.
+    pub must_settle: bool,
 }
 
 impl ReadingInputs {
@@ -142,14 +151,12 @@
             return SourceStep::Wait(wait);
         }
         let patience = (PATIENCE * 2u32.pow(self.unanswered.min(4))).min(LONGEST_PATIENCE);
-        SourceStep::Read(match inputs.known_up_to {
-            0 => SourceRead::All { patience },
-            _ if self.must_read_all => SourceRead::All { patience },
-            after => {
-                let wait = if inputs.is_near_limit() { Duration::ZERO } else { WAIT };
-                SourceRead::Changes { after, wait, patience: wait + patience }
-            }
-        })
+        if inputs.known_up_to.is_nothing() || self.must_read_all || inputs.must_settle {
+            return SourceStep::Read(SourceRead::All { patience });
+        }
+        let wait = if inputs.is_near_limit() { Duration::ZERO } else { WAIT };
+        let after = inputs.known_up_to.revision();
+        SourceStep::Read(SourceRead::Changes { after, wait, patience: wait + patience })
     }
 
     /// Whether the last read failed.
@@ -180,12 +187,16 @@
         };
         self.failures += 1;
         match failure {
-            ReadFailure::MustReadAll => self.must_read_all = true,
+            ReadFailure::MustReadAll | ReadFailure::Returned => self.must_read_all = true,
             ReadFailure::NoAnswer => self.unanswered += 1,
             ReadFailure::Refused => {}
         }
-        let spread = if failure == ReadFailure::MustReadAll { 0.0 } else { jitter };
-        pause.mul_f64(0.7 + 0.6 * spread)
+        match failure {
+            ReadFailure::MustReadAll => pause.mul_f64(0.7),
+            ReadFailure::Returned if is_reader => pause.mul_f64(0.7),
+            ReadFailure::Returned => pause + RETURN_SPREAD.mul_f64(jitter),
+            ReadFailure::NoAnswer | ReadFailure::Refused => pause.mul_f64(0.7 + 0.6 * jitter),
+        }
     }
 }
 
--- a/crates/sablebay-catalogue/src/replica.rs
+++ b/crates/sablebay-catalogue/src/replica.rs
@@ -1,5 +1,6 @@
 //! A replica as it announces itself.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,6 +10,8 @@
 
 use sablebay_model::ZoneName;
 
+use crate::revision::Era;
+
 /// A service of back ends; a shard is one.
 #[derive(
     Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
@@ -109,6 +112,20 @@
     pub phase: ReplicaPhase,
     /// How much longer it is slow from its start, in milliseconds, when it wrote this.
     pub warm_up_left_ms: u64,
+    /// Counts what it has written in this life, and only rises.
+    pub sequence: u64,
+}
+
+impl Replica {
+    /// How another word of the same replica stands to this one by what replicas count themselves; nothing where that does
+    /// not tell.
+    pub fn own_order(&self, other: &Self) -> Option<Ordering> {
+        if self.id == other.id {
+            return Some(other.sequence.cmp(&self.sequence));
+        }
+        let told = self.id.born_ms() > 0 && other.id.born_ms() > 0;
+        told.then(|| other.id.born_ms().cmp(&self.id.born_ms()))
+    }
 }
 
 /// A replica as nodes tell each other of it. Its life stands in a field of its own: nodes of an earlier release know
@@ -124,6 +141,11 @@
     warm_up_left_ms: u64,
     #[musli(default)]
     born_ms: u64,
+    #[musli(default)]
+    sequence: u64,
+    /// Of the revision that it is told with.
+    #[musli(default)]
+    pub(crate) era: Era,
 }
 
 impl From<&Replica> for ReplicaEntry {
@@ -137,6 +159,8 @@
             phase: replica.phase,
             warm_up_left_ms: replica.warm_up_left_ms,
             born_ms: replica.id.born_ms(),
+            sequence: replica.sequence,
+            era: Era::UNNAMED,
         }
     }
 }
@@ -151,6 +175,7 @@
             slots: entry.slots,
             phase: entry.phase,
             warm_up_left_ms: entry.warm_up_left_ms,
+            sequence: entry.sequence,
         }
     }
 }
--- a/crates/sablebay-catalogue/src/snapshot.rs
+++ b/crates/sablebay-catalogue/src/snapshot.rs
@@ -2,12 +2,15 @@
 
 use musli::{Decode, Encode};
 
+use sablebay_model::Micros;
+
 use crate::configuration::RoutingConfiguration;
 use crate::configuration_step::ConfigurationStep;
 use crate::confirmation::{ConfigurationRevisions, PeerConfirmation};
 use crate::document::DocumentOffer;
 use crate::evacuation::ZoneNotice;
-use crate::replica::{ReplicaEntry, ReplicaId};
+use crate::replica::{Replica, ReplicaEntry, ReplicaId};
+use crate::revision::{CataloguePosition, CatalogueRevision, Era, EraStage};
 
 /// What one node knows, with the revisions that order it.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -20,8 +23,8 @@
     /// Where there is more that the receiver is missing: too much for one answer.
     #[musli(default)]
     pub offer: Option<DocumentOffer>,
-    /// The revision up to which the replicas are known; 0 when nothing is known.
-    pub replicas_at: u64,
+    /// The number of the revision up to which the replicas are known; 0 when nothing is known. `stage` tells its era.
+    pub number: u64,
     /// How long ago the sender last heard that its knowledge is the newest, in milliseconds; nothing when it never
     /// did. No bound of anything: see [`CatalogueSnapshot::confirmation`].
     pub heard_ms_ago: Option<u64>,
@@ -30,10 +33,10 @@
     /// Whether `replicas` are all that there are; otherwise they are those that changed since the
     /// revision that the receiver knew.
     pub whole: bool,
-    /// The replicas with the revisions of their entries.
+    /// The replicas with the numbers of the revisions of their entries, which tell their eras.
     pub replicas: Vec<(ReplicaEntry, u64)>,
     /// The names of the replicas whose entries went since the revision that the receiver knew, with the
-    /// revisions at which they went.
+    /// numbers of the revisions at which they went; `gone_eras` are their eras.
     pub gone: Vec<(ReplicaId, u64)>,
     /// What operators said of zones, all of it. Nothing from a node of an earlier release, which takes
     /// the catalogue for confirmed without having read this.
@@ -46,6 +49,21 @@
     /// Which configurations the sender could read, and could not.
     #[musli(default)]
     pub revisions: ConfigurationRevisions,
+    /// The rest of what `number` says; nothing from a node of an earlier release, which knows no eras.
+    #[musli(default)]
+    pub stage: Option<EraStage>,
+    /// The eras of what is `gone`.
+    #[musli(default)]
+    pub gone_eras: Vec<Era>,
+    /// The lowest number that was heard of in the source's era.
+    #[musli(default)]
+    pub first_number: u64,
+    /// How long the sender has known of the era; nothing when it says nothing of it.
+    #[musli(default)]
+    pub era_age: Option<Micros>,
+    /// Whether the sender knows what the fleet knew before it started, or before the source's last return.
+    #[musli(default)]
+    pub learnt: bool,
 }
 
 impl CatalogueSnapshot {
@@ -55,6 +73,49 @@
         self.configuration.as_ref().map(|configuration| configuration.version).max(steps)
     }
 
+    /// One that tells how far the sender knows the replicas.
+    pub fn at(position: CataloguePosition) -> Self {
+        Self { number: position.revision().number(), stage: Some(position.stage()), ..Self::default() }
+    }
+
+    /// How far the sender knows the replicas.
+    pub fn replicas_at(&self) -> CataloguePosition {
+        match self.number {
+            0 => CataloguePosition::NOTHING,
+            number => self.stage.unwrap_or(EraStage::UNNAMED).at(number),
+        }
+    }
+
+    /// Tells of a replica.
+    pub fn tell(&mut self, replica: &Replica, revision: CatalogueRevision) {
+        let mut entry = ReplicaEntry::from(replica);
+        entry.era = revision.era();
+        self.replicas.push((entry, revision.number()));
+    }
+
+    /// Tells that the entry of a replica went.
+    pub fn tell_gone(&mut self, id: ReplicaId, revision: CatalogueRevision) {
+        self.gone.push((id, revision.number()));
+        self.gone_eras.push(revision.era());
+    }
+
+    /// Takes out the replicas that are told of, with the revisions of their entries.
+    pub fn take_replicas(&mut self) -> Vec<(Replica, CatalogueRevision)> {
+        let told = std::mem::take(&mut self.replicas).into_iter();
+        told.map(|(entry, number)| {
+            let revision = CatalogueRevision::new(entry.era, number);
+            (Replica::from(entry), revision)
+        })
+        .collect()
+    }
+
+    /// Takes out those whose entries went, with the revisions at which they did.
+    pub fn take_gone(&mut self) -> Vec<(ReplicaId, CatalogueRevision)> {
+        let eras = std::mem::take(&mut self.gone_eras).into_iter().chain(std::iter::repeat(Era::UNNAMED));
+        let told = std::mem::take(&mut self.gone).into_iter().zip(eras);
+        told.map(|((id, number), era)| (id, CatalogueRevision::new(era, number))).collect()
+    }
+
     /// As a document. Nothing when it cannot be encoded.
     pub fn to_document(&self) -> Option<Vec<u8>> {
         musli::wire::to_vec(self).ok()
--- /dev/null
+++ b/crates/sablebay-catalogue/src/source_return.rs
@@ -0,0 +1,70 @@
+//! What a node knows of the source's last return from an older copy.
+//!
+//! The source then says less than it had acknowledged, until whoever wrote since the copy has written again. What an item says
+//! in that time may be the copy's or its writer's: numbers above the first that was heard of in the era are certainly its
+//! writer's.
+
+use sablebay_model::Micros;
+
+use crate::revision::{CatalogueRevision, Era};
+
+/// How long after a return writers have written again: three heartbeats of 1.2 s, after which the entry of a replica that does
+/// not write is gone as well, and 0.4 s on the way. Until then nothing is taken for gone because the source does not
+/// have it.
+pub const SETTLING: Micros = Micros::from_millis(4_000);
+
+/// The era that the source is in, as far as a node knows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SourceEra {
+    era: Era,
+    /// The lowest number that was heard of in it; 0 in the first era, in which nothing is a copy's.
+    first_number: u64,
+    /// When anybody was first heard to have been told of it, by the node's clock.
+    heard_at: Micros,
+}
+
+impl SourceEra {
+    /// The era.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// The lowest number that was heard of in it.
+    pub fn first_number(&self) -> u64 {
+        self.first_number
+    }
+
+    /// How long it has been known.
+    pub fn age(&self, now: Micros) -> Micros {
+        now.since(self.heard_at)
+    }
+
+    /// Whether writers have had the time to write again.
+    pub fn is_settled(&self, now: Micros) -> bool {
+        self.era == Era::UNNAMED || self.age(now) >= SETTLING
+    }
+
+    /// Whether a change was made after the return, as far as its number tells; of an earlier era, that the question is
+    /// over.
+    pub fn is_written(&self, revision: CatalogueRevision) -> bool {
+        revision.era() < self.era || revision.number() > self.first_number
+    }
+
+    /// Hears that the source was at a number, or at a lower one, of an era that has been known for `age`. Returns whether the
+    /// era is a new one.
+    pub fn hear(&mut self, at: CatalogueRevision, age: Micros, now: Micros) -> bool {
+        let heard_at = now.since(age);
+        if at.era() < self.era {
+            return false;
+        }
+        if at.era() > self.era {
+            *self = Self { era: at.era(), first_number: at.number(), heard_at };
+            return true;
+        }
+        if self.era != Era::UNNAMED {
+            self.first_number = self.first_number.min(at.number());
+            self.heard_at = self.heard_at.min(heard_at);
+        }
+        false
+    }
+}
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -8,8 +8,11 @@
 //!   nothing which is made from the view can send there;
 //! - a replica that drains or whose entry is gone for [`ABSENCE_PATIENCE`] gets no new work
 //!   (must-hold 6). An entry may also vanish while the source is in trouble and come back with the
-//!   replica's next heartbeat, so that a vanished replica stays a last resort until then.
+//!   replica's next heartbeat, so that a vanished replica stays a last resort until then;
+//! - a source that comes back from an older copy takes nothing back: what was known holds until its own writer has said
+//!   otherwise, or has had the time to ([`crate::SETTLING`]).
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -20,15 +23,20 @@
 use crate::evacuation::{Evacuations, ZoneNotice};
 use crate::incoming_configuration::IncomingConfiguration;
 use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
-use crate::replica::{Replica, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName};
+use crate::replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
+use crate::revision::{CataloguePosition, CatalogueRevision, Era};
 use crate::route_table::RouteTable;
 use crate::snapshot::CatalogueSnapshot;
+use crate::source_return::SourceEra;
 
 /// How long a replica whose entry vanished is a last resort.
 const ABSENCE_PATIENCE: Micros = Micros::from_millis(1_600);
 /// How long the replicas of a zone that was taken back are taken for cold where their service does not
 /// say how long that lasts: the three seconds that the users' sheets give for a started one.
 const ASSUMED_WARM_UP: Micros = Micros::from_secs(3);
+/// How long a node that has not learnt what the fleet knew waits for a peer that has: a node finds its first peer 0.1 s after
+/// its start, and a peer answers such a question at once.
+const LEARNING_PATIENCE: Micros = Micros::from_millis(500);
 /// How long the revision of a vanished entry is remembered, against older news of it.
 const TOMBSTONE_LIFETIME: Micros = Micros::from_secs(60);
 
@@ -45,11 +53,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     /// The revision that the listing was begun at.
-    pub at: u64,
+    pub at: CatalogueRevision,
     /// The replicas with the revisions of their entries.
-    pub replicas: Vec<(Replica, u64)>,
+    pub replicas: Vec<(Replica, CatalogueRevision)>,
     /// The evacuated zones with the revisions at which that was said.
-    pub evacuated: Vec<(ZoneName, u64)>,
+    pub evacuated: Vec<(ZoneName, CatalogueRevision)>,
 }
 
 /// A replica that may get new work.
@@ -72,20 +80,93 @@
 #[derive(Debug)]
 struct Entry {
     replica: Option<Arc<Replica>>,
-    revision: u64,
+    revision: CatalogueRevision,
+    /// Whether it was taken when the era was settled. Peers that knew the era before are told again: the source's number for
+    /// it may be one that they have passed.
+    settled: bool,
+    /// Whether the source has said something else since its return, or nothing, and this is kept by what was known before.
+    kept: bool,
     warm_at: Micros,
     vanished_at: Option<Micros>,
 }
 
+impl Entry {
+    /// That of a replica of which nothing was heard but that it went.
+    fn absent(now: Micros) -> Self {
+        let revision = CatalogueRevision::NOTHING;
+        let (settled, kept, warm_at) = (false, false, Micros(0));
+        Self { replica: None, revision, settled, kept, warm_at, vanished_at: Some(now) }
+    }
+
+    /// Whether it says what a replica says.
+    fn has(&self, replica: &Replica) -> bool {
+        self.vanished_at.is_none() && self.replica.as_deref() == Some(replica)
+    }
+
+    /// Whether a word of the replica takes its place.
+    ///
+    /// Within an era the source's numbers order them. Between eras the copy's word may be the older one under the newer era:
+    /// there the replica's own count goes first, and where that does not tell, a word that was surely written since.
+    fn is_replaced_by(
+        &self,
+        replica: &Replica,
+        told: CatalogueRevision,
+        source: &SourceEra,
+        settled: bool,
+    ) -> bool {
+        if told.era() == self.revision.era() {
+            return told > self.revision;
+        }
+        let later = told > self.revision;
+        let same_life = self.replica.as_ref().is_some_and(|known| known.id == replica.id);
+        match self.replica.as_ref().and_then(|known| known.own_order(replica)) {
+            Some(Ordering::Greater) => later || same_life || !source.is_written(self.revision),
+            Some(Ordering::Less) if same_life => false,
+            _ => later && (settled || source.is_written(told)),
+        }
+    }
+
+    /// Whether the word that the entry went, or is not there, takes its place.
+    fn is_ended_by(&self, told: CatalogueRevision, source: &SourceEra, settled: bool) -> bool {
+        if told.era() == self.revision.era() {
+            return told > self.revision;
+        }
+        if told > self.revision {
+            return settled || source.is_written(told);
+        }
+        // What is known may be the copy's: then it is older than what went after it.
+        !source.is_written(self.revision) && told > self.revision.in_era(told.era())
+    }
+
+    /// Whether a peer that knows the catalogue up to a position has yet to hear of it.
+    fn is_news_to(&self, peer: CataloguePosition) -> bool {
+        let settled_since = self.settled && !peer.is_settled() && self.revision.era() == peer.era();
+        self.revision > peer.revision() || settled_since
+    }
+}
+
+/// What a node may still have to learn from its peers: what the fleet knew before it started, or before the source's last
+/// return.
+#[derive(Clone, Copy, Debug)]
+struct Learning {
+    /// Up to where it knew the catalogue then.
+    from: CataloguePosition,
+    since: Micros,
+}
+
 /// What a node knows of the catalogue.
 #[derive(Debug, Default)]
 pub struct CatalogueView {
     configuration: KnownConfiguration,
     /// By the name of the replica, which an entry lies under: a new life's takes the place of the one before.
     entries: HashMap<ReplicaId, Entry>,
-    replicas_at: u64,
+    replicas_at: CataloguePosition,
     /// The highest revision of an entry that vanished and was forgotten.
-    forgotten_up_to: u64,
+    forgotten_up_to: CatalogueRevision,
+    source: SourceEra,
+    /// Where this node stood when it heard of the source's era.
+    known_before: CataloguePosition,
+    learning: Option<Learning>,
     evacuations: Evacuations,
     revisions: ConfigurationRevisions,
     /// Whether leaving replicas get work; in the soak alone.
@@ -100,11 +181,56 @@
         self.configuration.routes()
     }
 
-    /// The revision up to which replicas and zones are known; 0 when nothing is known.
-    pub fn replicas_at(&self) -> u64 {
+    /// Up to where replicas and zones are known.
+    pub fn replicas_at(&self) -> CataloguePosition {
         self.replicas_at
     }
 
+    /// What is known of the source's era.
+    pub fn source(&self) -> &SourceEra {
+        &self.source
+    }
+
+    /// The number of replicas and evacuated zones that are kept by what was known before the source's return, which the
+    /// source has not confirmed. Nothing once its era is settled.
+    pub fn kept(&self) -> usize {
+        if self.replicas_at.is_settled() || self.known_before.is_nothing() {
+            return 0;
+        }
+        let kept = |entry: &&Entry| entry.kept;
+        self.entries.values().filter(kept).count() + self.evacuations.known_before(self.source.era())
+    }
+
+    /// Whether everything is to be listed anew: the writers have had the time to write again what was lost with the
+    /// source's return, and what is not there now is gone.
+    pub fn must_settle(&self, now: Micros) -> bool {
+        !self.replicas_at.is_nothing() && !self.replicas_at.is_settled() && self.source.is_settled(now)
+    }
+
+    /// Notes that the node starts, and that others may know more than the source says.
+    pub fn begin_learning(&mut self, now: Micros) {
+        self.learning = Some(Learning { from: self.replicas_at, since: now });
+    }
+
+    /// Whether the node knows what the fleet knew before it started, or has waited for a peer that does for long enough.
+    pub fn has_learnt(&self, now: Micros) -> bool {
+        self.learning.is_none_or(|learning| now.since(learning.since) >= LEARNING_PATIENCE)
+    }
+
+    /// From where on a peer that has learnt is to tell what it knows; nothing where that is no matter.
+    pub fn learns_from(&self, now: Micros) -> Option<CataloguePosition> {
+        self.learning.filter(|_| !self.has_learnt(now)).map(|learning| learning.from)
+    }
+
+    /// Hears that the source is at a revision of an era that somebody has known for `age`.
+    fn hear_of_source(&mut self, at: CatalogueRevision, age: Micros, now: Micros) {
+        if self.source.hear(at, age, now) {
+            self.known_before = self.replicas_at;
+            let kept = |entry: &mut Entry| entry.kept = false;
+            self.entries.values_mut().for_each(kept);
+        }
+    }
+
     /// Gives leaving replicas work like others, which the soak must notice.
     pub fn keep_leaving(&mut self) {
         self.keeps_leaving = true;
@@ -124,7 +250,19 @@
     /// revision that this node knows the catalogue at was heard: what else comes of before was overruled,
     /// also where this node never heard of it.
     pub fn apply_notice(&mut self, notice: &ZoneNotice, now: Micros) -> bool {
-        notice.revision > self.replicas_at && self.evacuations.apply(notice, now)
+        self.take_notice(notice, self.replicas_at.is_settled(), now)
+    }
+
+    fn take_notice(&mut self, notice: &ZoneNotice, settled: bool, now: Micros) -> bool {
+        // What a source says at first after its return was not heard in order.
+        let heard_up_to =
+            if self.replicas_at.is_settled() || notice.revision().era() == self.replicas_at.era() {
+                self.replicas_at
+            } else {
+                self.known_before
+            };
+        notice.revision() > heard_up_to.revision()
+            && self.evacuations.apply(notice, &self.source, settled, now)
     }
 
     /// Whether the operator lets no new work to a zone's replicas.
@@ -172,80 +310,125 @@
         self.revisions.merge(revisions);
     }
 
+    /// Whether the source's word that there is nothing newer is one: not before its era is settled, unless the operator has
+    /// written since. A key that was taken away just before the return lies in the copy.
+    pub fn source_confirms(&self) -> bool {
+        let read = self.revisions.read();
+        let written = read.era() == self.source.era() && self.source.is_written(read);
+        (self.replicas_at.is_settled() || written) && self.incoming().heard().is_none()
+    }
+
     /// Whether no configuration is known to be newer than the one that was read.
     pub fn has_newest_configuration(&self) -> bool {
         self.revisions.newest_is_read()
     }
 
     /// Takes news of one replica. Returns whether it changed anything.
-    pub fn apply(&mut self, change: ReplicaChange, revision: u64, now: Micros) -> bool {
+    pub fn apply(&mut self, change: ReplicaChange, revision: CatalogueRevision, now: Micros) -> bool {
+        let settled = self.replicas_at.is_settled();
         match change {
-            ReplicaChange::Written(replica) => self.write(replica, revision, now),
-            ReplicaChange::Gone(id) => self.vanish(&id, revision, now),
+            ReplicaChange::Written(replica) => self.write(replica, revision, settled, now),
+            ReplicaChange::Gone(id) => self.vanish(&id, revision, settled, now),
         }
     }
 
-    /// Notes that all changes up to `revision` were applied.
-    pub fn advance(&mut self, revision: u64) {
-        self.replicas_at = self.replicas_at.max(revision);
+    /// Notes that all changes up to `revision` were applied, which is of the era that the replicas are known in, or of the
+    /// first.
+    pub fn advance(&mut self, revision: CatalogueRevision) {
+        let known = self.replicas_at;
+        let settled = if known.is_nothing() { revision.era() == Era::UNNAMED } else { known.is_settled() };
+        self.advance_to(CataloguePosition::new(revision, settled));
     }
 
-    /// Takes a listing of everything: replicas that it leaves out, and that were written before it, are
-    /// gone, and zones are taken back. Returns whether it changed anything.
+    fn advance_to(&mut self, position: CataloguePosition) {
+        self.replicas_at = self.replicas_at.max(position);
+    }
+
+    /// Takes a listing of everything. Replicas that it leaves out, and that were written before it, are gone, and zones are
+    /// taken back; after a return of the source, not before its era is settled. Returns whether it changed anything.
     pub fn replace(&mut self, listing: Listing, now: Micros) -> bool {
-        let mut changed = self.replace_zones(&listing, now);
-        changed |= self.replace_replicas(listing.at, listing.replicas, now);
-        self.advance(listing.at);
+        let returned = !self.replicas_at.is_nothing() && listing.at.era() > self.replicas_at.era();
+        if returned && self.learning.is_none() {
+            self.begin_learning(now);
+        }
+        self.hear_of_source(listing.at, Micros(0), now);
+        let settled = self.source.is_settled(now);
+        let mut changed = self.replace_zones(&listing, settled, now);
+        changed |= self.replace_replicas(listing.at, listing.replicas, settled, now);
+        self.advance_to(CataloguePosition::new(listing.at, settled));
         changed
     }
 
-    fn replace_zones(&mut self, listing: &Listing, now: Micros) -> bool {
+    fn replace_zones(&mut self, listing: &Listing, settled: bool, now: Micros) -> bool {
         let mut changed = false;
         for (zone, revision) in &listing.evacuated {
-            let notice = ZoneNotice { zone: zone.clone(), evacuated: true, revision: *revision };
-            changed |= self.apply_notice(&notice, now);
+            changed |= self.take_notice(&ZoneNotice::new(zone.clone(), true, *revision), settled, now);
         }
         let listed = |zone: &ZoneName| listing.evacuated.iter().any(|(named, _)| named == zone);
-        self.evacuations.take_back_others(listed, listing.at, now) || changed
+        self.evacuations.take_back_others(listed, listing.at, &self.source, settled, now) || changed
     }
 
-    fn replace_replicas(&mut self, at: u64, replicas: Vec<(Replica, u64)>, now: Micros) -> bool {
+    fn replace_replicas(
+        &mut self,
+        at: CatalogueRevision,
+        replicas: Vec<(Replica, CatalogueRevision)>,
+        settled: bool,
+        now: Micros,
+    ) -> bool {
         let mut changed = false;
         let listed: std::collections::HashSet<ReplicaId> =
             replicas.iter().map(|(replica, _)| replica.id.any_life()).collect();
         for (replica, revision) in replicas {
-            changed |= self.write(replica, revision, now);
+            changed |= self.write(replica, revision, settled, now);
         }
-        let missing: Vec<ReplicaId> = self
-            .entries
-            .iter()
-            .filter(|(id, entry)| entry.revision < at && !listed.contains(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let missing = |(id, entry): &(&ReplicaId, &Entry)| entry.revision < at && !listed.contains(*id);
+        let missing: Vec<ReplicaId> = self.entries.iter().filter(missing).map(|(id, _)| id.clone()).collect();
         for id in missing {
-            changed |= self.vanish(&id, at, now);
+            changed |= self.miss(&id, at, settled, now);
         }
         changed
     }
 
-    fn write(&mut self, replica: Replica, revision: u64, now: Micros) -> bool {
+    /// Takes an entry for gone that a listing leaves out; one of before the source's return is kept until the era is
+    /// settled.
+    fn miss(&mut self, id: &ReplicaId, at: CatalogueRevision, settled: bool, now: Micros) -> bool {
+        match self.entries.get_mut(id) {
+            Some(entry) if entry.revision.era() != at.era() && !settled => {
+                entry.kept = entry.vanished_at.is_none();
+                false
+            }
+            _ => self.vanish(id, at, settled, now),
+        }
+    }
+
+    fn write(&mut self, replica: Replica, revision: CatalogueRevision, settled: bool, now: Micros) -> bool {
         let id = replica.id.any_life();
-        if self.entries.get(&id).is_some_and(|entry| entry.revision >= revision) {
-            return false;
+        if let Some(entry) = self.entries.get_mut(&id) {
+            if entry.has(&replica) && revision.era() != entry.revision.era() {
+                entry.kept = false;
+                return false;
+            }
+            if !entry.is_replaced_by(&replica, revision, &self.source, settled) {
+                entry.kept |= revision.era() > entry.revision.era();
+                return false;
+            }
         }
         let warm_at = now.plus(Micros::from_millis(replica.warm_up_left_ms));
-        let entry = Entry { replica: Some(Arc::new(replica)), revision, warm_at, vanished_at: None };
+        let replica = Some(Arc::new(replica));
+        let entry = Entry { replica, revision, settled, kept: false, warm_at, vanished_at: None };
         self.entries.insert(id, entry);
         true
     }
 
-    fn vanish(&mut self, id: &ReplicaId, revision: u64, now: Micros) -> bool {
-        let absent = || Entry { replica: None, revision: 0, warm_at: Micros(0), vanished_at: Some(now) };
-        let entry = self.entries.entry(id.any_life()).or_insert_with(absent);
-        if entry.revision >= revision {
+    fn vanish(&mut self, id: &ReplicaId, revision: CatalogueRevision, settled: bool, now: Micros) -> bool {
+        let source = &self.source;
+        let entry = self.entries.entry(id.any_life()).or_insert_with(|| Entry::absent(now));
+        if !entry.is_ended_by(revision, source, settled) {
             return false;
         }
         entry.revision = revision;
+        entry.settled = settled;
+        entry.kept = false;
         let first = entry.vanished_at.is_none();
         if first {
             entry.vanished_at = Some(now);
@@ -315,15 +498,19 @@
         expiries.map(|at| at.plus(ABSENCE_PATIENCE)).filter(|at| *at > now).min()
     }
 
-    /// Whether a peer that has these revisions is missing something.
-    pub fn is_newer_than(&self, version: u64, replicas_at: u64) -> bool {
+    /// Whether a peer that has a version, and knows the replicas up to a position, is missing something.
+    pub fn is_newer_than(&self, version: u64, replicas_at: CataloguePosition) -> bool {
         self.version() > version || self.replicas_at > replicas_at
     }
 
-    /// Whether a peer that knows the replicas up to a revision is told of all of them: the catalogue's vanished entries
+    /// Whether a peer that knows the replicas up to a position is told of all of them: the catalogue's vanished entries
     /// may be forgotten here since.
-    pub fn lists_all_replicas(&self, replicas_at: u64) -> bool {
-        self.replicas_at > replicas_at && (replicas_at == 0 || replicas_at < self.forgotten_up_to)
+    pub fn lists_all_replicas(&self, replicas_at: CataloguePosition) -> bool {
+        self.replicas_at > replicas_at && self.tells_all(replicas_at)
+    }
+
+    fn tells_all(&self, replicas_at: CataloguePosition) -> bool {
+        replicas_at.is_nothing() || replicas_at.revision() < self.forgotten_up_to
     }
 
     /// The number of replicas that are known, those that went lately among them.
@@ -331,34 +518,34 @@
         self.entries.len()
     }
 
-    /// The whole configuration, and the replicas that a peer is missing that knows them up to a revision.
-    pub fn snapshot(&self, version: u64, replicas_at: u64) -> CatalogueSnapshot {
+    /// The whole configuration, and the replicas that a peer is missing that knows them up to a position.
+    pub fn snapshot(&self, version: u64, replicas_at: CataloguePosition, now: Micros) -> CatalogueSnapshot {
         let routes = self.routes().filter(|routes| routes.version() > version);
         let configuration = routes.map(|routes| routes.configuration().clone());
-        CatalogueSnapshot { configuration, ..self.replica_news(replicas_at) }
+        CatalogueSnapshot { configuration, ..self.replica_news(replicas_at, now) }
     }
 
-    /// What a peer that knows the replicas up to a revision is missing of them. One that knew the catalogue at a moment
+    /// What a peer that knows the replicas up to a position is missing of them. One that knew the catalogue at a moment
     /// whose vanished entries are forgotten here is told everything.
-    pub fn replica_news(&self, replicas_at: u64) -> CatalogueSnapshot {
-        let whole = replicas_at == 0 || replicas_at < self.forgotten_up_to;
-        let known_from = if whole { 0 } else { replicas_at };
+    pub fn replica_news(&self, replicas_at: CataloguePosition, now: Micros) -> CatalogueSnapshot {
+        let whole = self.tells_all(replicas_at);
+        let known_from = if whole { CataloguePosition::NOTHING } else { replicas_at };
         let mut snapshot = CatalogueSnapshot {
-            replicas_at: self.replicas_at,
             whole,
             zones: Some(self.evacuations.notices()),
             revisions: self.revisions,
-            ..CatalogueSnapshot::default()
+            first_number: self.source.first_number(),
+            era_age: Some(self.source.age(now)),
+            learnt: self.has_learnt(now),
+            ..CatalogueSnapshot::at(self.replicas_at)
         };
         if self.replicas_at <= replicas_at {
             return snapshot;
         }
-        for (id, entry) in self.entries.iter().filter(|(_, entry)| entry.revision > known_from) {
+        for (id, entry) in self.entries.iter().filter(|(_, entry)| whole || entry.is_news_to(known_from)) {
             match (&entry.replica, entry.vanished_at) {
-                (Some(replica), None) => {
-                    snapshot.replicas.push((ReplicaEntry::from(&**replica), entry.revision))
-                }
-                _ => snapshot.gone.push((id.clone(), entry.revision)),
+                (Some(replica), None) => snapshot.tell(replica, entry.revision),
+                _ => snapshot.tell_gone(id.clone(), entry.revision),
             }
         }
         snapshot
@@ -366,39 +553,52 @@
 
     /// Takes what a peer knows. Returns whether it changed anything.
     ///
-    /// A peer's list stands for the revision that it is at; an older one than this node's says
-    /// nothing new and is left. One that does not tell of zones is left as well: this node would not ask
-    /// for them any more.
-    pub fn merge(&mut self, snapshot: CatalogueSnapshot, now: Micros) -> bool {
+    /// A peer's list stands for the position that it is at; an older one than this node's says nothing new and is left, but
+    /// while this node is to learn what the source has lost. One that does not tell of zones is left as well: this node would
+    /// not ask for them any more.
+    pub fn merge(&mut self, mut snapshot: CatalogueSnapshot, now: Micros) -> bool {
         self.revisions.merge(snapshot.revisions);
         if let Some(version) = snapshot.version().max(snapshot.offer.map(|offer| offer.version)) {
             self.hear_of(version, now);
         }
-        let mut changed = self.configuration.take_steps(snapshot.steps);
-        if let Some(configuration) = snapshot.configuration {
+        let mut changed = self.configuration.take_steps(std::mem::take(&mut snapshot.steps));
+        if let Some(configuration) = snapshot.configuration.take() {
             changed |= self.configuration.take_whole(configuration);
         }
-        let Some(zones) = snapshot.zones else {
+        let Some(zones) = snapshot.zones.take() else {
             return changed;
         };
+        let told_up_to = snapshot.replicas_at();
+        let first = CatalogueRevision::new(told_up_to.era(), snapshot.first_number);
+        self.hear_of_source(first, snapshot.era_age.unwrap_or_default(), now);
         for notice in &zones {
-            changed |= self.apply_notice(notice, now);
+            changed |= self.take_notice(notice, told_up_to.is_settled(), now);
         }
-        if snapshot.replicas_at <= self.replicas_at {
-            return changed;
+        // A peer that knows less may bring back what went so long ago that it is forgotten here; unless this node is itself to
+        // learn what was before.
+        let says_more = told_up_to > self.replicas_at || self.learning.is_some();
+        if snapshot.learnt {
+            self.learning = None;
         }
-        for (id, revision) in snapshot.gone {
-            changed |= self.vanish(&id, revision, now);
+        (says_more && self.merge_replicas(snapshot, now)) || changed
+    }
+
+    fn merge_replicas(&mut self, mut snapshot: CatalogueSnapshot, now: Micros) -> bool {
+        let told_up_to = snapshot.replicas_at();
+        let settled = told_up_to.is_settled();
+        let mut changed = false;
+        for (id, revision) in snapshot.take_gone() {
+            changed |= self.vanish(&id, revision, settled, now);
         }
-        if snapshot.whole {
-            let replicas = snapshot.replicas.into_iter().map(|(entry, revision)| (entry.into(), revision));
-            changed |= self.replace_replicas(snapshot.replicas_at, replicas.collect(), now);
+        let replicas = snapshot.take_replicas();
+        if snapshot.whole && told_up_to > self.replicas_at {
+            changed |= self.replace_replicas(told_up_to.revision(), replicas, settled, now);
         } else {
-            for (entry, revision) in snapshot.replicas {
-                changed |= self.write(entry.into(), revision, now);
+            for (replica, revision) in replicas {
+                changed |= self.write(replica, revision, settled, now);
             }
         }
-        self.advance(snapshot.replicas_at);
+        self.advance_to(told_up_to);
         changed
     }
 }
--- a/crates/sablebay-catalogue/tests/confirmation.rs
+++ b/crates/sablebay-catalogue/tests/confirmation.rs
@@ -7,7 +7,8 @@
 use proptest::test_runner::{Config, RngSeed};
 
 use sablebay_catalogue::{
-    ConfigurationRevisions, PeerConfirmation, WATCH_SILENCE, bound_of_listing, bound_of_wait,
+    CatalogueRevision, ConfigurationRevisions, Era, PeerConfirmation, WATCH_SILENCE, bound_of_listing,
+    bound_of_wait,
 };
 use sablebay_model::Micros;
 
@@ -126,6 +127,11 @@
     }
 }
 
+fn revisions(read: u64, unreadable: u64) -> ConfigurationRevisions {
+    let at = |number| CatalogueRevision::new(Era::UNNAMED, number);
+    ConfigurationRevisions::new(at(read), at(unreadable))
+}
+
 /// A peer whose clock runs fast, or one that says nonsense, cannot make the bound later than the present less its age.
 #[test]
 fn a_peer_cannot_have_held_a_question_for_longer_than_the_answer_took() {
@@ -138,13 +144,13 @@
 fn a_configuration_that_was_not_read_stays_unread_until_a_newer_one_is() {
     let mut known = ConfigurationRevisions::default();
     assert!(known.newest_is_read());
-    known.merge(ConfigurationRevisions { read: 4, unreadable: 0 });
-    known.merge(ConfigurationRevisions { read: 0, unreadable: 9 });
+    known.merge(revisions(4, 0));
+    known.merge(revisions(0, 9));
     assert!(!known.newest_is_read());
     // An answer that says nothing of it, and the older one once more.
     known.merge(ConfigurationRevisions::default());
-    known.merge(ConfigurationRevisions { read: 4, unreadable: 0 });
+    known.merge(revisions(4, 0));
     assert!(!known.newest_is_read());
-    known.merge(ConfigurationRevisions { read: 12, unreadable: 9 });
+    known.merge(revisions(12, 9));
     assert!(known.newest_is_read());
 }
--- a/crates/sablebay-catalogue/tests/evacuation.rs
+++ b/crates/sablebay-catalogue/tests/evacuation.rs
@@ -4,14 +4,19 @@
 use proptest::test_runner::{Config, RngSeed};
 
 use sablebay_catalogue::{
-    BackendService, CallerLimits, CatalogueView, Listing, Replica, ReplicaChange, ReplicaId, ReplicaPhase,
-    RoutingConfiguration, ServiceName, WarmUp, ZoneNotice,
+    BackendService, CallerLimits, CataloguePosition, CatalogueRevision, CatalogueView, Era, Listing, Replica,
+    ReplicaChange, ReplicaId, ReplicaPhase, RoutingConfiguration, ServiceName, WarmUp, ZoneNotice,
 };
 use sablebay_model::{Micros, ZoneName};
 
 const START: Micros = Micros::from_secs(10);
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
+/// A revision of a source that names no era.
+fn at(number: u64) -> CatalogueRevision {
+    CatalogueRevision::new(Era::UNNAMED, number)
+}
+
 fn replica(zone: &str) -> Replica {
     Replica {
         id: ReplicaId::new(format!("r-{zone}")),
@@ -21,19 +26,20 @@
         slots: 2,
         phase: ReplicaPhase::Ready,
         warm_up_left_ms: 0,
+        sequence: 0,
     }
 }
 
 fn notice(zone: &str, evacuated: bool, revision: u64) -> ZoneNotice {
-    ZoneNotice { zone: ZoneName::new(zone), evacuated, revision }
+    ZoneNotice::new(ZoneName::new(zone), evacuated, at(revision))
 }
 
 fn view_of_three_zones() -> CatalogueView {
     let mut view = CatalogueView::default();
     for (revision, zone) in ZONES.iter().enumerate() {
-        view.apply(ReplicaChange::Written(replica(zone)), revision as u64 + 1, START);
+        view.apply(ReplicaChange::Written(replica(zone)), at(revision as u64 + 1), START);
     }
-    view.advance(3);
+    view.advance(at(3));
     view
 }
 
@@ -49,7 +55,7 @@
     assert!(view.apply_notice(&notice("b", true, 4), START));
     assert_eq!(zones_in_use(&view, START), ["a", "c"]);
     // An entry that is written meanwhile changes nothing about it.
-    view.apply(ReplicaChange::Written(replica("b")), 5, START);
+    view.apply(ReplicaChange::Written(replica("b")), at(5), START);
     assert_eq!(zones_in_use(&view, START), ["a", "c"]);
     assert!(view.apply_notice(&notice("b", false, 6), START));
     assert_eq!(zones_in_use(&view, START), ["a", "b", "c"]);
@@ -62,8 +68,8 @@
     let mut view = view_of_three_zones();
     view.apply_notice(&notice("a", true, 4), START);
     view.apply_notice(&notice("b", true, 9), START);
-    let replicas = ZONES.iter().zip(1..).map(|(zone, revision)| (replica(zone), revision));
-    view.replace(Listing { at: 8, replicas: replicas.collect(), evacuated: Vec::new() }, START);
+    let replicas = ZONES.iter().zip(1..).map(|(zone, revision)| (replica(zone), at(revision)));
+    view.replace(Listing { at: at(8), replicas: replicas.collect(), evacuated: Vec::new() }, START);
     assert_eq!(zones_in_use(&view, START), ["a", "c"], "b was evacuated after the listing");
 }
 
@@ -71,24 +77,24 @@
 fn a_node_that_starts_learns_of_evacuations_from_a_peer() {
     let mut peer = view_of_three_zones();
     peer.apply_notice(&notice("c", true, 4), START);
-    peer.advance(4);
+    peer.advance(at(4));
     let mut started = CatalogueView::default();
-    assert!(started.merge(peer.snapshot(0, 0), START));
+    assert!(started.merge(peer.snapshot(0, CataloguePosition::NOTHING, START), START));
     assert_eq!(zones_in_use(&started, START), ["a", "b"]);
     // Afterwards a peer that lags does not bring the zone back.
-    started.merge(view_of_three_zones().snapshot(0, 0), START);
+    started.merge(view_of_three_zones().snapshot(0, CataloguePosition::NOTHING, START), START);
     assert_eq!(zones_in_use(&started, START), ["a", "b"]);
 }
 
 #[test]
 fn a_peer_of_an_earlier_release_does_not_stand_for_what_it_cannot_tell() {
     let mut peer = view_of_three_zones();
-    peer.advance(20);
-    let mut snapshot = peer.snapshot(0, 0);
+    peer.advance(at(20));
+    let mut snapshot = peer.snapshot(0, CataloguePosition::NOTHING, START);
     snapshot.zones = None;
     let mut view = CatalogueView::default();
     view.merge(snapshot, START);
-    assert_eq!(view.replicas_at(), 0, "this node still asks the source for everything");
+    assert!(view.replicas_at().is_nothing(), "this node still asks the source for everything");
 }
 
 #[test]
@@ -146,18 +152,18 @@
                     newest[zone] = newest[zone].max(revision);
                 }
                 News::Listing(number) => {
-                    let at = 10 + number as u64;
+                    let listed_at = 10 + number as u64;
                     let mut evacuated = Vec::new();
                     for (zone, name) in ZONES.iter().enumerate() {
                         let last = (0..=number).rev().find(|change| said[*change].0 == zone);
                         if let Some(last) = last.filter(|change| said[*change].1) {
-                            evacuated.push((ZoneName::new(name), 10 + last as u64));
+                            evacuated.push((ZoneName::new(name), at(10 + last as u64)));
                         }
                     }
-                    let replicas = ZONES.iter().zip(1..).map(|(zone, revision)| (replica(zone), revision));
-                    view.replace(Listing { at, replicas: replicas.collect(), evacuated }, START);
+                    let replicas = ZONES.iter().zip(1..).map(|(zone, revision)| (replica(zone), at(revision)));
+                    view.replace(Listing { at: at(listed_at), replicas: replicas.collect(), evacuated }, START);
                     for known in &mut newest {
-                        *known = (*known).max(at);
+                        *known = (*known).max(listed_at);
                     }
                 }
             }
--- a/crates/sablebay-catalogue/tests/lives.rs
+++ b/crates/sablebay-catalogue/tests/lives.rs
@@ -3,12 +3,23 @@
 use musli::{Decode, Encode};
 
 use sablebay_catalogue::{
-    CatalogueView, Replica, ReplicaChange, ReplicaEntry, ReplicaId, ReplicaPhase, ServiceName,
+    CataloguePosition, CatalogueRevision, CatalogueView, Era, EraStage, Replica, ReplicaChange, ReplicaEntry,
+    ReplicaId, ReplicaPhase, ServiceName,
 };
 use sablebay_model::{Micros, ZoneName};
 
 const START: Micros = Micros::from_secs(10);
 
+/// A revision of a source that names no era.
+fn at(number: u64) -> CatalogueRevision {
+    CatalogueRevision::new(Era::UNNAMED, number)
+}
+
+/// A position of such a source.
+fn up_to(number: u64) -> CataloguePosition {
+    EraStage::UNNAMED.at(number)
+}
+
 fn replica(born_ms: u64, phase: ReplicaPhase) -> Replica {
     Replica {
         id: ReplicaId::of_life("a", born_ms),
@@ -18,6 +29,7 @@
         slots: 2,
         phase,
         warm_up_left_ms: 0,
+        sequence: 0,
     }
 }
 
@@ -48,25 +60,25 @@
 #[test]
 fn a_new_life_takes_the_place_of_the_one_before() {
     let mut view = CatalogueView::default();
-    view.apply(written(5, ReplicaPhase::Ready), 1, START);
-    view.apply(written(5, ReplicaPhase::Draining), 2, START);
+    view.apply(written(5, ReplicaPhase::Ready), at(1), START);
+    view.apply(written(5, ReplicaPhase::Draining), at(2), START);
     assert_eq!(lives(&view), []);
     // It takes back that the one before was leaving; its clock may be behind.
-    view.apply(written(4, ReplicaPhase::Ready), 3, START);
+    view.apply(written(4, ReplicaPhase::Ready), at(3), START);
     assert_eq!(lives(&view), [(4, false)]);
     // Word of the one before that comes late changes nothing.
-    view.apply(written(5, ReplicaPhase::Draining), 2, START);
-    view.apply(written(5, ReplicaPhase::Ready), 1, START);
+    view.apply(written(5, ReplicaPhase::Draining), at(2), START);
+    view.apply(written(5, ReplicaPhase::Ready), at(1), START);
     assert_eq!(lives(&view), [(4, false)]);
 }
 
 #[test]
 fn an_entry_that_went_names_no_life() {
     let mut view = CatalogueView::default();
-    view.apply(written(5, ReplicaPhase::Ready), 1, START);
-    view.apply(ReplicaChange::Gone(ReplicaId::new("a")), 2, START);
+    view.apply(written(5, ReplicaPhase::Ready), at(1), START);
+    view.apply(ReplicaChange::Gone(ReplicaId::new("a")), at(2), START);
     assert_eq!(lives(&view), [(5, true)]);
-    view.apply(written(6, ReplicaPhase::Ready), 3, START);
+    view.apply(written(6, ReplicaPhase::Ready), at(3), START);
     assert_eq!(lives(&view), [(6, false)]);
 }
 
@@ -74,21 +86,21 @@
 fn peers_tell_each_other_of_lives() {
     let (mut teller, mut hearer) = (CatalogueView::default(), CatalogueView::default());
     for view in [&mut teller, &mut hearer] {
-        view.apply(written(5, ReplicaPhase::Draining), 1, START);
-        view.advance(1);
+        view.apply(written(5, ReplicaPhase::Draining), at(1), START);
+        view.advance(at(1));
     }
-    teller.apply(written(6, ReplicaPhase::Ready), 2, START);
-    teller.advance(2);
-    assert!(hearer.merge(teller.snapshot(0, 1), START));
+    teller.apply(written(6, ReplicaPhase::Ready), at(2), START);
+    teller.advance(at(2));
+    assert!(hearer.merge(teller.snapshot(0, up_to(1), START), START));
     assert_eq!(lives(&hearer), [(6, false)]);
-    teller.apply(ReplicaChange::Gone(ReplicaId::new("a")), 3, START);
-    teller.advance(3);
-    assert!(hearer.merge(teller.snapshot(0, 2), START));
+    teller.apply(ReplicaChange::Gone(ReplicaId::new("a")), at(3), START);
+    teller.advance(at(3));
+    assert!(hearer.merge(teller.snapshot(0, up_to(2), START), START));
     assert_eq!(lives(&hearer), [(6, true)]);
     let mut starting = CatalogueView::default();
-    teller.apply(written(7, ReplicaPhase::Ready), 4, START);
-    teller.advance(4);
-    assert!(starting.merge(teller.snapshot(0, 0), START));
+    teller.apply(written(7, ReplicaPhase::Ready), at(4), START);
+    teller.advance(at(4));
+    assert!(starting.merge(teller.snapshot(0, up_to(0), START), START));
     assert_eq!(lives(&starting), [(7, false)]);
 }
 
--- a/crates/sablebay-catalogue/tests/reading.rs
+++ b/crates/sablebay-catalogue/tests/reading.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use sablebay_catalogue::{
-    LONGEST_UNAWARE, LimitedAge, ReadFailure, ReadingInputs, ReadingPolicy, SourceRead, SourceStep,
+    CataloguePosition, CatalogueRevision, Era, LONGEST_UNAWARE, LimitedAge, ReadFailure, ReadingInputs,
+    ReadingPolicy, SourceRead, SourceStep,
 };
 
 /// The bound on new configurations at the users' deployments.
@@ -11,6 +12,9 @@
 /// What is left of it for the answer and its way to the other nodes.
 const WAY: Duration = Duration::from_millis(500);
 
+/// The revision that the inputs of these tests know the catalogue up to.
+const SEVEN: CatalogueRevision = CatalogueRevision::new(Era::UNNAMED, 7);
+
 fn inputs(is_reader: bool, heard_ago_ms: Option<u64>) -> ReadingInputs {
     ReadingInputs {
         is_reader,
@@ -20,7 +24,8 @@
         contact_ago: heard_ago_ms.map(Duration::from_millis),
         configuration_age: None,
         position: 0.5,
-        known_up_to: 7,
+        known_up_to: CataloguePosition::new(SEVEN, true),
+        must_settle: false,
     }
 }
 
@@ -70,7 +75,8 @@
         contact_ago: None,
         configuration_age: None,
         position: 0.5,
-        known_up_to: 0,
+        known_up_to: CataloguePosition::NOTHING,
+        must_settle: false,
     };
     assert!(matches!(policy.next(&at(0, true, false)), SourceStep::Wait(_)), "alone it would be a reader");
     assert!(matches!(policy.next(&at(100, true, true)), SourceStep::Read(SourceRead::All { .. })));
@@ -87,7 +93,7 @@
         running_for: Duration::ZERO,
         starting_patience: Duration::ZERO,
         has_peers: false,
-        known_up_to: 0,
+        known_up_to: CataloguePosition::NOTHING,
         ..inputs(false, None)
     };
     assert!(matches!(ReadingPolicy::default().next(&hurried), SourceStep::Read(SourceRead::All { .. })));
@@ -97,11 +103,11 @@
 fn a_lost_history_is_read_whole() {
     let mut policy = ReadingPolicy::default();
     let reader = inputs(true, Some(0));
-    assert!(matches!(policy.next(&reader), SourceStep::Read(SourceRead::Changes { after: 7, .. })));
+    assert!(matches!(policy.next(&reader), SourceStep::Read(SourceRead::Changes { after: SEVEN, .. })));
     policy.failed(ReadFailure::NoAnswer, true, 0.5);
     let again = policy.next(&reader);
     assert!(
-        matches!(again, SourceStep::Read(SourceRead::Changes { after: 7, .. })),
+        matches!(again, SourceStep::Read(SourceRead::Changes { after: SEVEN, .. })),
         "a lost answer loses no history"
     );
     policy.failed(ReadFailure::MustReadAll, true, 0.5);
@@ -113,7 +119,7 @@
 #[test]
 fn a_slow_source_is_given_more_time_and_a_refusing_one_is_not_pressed() {
     let mut policy = ReadingPolicy::default();
-    let reader = ReadingInputs { known_up_to: 0, ..inputs(true, Some(0)) };
+    let reader = ReadingInputs { known_up_to: CataloguePosition::NOTHING, ..inputs(true, Some(0)) };
     let first = patience_of(policy.next(&reader));
     let mut pauses = Vec::new();
     for _ in 0..6 {
--- a/crates/sablebay-catalogue/tests/view.rs
+++ b/crates/sablebay-catalogue/tests/view.rs
@@ -4,13 +4,23 @@
 use proptest::test_runner::{Config, RngSeed};
 
 use sablebay_catalogue::{
-    CallerLimits, CatalogueView, Listing, Replica, ReplicaChange, ReplicaId, ReplicaPhase,
-    RoutingConfiguration, ServiceName,
+    CallerLimits, CataloguePosition, CatalogueRevision, CatalogueView, Era, EraStage, Listing, Replica,
+    ReplicaChange, ReplicaId, ReplicaPhase, RoutingConfiguration, ServiceName,
 };
 use sablebay_model::{Micros, ZoneName};
 
 const START: Micros = Micros::from_secs(10);
 
+/// A revision of a source that names no era.
+fn at(number: u64) -> CatalogueRevision {
+    CatalogueRevision::new(Era::UNNAMED, number)
+}
+
+/// A position of such a source.
+fn up_to(number: u64) -> CataloguePosition {
+    EraStage::UNNAMED.at(number)
+}
+
 fn replica(id: &str, phase: ReplicaPhase) -> Replica {
     Replica {
         id: ReplicaId::new(id),
@@ -20,6 +30,7 @@
         slots: 2,
         phase,
         warm_up_left_ms: 0,
+        sequence: 0,
     }
 }
 
@@ -42,36 +53,40 @@
 #[test]
 fn a_draining_replica_gets_no_work() {
     let mut view = CatalogueView::default();
-    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 1, START);
-    view.apply(ReplicaChange::Written(replica("b", ReplicaPhase::Ready)), 2, START);
-    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Draining)), 3, START);
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), at(1), START);
+    view.apply(ReplicaChange::Written(replica("b", ReplicaPhase::Ready)), at(2), START);
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Draining)), at(3), START);
     assert_eq!(routable(&view, START), [("b".to_string(), false)]);
     // Older news of it, which may come from a peer, does not bring it back.
-    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 1, START);
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), at(1), START);
     assert_eq!(routable(&view, START), [("b".to_string(), false)]);
 }
 
 #[test]
 fn a_vanished_replica_is_a_last_resort_and_then_nothing() {
     let mut view = CatalogueView::default();
-    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 1, START);
-    view.apply(ReplicaChange::Gone(ReplicaId::new("a")), 2, START);
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), at(1), START);
+    view.apply(ReplicaChange::Gone(ReplicaId::new("a")), at(2), START);
     assert_eq!(routable(&view, START), [("a".to_string(), true)]);
     let expiry = view.next_expiry(START).expect("it expires");
     assert!(expiry.since(START) < Micros::from_secs(3), "well within the bound on leaving back ends");
     assert!(routable(&view, expiry).is_empty());
     // Its next heartbeat, after trouble of the source, brings it back.
-    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), 3, expiry);
+    view.apply(ReplicaChange::Written(replica("a", ReplicaPhase::Ready)), at(3), expiry);
     assert_eq!(routable(&view, expiry), [("a".to_string(), false)]);
 }
 
 #[test]
 fn a_listing_leaves_alone_what_is_newer_than_it() {
     let mut view = CatalogueView::default();
-    view.apply(ReplicaChange::Written(replica("old", ReplicaPhase::Ready)), 1, START);
-    view.apply(ReplicaChange::Written(replica("new", ReplicaPhase::Ready)), 9, START);
+    view.apply(ReplicaChange::Written(replica("old", ReplicaPhase::Ready)), at(1), START);
+    view.apply(ReplicaChange::Written(replica("new", ReplicaPhase::Ready)), at(9), START);
     view.replace(
-        Listing { at: 5, replicas: vec![(replica("kept", ReplicaPhase::Ready), 4)], evacuated: Vec::new() },
+        Listing {
+            at: at(5),
+            replicas: vec![(replica("kept", ReplicaPhase::Ready), at(4))],
+            evacuated: Vec::new(),
+        },
         START,
     );
     let known = routable(&view, START);
@@ -93,17 +108,25 @@
     let mut newer = CatalogueView::default();
     newer.offer_configuration(configuration(4));
     newer.replace(
-        Listing { at: 20, replicas: vec![(replica("a", ReplicaPhase::Draining), 18)], evacuated: Vec::new() },
+        Listing {
+            at: at(20),
+            replicas: vec![(replica("a", ReplicaPhase::Draining), at(18))],
+            evacuated: Vec::new(),
+        },
         START,
     );
     let mut older = CatalogueView::default();
     older.offer_configuration(configuration(3));
     older.replace(
-        Listing { at: 10, replicas: vec![(replica("a", ReplicaPhase::Ready), 5)], evacuated: Vec::new() },
+        Listing {
+            at: at(10),
+            replicas: vec![(replica("a", ReplicaPhase::Ready), at(5))],
+            evacuated: Vec::new(),
+        },
         START,
     );
-    assert!(!newer.merge(older.snapshot(0, 0), START));
-    assert!(older.merge(newer.snapshot(3, 10), START));
+    assert!(!newer.merge(older.snapshot(0, up_to(0), START), START));
+    assert!(older.merge(newer.snapshot(3, up_to(10), START), START));
     assert!(routable(&older, START).is_empty());
     assert_eq!(older.routes().map(|routes| routes.version()), Some(4));
 }
@@ -115,18 +138,21 @@
     let mut view = CatalogueView::default();
     for number in 0..50u64 {
         let written = ReplicaChange::Written(replica(&format!("r{number}"), ReplicaPhase::Ready));
-        view.apply(written, number + 1, START);
+        view.apply(written, at(number + 1), START);
     }
-    view.advance(50);
-    view.apply(ReplicaChange::Written(replica("r7", ReplicaPhase::Draining)), 51, START);
-    view.apply(ReplicaChange::Gone(ReplicaId::new("r8")), 52, START);
-    view.advance(52);
-    let told = view.snapshot(0, 50);
+    view.advance(at(50));
+    view.apply(ReplicaChange::Written(replica("r7", ReplicaPhase::Draining)), at(51), START);
+    view.apply(ReplicaChange::Gone(ReplicaId::new("r8")), at(52), START);
+    view.advance(at(52));
+    let told = view.snapshot(0, up_to(50), START);
     assert_eq!((told.replicas.len(), told.gone.len(), told.whole), (1, 1, false));
-    assert_eq!(view.snapshot(0, 0).replicas.len(), 49, "who knows nothing is told all");
+    assert_eq!(view.snapshot(0, up_to(0), START).replicas.len(), 49, "who knows nothing is told all");
     view.expire(START.plus(Micros::from_secs(120)));
-    assert!(view.snapshot(0, 50).whole, "what went is forgotten here, and can only be told by the whole");
-    assert!(!view.snapshot(0, 52).whole);
+    assert!(
+        view.snapshot(0, up_to(50), START).whole,
+        "what went is forgotten here, and can only be told by the whole"
+    );
+    assert!(!view.snapshot(0, up_to(52), START).whole);
 }
 
 #[derive(Clone, Debug)]
@@ -164,12 +190,12 @@
     ) {
         let mut ordered = CatalogueView::default();
         for (revision, step) in steps.iter().enumerate() {
-            ordered.apply(change(step), revision as u64 + 1, START);
+            ordered.apply(change(step), at(revision as u64 + 1), START);
         }
         let mut shuffled = CatalogueView::default();
         let arrivals = order.iter().map(|index| index.index(steps.len())).chain((0..steps.len()).rev());
         for position in arrivals {
-            shuffled.apply(change(&steps[position]), position as u64 + 1, START);
+            shuffled.apply(change(&steps[position]), at(position as u64 + 1), START);
         }
         let later = START.plus(Micros::from_secs(2));
         prop_assert_eq!(routable(&ordered, later), routable(&shuffled, later));
@@ -186,17 +212,17 @@
         let mut now = START;
         for (revision, (step, asks, forgets)) in steps.iter().enumerate() {
             now = now.plus(Micros::from_millis(10));
-            source.apply(change(step), revision as u64 + 1, now);
-            source.advance(revision as u64 + 1);
+            source.apply(change(step), at(revision as u64 + 1), now);
+            source.advance(at(revision as u64 + 1));
             if *forgets {
                 now = now.plus(Micros::from_secs(100));
                 source.expire(now);
             }
             if *asks {
-                follower.merge(source.snapshot(0, follower.replicas_at()), now);
+                follower.merge(source.snapshot(0, follower.replicas_at(), now), now);
             }
         }
-        follower.merge(source.snapshot(0, follower.replicas_at()), now);
+        follower.merge(source.snapshot(0, follower.replicas_at(), now), now);
         let later = now.plus(Micros::from_secs(2));
         prop_assert_eq!(routable(&source, later), routable(&follower, later));
         prop_assert_eq!(source.replicas_at(), follower.replicas_at());
--- a/crates/sablebay-dispatch/tests/cold_rate.rs
+++ b/crates/sablebay-dispatch/tests/cold_rate.rs
@@ -34,6 +34,7 @@
             slots: 2,
             phase: ReplicaPhase::Ready,
             warm_up_left_ms: 3_000,
+            sequence: 0,
         }),
         last_resort: false,
         beyond_share: false,
--- a/crates/sablebay-dispatch/tests/evacuation.rs
+++ b/crates/sablebay-dispatch/tests/evacuation.rs
@@ -29,6 +29,7 @@
             slots: 2,
             phase: ReplicaPhase::Ready,
             warm_up_left_ms: 0,
+            sequence: 0,
         }),
         last_resort: false,
         beyond_share: false,
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -22,6 +22,7 @@
             slots: 2,
             phase: ReplicaPhase::Ready,
             warm_up_left_ms: 0,
+            sequence: 0,
         }),
         last_resort: false,
         beyond_share: false,
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -9,8 +9,8 @@
 use rand::RngExt;
 
 use sablebay_catalogue::{
-    CatalogueView, Era, ReadFailure, ReadingInputs, ReadingPolicy, RoutableReplica, ServiceName, SourceRead,
-    SourceStep, bound_of_listing, bound_of_wait,
+    CataloguePosition, CatalogueRevision, CatalogueView, ReadFailure, ReadingInputs, ReadingPolicy,
+    RoutableReplica, SETTLING, ServiceName, SourceRead, SourceStep, bound_of_listing, bound_of_wait,
 };
 use sablebay_model::Micros;
 
@@ -68,14 +68,16 @@
         configuration_age: context.limited_age(),
         position: fleet.position(),
         known_up_to: context.node.catalogue.read(CatalogueView::replicas_at),
+        must_settle: context.node.catalogue.read(|view| view.must_settle(now)),
     }
 }
 
 fn failure_of(error: SourceError) -> ReadFailure {
     match error {
         SourceError::HistoryLost | SourceError::Malformed => ReadFailure::MustReadAll,
+        SourceError::Returned => ReadFailure::Returned,
         SourceError::Unavailable => ReadFailure::NoAnswer,
-        SourceError::Busy => ReadFailure::Refused,
+        SourceError::Busy | SourceError::Outdated => ReadFailure::Refused,
     }
 }
 
@@ -95,6 +97,8 @@
     context.source_fails.store(true, Ordering::Relaxed);
     context.metrics.source_read(match error {
         SourceError::HistoryLost => "history_lost",
+        SourceError::Returned => "returned",
+        SourceError::Outdated => "outdated",
         SourceError::Busy => "busy",
         SourceError::Unavailable => "unavailable",
         SourceError::Malformed => "malformed",
@@ -105,15 +109,14 @@
     }
 }
 
-/// Keeps where the source is by its own word, beside what this node knows; a line where its revisions went back, or its
-/// era changed.
-fn note_source<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, era: Era, at: u64) {
-    let before = std::mem::replace(&mut *context.source_at.lock(), (era, at));
-    context.metrics.source_revision.set(at as i64);
-    if before != (Era::UNNAMED, 0) && (before.0 != era || at < before.1) {
-        let known = context.node.catalogue.read(CatalogueView::replicas_at);
-        log::warn!(era = era.to_string().as_str(), revision = at, era_before = before.0.to_string().as_str(), revision_before = before.1, known_revision = known; "catalogue: the source came back from an older copy.");
-    }
+/// Refuses an answer of an era that is over.
+fn check_era<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    at: CatalogueRevision,
+) -> Result<(), SourceError> {
+    context.metrics.source_revision.set(at.number() as i64);
+    let newest = context.node.catalogue.read(|view| view.source().era());
+    if at.era() < newest { Err(SourceError::Outdated) } else { Ok(()) }
 }
 
 async fn read_all<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
@@ -124,7 +127,7 @@
     let asked_at = context.clock().now();
     let read = source.list(patience).await?;
     note_rejected(context, &read.rejected);
-    note_source(context, read.era, read.listing.at);
+    check_era(context, read.listing.at)?;
     let now = context.clock().now();
     context.node.catalogue.update(|view| {
         let configured =
@@ -133,27 +136,27 @@
         view.replace(read.listing, now) || configured
     });
     context.note_contact(asked_at, now);
-    context.confirm_configuration(asked_at, bound_of_listing(asked_at));
+    context.confirm_by_source(asked_at, bound_of_listing(asked_at));
     Ok(true)
 }
 
 async fn read_changes<C: CallerProtocol, B: BackendProtocol, S: CatalogueSource>(
     context: &Context<C, B>,
     source: &S,
-    after: u64,
+    after: CatalogueRevision,
     wait: Duration,
     patience: Duration,
 ) -> Result<bool, SourceError> {
     let asked_at = context.clock().now();
     let news = source.watch(after, wait, patience).await?;
     note_rejected(context, &news.rejected);
-    note_source(context, news.era, news.at);
+    check_era(context, news.at)?;
     let now = context.clock().now();
     let partial = news.partial;
     let changed = context.node.catalogue.update(|view| apply(view, news, now));
     context.note_contact(asked_at, now);
     if !partial {
-        context.confirm_configuration(asked_at, bound_of_wait(asked_at));
+        context.confirm_by_source(asked_at, bound_of_wait(asked_at));
     }
     Ok(changed)
 }
@@ -200,9 +203,12 @@
 pub async fn install_changes<C: CallerProtocol, B: BackendProtocol>(context: Arc<Context<C, B>>) {
     let mut changes = context.node.catalogue.subscribe();
     let mut version = 0;
+    let mut known_up_to = CataloguePosition::NOTHING;
     break_mechanisms(&context);
+    learn(&context).await;
     loop {
         let now = context.clock().now();
+        note_return(&context, &mut known_up_to, now);
         let read = |catalogue: &CatalogueView| (routing_view(catalogue, now), catalogue.next_expiry(now));
         let (mut view, next_expiry) = context.node.catalogue.read(read);
         if !context.mechanisms.configuration && version > 0 {
@@ -243,6 +249,43 @@
     }
 }
 
+/// How often a starting node looks whether it has learnt what the fleet knows.
+const LEARNING_PERIOD: Duration = Duration::from_millis(20);
+
+/// Waits until this node knows what the fleet knew before it started, or nobody is there to tell: a source that has just come
+/// back from an older copy says less, and what it does not say would be undone here.
+async fn learn<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
+    let has_learnt = |now| context.node.catalogue.read(|view| view.has_learnt(now));
+    while !has_learnt(context.clock().now()) {
+        tokio::time::sleep(LEARNING_PERIOD).await;
+    }
+}
+
+/// Says when the source has come back from an older copy, and when what was kept meanwhile is no longer.
+fn note_return<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    known_up_to: &mut CataloguePosition,
+    now: Micros,
+) {
+    let read =
+        |view: &CatalogueView| (view.replicas_at(), view.kept(), view.version(), view.source().age(now));
+    let (position, kept, version, age) = context.node.catalogue.read(read);
+    let before = std::mem::replace(known_up_to, position);
+    context.metrics.source_era.set(position.era().count() as i64);
+    context.metrics.kept.set(kept as i64);
+    if before.is_nothing() || before.stage() == position.stage() {
+        return;
+    }
+    let settled = position.is_settled();
+    let (position, before) = (position.to_string(), before.to_string());
+    if !settled {
+        let settles_in_ms = SETTLING.since(age).as_millis();
+        log::warn!(up_to = position.as_str(), before = before.as_str(), version = version, kept = kept, settles_in_ms = settles_in_ms; "catalogue: the source came back from an older copy; what was known is kept until it settles.");
+    } else {
+        log::info!(up_to = position.as_str(), before = before.as_str(), version = version; "catalogue: the source's era is settled; what it does not have is gone.");
+    }
+}
+
 /// Turns off what the soak breaks.
 fn break_mechanisms<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
     let (leaving, evacuation) = (context.mechanisms.leaving, context.mechanisms.evacuation);
--- a/crates/sablebay-gateway/src/confirmation.rs
+++ b/crates/sablebay-gateway/src/confirmation.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// The same by an answer of the source, which is no word of what was there before its last return.
+    pub fn confirm_by_source(&self, asked_at: Micros, bound: Micros) {
+        if self.node.catalogue.read(CatalogueView::source_confirms) {
+            self.confirm_configuration(asked_at, bound);
+        }
+    }
+
     /// Notes that the configuration known here is the newest up to `bound` at the least, by such an answer. Not while
     /// one is known of that could not be read.
     pub fn confirm_configuration(&self, asked_at: Micros, bound: Micros) {
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use xxhash_rust::xxh3::xxh3_64;
 
-use sablebay_catalogue::{Era, ReplicaId, ServiceName};
+use sablebay_catalogue::{ReplicaId, ServiceName};
 use sablebay_config::GatewaySettings;
 use sablebay_dispatch::{
     AnswerLag, ArrivalRate, CallKey, GathererTable, ObserverId, ReplicaTable, RetryAllowance, RetryBudgets,
@@ -88,8 +88,6 @@
     pub node_position: AtomicU64,
     /// Whether the last read of the source failed.
     pub source_fails: AtomicBool,
-    /// The era and the revision that the source was at by its last answer.
-    pub source_at: Mutex<(Era, u64)>,
     /// Counts and latencies.
     pub metrics: GatewayMetrics,
     next_call: AtomicU64,
@@ -134,7 +132,6 @@
             nodes: AtomicU64::new(u64::from(settings.assumed_nodes)),
             node_position: AtomicU64::new(0),
             source_fails: AtomicBool::new(false),
-            source_at: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             ownership: ArcSwap::from_pointee(Ownership::default()),
             mechanisms,
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -10,7 +10,8 @@
 use http_body_util::Full;
 
 use sablebay_catalogue::{
-    ConfigurationRevisions, Era, Listing, Replica, ReplicaChange, RoutingConfiguration, ZoneNotice,
+    CatalogueRevision, ConfigurationRevisions, Listing, Replica, ReplicaChange, RoutingConfiguration,
+    ZoneNotice,
 };
 use sablebay_dispatch::LoadHint;
 use sablebay_tenants::{ApiKey, TenantName};
@@ -173,6 +174,12 @@
     /// The changes since the revision asked for are forgotten.
     #[display("history is lost")]
     HistoryLost,
+    /// It has come back from an older copy: what changed since the revision asked for means nothing now.
+    #[display("it came back from an older copy")]
+    Returned,
+    /// Its answer is of an era that is over: it was on its way for long, or comes from a store that was left behind.
+    #[display("an answer of an earlier era")]
+    Outdated,
     /// It refuses for now.
     #[display("refused for now")]
     Busy,
@@ -195,8 +202,6 @@
     pub rejected: Vec<String>,
     /// Where the configuration lay, and whether it could be read.
     pub revisions: ConfigurationRevisions,
-    /// The era of the source.
-    pub era: Era,
 }
 
 /// What changed after a revision.
@@ -205,7 +210,7 @@
     /// The configurations that were published, in order.
     pub configurations: Vec<RoutingConfiguration>,
     /// Changes of replicas with their revisions, in order.
-    pub replicas: Vec<(ReplicaChange, u64)>,
+    pub replicas: Vec<(ReplicaChange, CatalogueRevision)>,
     /// What the operator said of zones, in order.
     pub zones: Vec<ZoneNotice>,
     /// What could not be read and was left out, one sentence each.
@@ -215,19 +220,17 @@
     /// Whether there may be further changes at the source that are in no answer yet.
     pub partial: bool,
     /// The revision to go on from.
-    pub at: u64,
-    /// The era of the source.
-    pub era: Era,
+    pub at: CatalogueRevision,
 }
 
 /// Where the catalogue comes from.
 pub trait CatalogueSource: Send + Sync + 'static {
     /// Reads everything within `patience`.
     fn list(&self, patience: Duration) -> impl Future<Output = Result<CatalogueListing, SourceError>> + Send;
-    /// Waits up to `wait` for changes after a revision; the answer comes within `patience`.
+    /// Waits up to `wait` for changes after a revision; the answer comes within `patience`, and is of the revision's era.
     fn watch(
         &self,
-        after: u64,
+        after: CatalogueRevision,
         wait: Duration,
         patience: Duration,
     ) -> impl Future<Output = Result<CatalogueNews, SourceError>> + Send;
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -112,6 +112,11 @@
             context.node.callers.register(registry);
             traffic.register(registry);
         });
+        let started_at = context.clock().now();
+        context.node.catalogue.update(|view| {
+            view.begin_learning(started_at);
+            false
+        });
         let (phase, phases) = watch::channel(ListenerPhase::Open);
         let (_always_open, always_open) = watch::channel(ListenerPhase::Open);
         let tasks = vec![
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -76,8 +76,12 @@
     pub caller_fault_log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
     pub source_reads: Family<OutcomeLabel, Counter>,
-    /// The revision that the source was at by its last answer.
+    /// The number of the revision that the source was at by its last answer.
     pub source_revision: Gauge,
+    /// The era of the source: it rises when the source comes back from an older copy.
+    pub source_era: Gauge,
+    /// Replicas and evacuated zones that are kept by what was known before the source came back from an older copy.
+    pub kept: Gauge,
     /// Items of the catalogue's source that could not be read.
     pub rejected_items: Counter,
     /// Questions to peers for news of the catalogue, by outcome.
@@ -125,6 +129,8 @@
             caller_fault_log_budget: LogBudget::default(),
             source_reads: Family::default(),
             source_revision: Gauge::default(),
+            source_era: Gauge::default(),
+            kept: Gauge::default(),
             rejected_items: Counter::default(),
             peer_questions: Family::default(),
             documents: Family::default(),
@@ -269,6 +275,12 @@
             "The revision that the source was at by its last answer",
             self.source_revision.clone(),
         );
+        registry.register("source_era", "The era of the source", self.source_era.clone());
+        registry.register(
+            "kept_after_return",
+            "Replicas and zones kept by what was known before the source came back from an older copy",
+            self.kept.clone(),
+        );
         registry.register(
             "rejected_items",
             "Items of the catalogue that could not be read",
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -59,6 +59,10 @@
         };
         let answered = match ask(&context, &peer, turn).await {
             Answer::None => false,
+            Answer::Behind => {
+                tokio::time::sleep(BEHIND_PAUSE).await;
+                true
+            }
             Answer::News => true,
             Answer::Offer(offer) => {
                 // What was fetched decides what is offered next; without a list of replicas nothing else helps.
@@ -141,6 +145,8 @@
     None,
     /// What is new, or that nothing is.
     News,
+    /// What one knows that has not heard of the source's last return, or knows no eras.
+    Behind,
     /// Where there is more than one answer holds.
     Offer(DocumentOffer),
 }
@@ -151,12 +157,19 @@
     peer: &FleetPeer,
     turn: PeerTurn,
 ) -> Answer {
-    let (version, replicas_at) =
-        context.node.catalogue.read(|view| (view.incoming().asks_from(view.version()), view.replicas_at()));
-    let wait = wait_for_news(context, turn);
-    let wait_ms = wait.as_millis() as u64;
-    let request = PeerRequest::Catalogue { version, replicas_at, wait_ms, takes_documents: true };
     let asked_at = context.clock().now();
+    let (version, replicas_at, learns_from) = context.node.catalogue.read(|view| {
+        (view.incoming().asks_from(view.version()), view.replicas_at(), view.learns_from(asked_at))
+    });
+    let wait = wait_for_news(context, turn);
+    let request = PeerRequest::Catalogue {
+        version,
+        replicas_at: replicas_at.revision().number(),
+        wait_ms: wait.as_millis() as u64,
+        takes_documents: true,
+        stage: Some(replicas_at.stage()),
+        learns_from,
+    };
     let until = tokio::time::Instant::now() + wait + PATIENCE;
     let answer = context.node.peers.request(peer.address, Lane::Control, request, until).await;
     let snapshot = match answer {
@@ -172,14 +185,16 @@
     };
     context.metrics.peer_question("answered");
     let now = context.clock().now();
-    let told = (snapshot.version(), snapshot.replicas_at);
+    let told = (snapshot.version(), snapshot.replicas_at());
     let offer = snapshot.offer;
-    // A node of an earlier release does not know which zones are evacuated: it confirms nothing.
-    let contact_ago = snapshot.heard_ms_ago.filter(|_| snapshot.zones.is_some());
-    let confirmation = snapshot.confirmation;
+    // A node of an earlier release does not know which zones are evacuated, or no eras; and one that has not heard of the
+    // source's return does not know what was said since: they confirm nothing.
+    let is_in_touch = told.1.era() >= replicas_at.era();
+    let contact_ago = snapshot.heard_ms_ago.filter(|_| snapshot.zones.is_some() && is_in_touch);
+    let confirmation = snapshot.confirmation.filter(|_| is_in_touch);
     context.fleet.lock().note_told(snapshot.nodes_met);
     if context.node.catalogue.update(|view| view.merge(*snapshot, now)) {
-        log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1, had = replicas_at, heard_ms_ago = contact_ago.unwrap_or(0), confirmed_ms_ago = confirmation.map_or(-1, |said| said.age.as_millis() as i64); "catalogue: news from a peer.");
+        log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1.to_string().as_str(), had = replicas_at.to_string().as_str(), heard_ms_ago = contact_ago.unwrap_or(0), confirmed_ms_ago = confirmation.map_or(-1, |said| said.age.as_millis() as i64); "catalogue: news from a peer.");
     }
     if let Some(offer) = offer {
         return Answer::Offer(offer);
@@ -197,7 +212,7 @@
     if let Some(said) = confirmation {
         context.confirm_configuration(asked_at, said.bound(asked_at, now));
     }
-    Answer::News
+    if is_in_touch { Answer::News } else { Answer::Behind }
 }
 
 fn outcome_of(failure: &PeerFailure) -> &'static str {
--- a/crates/sablebay-node/src/catalogue_store.rs
+++ b/crates/sablebay-node/src/catalogue_store.rs
@@ -7,7 +7,8 @@
 use tokio::sync::watch;
 
 use sablebay_catalogue::{
-    CatalogueSnapshot, CatalogueView, ConfigurationNews, DocumentDigest, INLINE_BYTES, PeerConfirmation,
+    CataloguePosition, CatalogueSnapshot, CatalogueView, ConfigurationNews, DocumentDigest, INLINE_BYTES,
+    PeerConfirmation,
 };
 use sablebay_model::Micros;
 
@@ -140,7 +141,7 @@
     }
 
     /// Waits until there is something that a peer with these revisions is missing.
-    pub async fn wait_for_newer(&self, version: u64, replicas_at: u64, wait: Duration) {
+    pub async fn wait_for_newer(&self, version: u64, replicas_at: CataloguePosition, wait: Duration) {
         let mut changes = self.subscribe();
         let newer = changes.wait_for(|_| self.read(|view| view.is_newer_than(version, replicas_at)));
         // What there is after the time is over is told all the same.
@@ -148,8 +149,14 @@
     }
 
     /// What a peer that has these revisions is missing, in one answer however large. It asked `held` before `now`.
-    pub fn snapshot(&self, version: u64, replicas_at: u64, held: Micros, now: Micros) -> CatalogueSnapshot {
-        self.with_ages(held, now, || self.view.lock().snapshot(version, replicas_at))
+    pub fn snapshot(
+        &self,
+        version: u64,
+        replicas_at: CataloguePosition,
+        held: Micros,
+        now: Micros,
+    ) -> CatalogueSnapshot {
+        self.with_ages(held, now, || self.view.lock().snapshot(version, replicas_at, now))
     }
 
     /// What a peer that has these revisions is missing, as far as it is little, and where there is more. It asked `held`
@@ -157,7 +164,7 @@
     pub fn news(
         &self,
         version: u64,
-        replicas_at: u64,
+        replicas_at: CataloguePosition,
         held: Micros,
         now: Micros,
     ) -> (CatalogueSnapshot, Option<LargeNews>) {
@@ -176,18 +183,18 @@
         &self,
         view: &CatalogueView,
         version: u64,
-        replicas_at: u64,
+        replicas_at: CataloguePosition,
         now: Micros,
     ) -> (CatalogueSnapshot, Option<LargeNews>) {
         let lists_replicas = view.lists_all_replicas(replicas_at) && view.known_replicas() >= LARGE_LISTING;
         match view.configuration_news(version) {
-            ConfigurationNews::None if !lists_replicas => (view.replica_news(replicas_at), None),
+            ConfigurationNews::None if !lists_replicas => (view.replica_news(replicas_at, now), None),
             ConfigurationNews::Steps(steps, bytes) if bytes <= INLINE_BYTES && !lists_replicas => {
-                (CatalogueSnapshot { steps, ..view.replica_news(replicas_at) }, None)
+                (CatalogueSnapshot { steps, ..view.replica_news(replicas_at, now) }, None)
             }
             news => match self.document(view, version, news, lists_replicas, now) {
                 Some(large) if lists_replicas => (CatalogueSnapshot::default(), Some(large)),
-                Some(large) => (view.replica_news(replicas_at), Some(large)),
+                Some(large) => (view.replica_news(replicas_at, now), Some(large)),
                 // It cannot be encoded, and no other answer can.
                 None => (CatalogueSnapshot::default(), None),
             },
@@ -212,7 +219,11 @@
         if let Some(made) = made.iter().find(serves) {
             return Some(made.news);
         }
-        let listing = if lists_replicas { view.replica_news(0) } else { CatalogueSnapshot::default() };
+        let listing = if lists_replicas {
+            view.replica_news(CataloguePosition::NOTHING, now)
+        } else {
+            CatalogueSnapshot::default()
+        };
         let content = match news {
             ConfigurationNews::None => listing,
             ConfigurationNews::Steps(steps, _) => CatalogueSnapshot { steps, ..listing },
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -297,9 +297,15 @@
                 let answer = shared.claims.lock().question(&ticket, shared.clock.wall());
                 PeerResponse::Claim(answer)
             }
-            PeerRequest::Catalogue { version, replicas_at, wait_ms, takes_documents } => {
-                let wait = Duration::from_millis(wait_ms);
-                let question = CatalogueQuestion { version, replicas_at, wait, takes_documents };
+            PeerRequest::Catalogue { version, replicas_at, wait_ms, takes_documents, stage, learns_from } => {
+                let question = CatalogueQuestion {
+                    version,
+                    number: replicas_at,
+                    stage,
+                    learns_from,
+                    wait: Duration::from_millis(wait_ms),
+                    takes_documents,
+                };
                 PeerResponse::Catalogue(Box::new(answer_catalogue(shared, &from, question).await))
             }
             PeerRequest::DocumentChunk { digest, number } => {
--- a/crates/sablebay-node/src/report.rs
+++ b/crates/sablebay-node/src/report.rs
@@ -55,8 +55,17 @@
     /// For how long, in milliseconds.
     #[serde(default)]
     pub behind_ms: Option<u64>,
-    /// The revision up to which it knows the replicas.
+    /// The number of the revision up to which it knows the replicas.
     pub replicas_at: u64,
+    /// The era of the catalogue's source that this number is of: it rises when the source comes back from an older copy.
+    #[serde(default)]
+    pub era: u64,
+    /// Whether writers have had the time to write again what was lost with the source's last return.
+    #[serde(default)]
+    pub settled: bool,
+    /// Replicas and evacuated zones that it keeps until then, though the source does not have them.
+    #[serde(default)]
+    pub kept: usize,
     /// Replicas that may get new work.
     pub replicas: usize,
     /// Zones whose replicas get none.
@@ -132,7 +141,10 @@
         version: view.version(),
         heard_version: view.incoming().heard().map(|heard| heard.version),
         behind_ms: view.incoming().heard().map(|heard| now.since(heard.since).as_millis()),
-        replicas_at: view.replicas_at(),
+        replicas_at: view.replicas_at().revision().number(),
+        era: view.replicas_at().era().count(),
+        settled: view.replicas_at().is_settled(),
+        kept: view.kept(),
         replicas: view.routable(now).values().map(Vec::len).sum(),
         evacuated_zones: view.evacuations().evacuated().map(ToString::to_string).collect(),
         confirmed_ms_ago,
--- a/crates/sablebay-node/tests/catalogue_store.rs
+++ b/crates/sablebay-node/tests/catalogue_store.rs
@@ -3,10 +3,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use sablebay_catalogue::{ConfigurationRevisions, PeerConfirmation};
+use sablebay_catalogue::{
+    CataloguePosition, CatalogueRevision, ConfigurationRevisions, Era, EraStage, PeerConfirmation,
+};
 use sablebay_model::Micros;
 use sablebay_node::{CatalogueStore, Clock, ClockSource, Suspension};
 
+/// A revision of a source that names no era.
+fn at(number: u64) -> CatalogueRevision {
+    CatalogueRevision::new(Era::UNNAMED, number)
+}
+
 const fn seconds(seconds: u64) -> Micros {
     Micros::from_secs(seconds)
 }
@@ -18,7 +25,7 @@
     assert_eq!(store.contact_ago(seconds(52)), Some(seconds(2)));
     assert_eq!(store.confirmed_at(), None);
     assert_eq!(
-        store.snapshot(0, 0, seconds(0), seconds(52)).confirmation,
+        store.snapshot(0, CataloguePosition::NOTHING, seconds(0), seconds(52)).confirmation,
         None,
         "peers are told of no bound"
     );
@@ -36,7 +43,8 @@
 fn a_peer_is_told_the_age_and_how_long_its_question_was_held_at_one_moment() {
     let store = CatalogueStore::default();
     store.confirm(Micros(50_000_999));
-    let told = store.snapshot(0, 0, Micros(700_123), Micros(52_000_000)).confirmation;
+    let told =
+        store.snapshot(0, CataloguePosition::NOTHING, Micros(700_123), Micros(52_000_000)).confirmation;
     assert_eq!(told, Some(PeerConfirmation { held: Micros(700_123), age: Micros(1_999_001) }));
 }
 
@@ -44,14 +52,16 @@
 fn a_peer_is_told_of_a_configuration_that_could_not_be_read() {
     let (store, peer) = (CatalogueStore::default(), CatalogueStore::default());
     store.update(|view| {
-        view.note_revisions(ConfigurationRevisions { read: 4, unreadable: 9 });
-        view.advance(12);
+        view.note_revisions(ConfigurationRevisions::new(at(4), at(9)));
+        view.advance(at(12));
         true
     });
-    let told = store.snapshot(0, 3, seconds(0), seconds(52));
+    let told = store.snapshot(0, EraStage::UNNAMED.at(3), seconds(0), seconds(52));
     peer.update(|view| view.merge(told, seconds(52)));
     // It goes on from there, and never sees the item.
-    assert!(peer.read(|view| view.replicas_at() == 12 && !view.has_newest_configuration()));
+    assert!(
+        peer.read(|view| view.replicas_at() == EraStage::UNNAMED.at(12) && !view.has_newest_configuration())
+    );
 }
 
 /// The clock goes on while the machine is suspended: what was confirmed before is as old as that when it wakes, and
@@ -70,7 +80,7 @@
     SUSPENDED.fetch_add(6_000, Ordering::Relaxed);
     assert_eq!(store.confirmed_ago(clock.now()), Some(seconds(6)));
     let held = clock.now().since(asked_at);
-    let told = store.snapshot(0, 0, held, clock.now()).confirmation;
+    let told = store.snapshot(0, CataloguePosition::NOTHING, held, clock.now()).confirmation;
     assert_eq!(told, Some(PeerConfirmation { held: seconds(6), age: seconds(6) }));
     suspension.look(&clock);
     assert!(suspension.woke_since(asked_at), "an answer to what was asked before says nothing");
--- a/crates/sablebay-protocol/src/peer.rs
+++ b/crates/sablebay-protocol/src/peer.rs
@@ -3,7 +3,9 @@
 
 use musli::{Decode, Encode};
 
-use sablebay_catalogue::{CatalogueSnapshot, DocumentDigest, ServiceName, ZoneNotice};
+use sablebay_catalogue::{
+    CataloguePosition, CatalogueSnapshot, DocumentDigest, EraStage, ServiceName, ZoneNotice,
+};
 use sablebay_dispatch::{LeaseRequest, QuarantineNotice, RunId};
 use sablebay_fleet::{
     ClaimAnswer, ClaimRequest, Claimant, FleetMessage, MemberInfo, Ticket, TicketId, TicketState,
@@ -88,13 +90,20 @@
     Catalogue {
         /// The version of the routing configuration that the sender has; 0 when none.
         version: u64,
-        /// The revision up to which the sender knows the replicas; 0 when none.
+        /// The number of the revision up to which the sender knows the replicas; 0 when none.
         replicas_at: u64,
         /// How long the receiver may wait until it has something new, in milliseconds.
         wait_ms: u64,
         /// Whether the sender takes steps between configurations, and fetches large answers in chunks.
         #[musli(default)]
         takes_documents: bool,
+        /// The era of that revision; nothing from a node of an earlier release, which knows no eras.
+        #[musli(default)]
+        stage: Option<EraStage>,
+        /// Up to where the sender knew the replicas before it started, or before the source came back from an older copy, when
+        /// it has yet to learn what others knew then.
+        #[musli(default)]
+        learns_from: Option<CataloguePosition>,
     },
     /// Ask one replica of each of some shards on the sender's behalf, and merge their answers.
     PartialGather(Box<PartialGather>),
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -131,10 +131,30 @@
         let confirmed = catalogue.confirmed_ms_ago.map_or("never".to_string(), |ms| format!("{ms} ms ago"));
         print_line(&format!(
             "{node:<24} {:>8} {:>9} {:>12} {confirmed:>12}",
-            catalogue.version, catalogue.replicas, catalogue.replicas_at
+            catalogue.version,
+            catalogue.replicas,
+            format!("{}/{}", catalogue.era, catalogue.replicas_at)
         ));
     }
     print_last_version(&known);
+    print_source_return(&known);
+}
+
+/// Whether the catalogue's source came back from an older copy lately, and who has not heard of it.
+fn print_source_return(known: &[(&String, &CatalogueReport)]) {
+    let era = known.iter().map(|(_, catalogue)| catalogue.era).max().unwrap_or_default();
+    let before: Vec<_> = known.iter().filter(|(_, catalogue)| catalogue.era < era).collect();
+    for (node, catalogue) in &before {
+        print_line(&format!("{node} knows era {} of the catalogue's source, others {era}", catalogue.era));
+    }
+    let unsettled = known.iter().filter(|(_, catalogue)| catalogue.era == era && !catalogue.settled);
+    let kept: Vec<_> = unsettled.map(|(_, catalogue)| catalogue.kept).collect();
+    if let Some(most) = kept.iter().max() {
+        print_line(&format!(
+            "the source began era {era} lately: {} nodes keep up to {most} replicas and zones that it does not confirm",
+            kept.len()
+        ));
+    }
 }
 
 /// Which node has the oldest routes, where not all have the same.
