Tests of returns with whole nodes: a start in the gap, an evacuation, two returns, a key, listings; learning asks at once

A node that had yet to learn waited up to 1.05 s for a peer that was gone, and gave up after 0.5 s: seen once in the test of a node that starts in the gap. Such a question is answered at once now, the next peer is asked after 20 ms, and nodes that all start at one moment wait for nobody once all have said that they know no more.

--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -35,8 +35,8 @@
 /// say how long that lasts: the three seconds that the users' sheets give for a started one.
 const ASSUMED_WARM_UP: Micros = Micros::from_secs(3);
 /// How long a node that has not learnt what the fleet knew waits for a peer that has: a node finds its first peer 0.1 s after
-/// its start, and a peer answers such a question at once.
-const LEARNING_PATIENCE: Micros = Micros::from_millis(500);
+/// its start, a peer answers such a question at once, and two that are gone without a sign cost 0.35 s each.
+const LEARNING_PATIENCE: Micros = Micros::from_millis(1_000);
 /// Spans of unheard changes that are kept: listings are seconds apart at the least, and a peer is behind by less.
 const MAXIMUM_UNHEARD: usize = 4;
 /// How long the revision of a vanished entry is remembered, against older news of it.
@@ -242,6 +242,11 @@
         self.learning = Some(Learning { from: self.replicas_at, since: now });
     }
 
+    /// Notes that no peer knows more than this node does.
+    pub fn end_learning(&mut self) {
+        self.learning = None;
+    }
+
     /// Whether the node knows what the fleet knew before it started, or has waited for a peer that does for long enough.
     pub fn has_learnt(&self, now: Micros) -> bool {
         self.learning.is_none_or(|learning| now.since(learning.since) >= LEARNING_PATIENCE)
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -35,6 +35,11 @@
 /// once then.
 const BEHIND_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause after a peer that has yet to learn what the fleet knew.
+const UNLEARNT_PAUSE: Duration = Duration::from_millis(20);
+/// How long after its start a node has met those of its fleet that start with it: two rounds of probes.
+const MEETING_TIME: Duration = Duration::from_millis(300);
+
 /// How long a newer configuration than the one in force may be heard of before the log says so: a large one needs some
 /// tenths of a second to get here.
 const WORTH_A_LINE: Micros = Micros::from_millis(1_000);
@@ -44,6 +49,7 @@
     let mut turn = PeerTurn::default();
     let mut fetches = JoinSet::new();
     let mut told_of = 0;
+    let mut unlearnt_peers = 0;
     loop {
         note_nodes(&context);
         // Also where nothing is asked for: the line says when the machine was suspended.
@@ -59,11 +65,21 @@
         };
         let answered = match ask(&context, &peer, turn).await {
             Answer::None => false,
+            Answer::Unlearnt => {
+                unlearnt_peers += 1;
+                end_learning_of_all(&context, unlearnt_peers);
+                turn.failed();
+                tokio::time::sleep(UNLEARNT_PAUSE).await;
+                continue;
+            }
             Answer::Behind => {
                 tokio::time::sleep(BEHIND_PAUSE).await;
                 true
             }
-            Answer::News => true,
+            Answer::News => {
+                unlearnt_peers = 0;
+                true
+            }
             Answer::Offer(offer) => {
                 // What was fetched decides what is offered next; without a list of replicas nothing else helps.
                 while fetches.join_next().await.is_some() {}
@@ -92,6 +108,20 @@
     }
 }
 
+/// Nodes of a fleet that all start at one moment need not wait for one that knows more, once all have said that they do not.
+fn end_learning_of_all<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    unlearnt_peers: usize,
+) {
+    let has_met_others = context.clock().running_for() >= MEETING_TIME;
+    if has_met_others && unlearnt_peers >= context.fleet.lock().ranked.len() {
+        context.node.catalogue.update(|view| {
+            view.end_learning();
+            false
+        });
+    }
+}
+
 /// Says once a version that this node knows itself behind it.
 fn note_behind<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, told_of: &mut u64) {
     let (version, heard) = context.node.catalogue.read(|view| (view.version(), view.incoming().heard()));
@@ -145,6 +175,8 @@
     None,
     /// What is new, or that nothing is.
     News,
+    /// What one knows that has yet to learn what the fleet knew, as this node.
+    Unlearnt,
     /// What one knows that has not heard of the source's last return, or knows no eras.
     Behind,
     /// Where there is more than one answer holds.
@@ -164,7 +196,8 @@
     let replicas_at = position.at;
     let stage = replicas_at.stage();
     let standing = Some(AskerStanding { stage, known_before: position.known_before, learns_from });
-    let wait = wait_for_news(context, turn);
+    // Whoever has learnt answers at once, and whoever has not is of no use.
+    let wait = if learns_from.is_some() { Duration::ZERO } else { wait_for_news(context, turn) };
     let request = PeerRequest::Catalogue {
         version,
         replicas_at: replicas_at.revision().number(),
@@ -194,6 +227,7 @@
     let is_in_touch = told.1.era() >= replicas_at.era();
     let contact_ago = snapshot.heard_ms_ago.filter(|_| snapshot.zones.is_some() && is_in_touch);
     let confirmation = snapshot.confirmation.filter(|_| is_in_touch);
+    let is_unlearnt = learns_from.is_some() && !snapshot.learnt && offer.is_none();
     context.fleet.lock().note_told(snapshot.nodes_met);
     if context.node.catalogue.update(|view| view.merge(*snapshot, now)) {
         log::info!(peer = peer.node.as_str(), version = told.0.unwrap_or(version), replicas_at = told.1.to_string().as_str(), had = replicas_at.to_string().as_str(), heard_ms_ago = contact_ago.unwrap_or(0), confirmed_ms_ago = confirmation.map_or(-1, |said| said.age.as_millis() as i64); "catalogue: news from a peer.");
@@ -206,7 +240,7 @@
     }
     // The peer's word holds for what it knows; this node knows as much by now, or more: unless it is still fetching it.
     if context.is_behind() {
-        return Answer::News;
+        return if is_unlearnt { Answer::Unlearnt } else { Answer::News };
     }
     if let Some(ago) = contact_ago {
         context.note_contact(asked_at, now.since(Micros::from_millis(ago)));
@@ -214,7 +248,11 @@
     if let Some(said) = confirmation {
         context.confirm_configuration(asked_at, said.bound(asked_at, now));
     }
-    if is_in_touch { Answer::News } else { Answer::Behind }
+    match (is_unlearnt, is_in_touch) {
+        (true, _) => Answer::Unlearnt,
+        (false, true) => Answer::News,
+        (false, false) => Answer::Behind,
+    }
 }
 
 fn outcome_of(failure: &PeerFailure) -> &'static str {
--- a/crates/sablebay/tests/platform/returning_store.rs
+++ b/crates/sablebay/tests/platform/returning_store.rs
@@ -10,7 +10,10 @@
 //! What proved it: the revision of the next configuration that was heard of, one above the one where all nodes had stood since
 //! before the return; and these tests.
 
-use sablebay_catalogue::{Replica, ReplicaPhase};
+use sablebay_catalogue::{
+    Destination, Replica, ReplicaPhase, RoutingConfiguration, ServiceName, WeightedService,
+};
+use sablebay_model::ZoneName;
 use sablebay_platform_standin::{LeafStandIn, StoreMode};
 
 use crate::gathering::metric;
@@ -31,9 +34,13 @@
 
 impl Fleet {
     async fn start() -> Self {
+        Self::start_of(NODES).await
+    }
+
+    async fn start_of(size: usize) -> Self {
         let deployment = Deployment::start_over(["zone-a", "zone-b"]).await;
         let mut nodes: Vec<NodeProcess> = Vec::new();
-        for number in 0..NODES {
+        for number in 0..size {
             let seeds: Vec<_> = nodes.iter().take(3).map(|node| node.peers).collect();
             nodes.push(NodeProcess::start(&format!("node-{number}"), deployment.store.address, &seeds));
         }
@@ -55,6 +62,24 @@
         }
     }
 
+    async fn until_in_era(&self, era: u64) {
+        for node in &self.nodes {
+            eventually("the return is known", || async {
+                metric(node, "sablebay_gateway_source_era") == era
+            })
+            .await;
+        }
+    }
+
+    async fn until_settled(&self) {
+        for node in &self.nodes {
+            eventually("the era is settled", || async {
+                node.admin_text("/v1/status").contains("\"settled\":true")
+            })
+            .await;
+        }
+    }
+
     /// The store is away for a moment in which nobody can read, and comes back from its copy; `meanwhile` is written
     /// before anybody can read again.
     fn come_back(&self, meanwhile: impl FnOnce(&Deployment)) {
@@ -110,3 +135,102 @@
     });
     fleet.until_without_work(leaving).await;
 }
+
+/// The configuration in which the single service is another one.
+fn moved(version: u64, service: &ServiceName) -> RoutingConfiguration {
+    let mut configuration = configuration(version);
+    for route in &mut configuration.routes {
+        if let Destination::Services(parts) = &mut route.destination {
+            *parts = vec![WeightedService { service: service.clone(), weight: 1.0 }];
+        }
+    }
+    configuration
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_before_anything_is_written_again_serves_by_what_the_others_know() {
+    let fleet = Fleet::start().await;
+    let service = ServiceName::new("moved");
+    let leaf = LeafStandIn::start("i-moved", &service, 100, "zone-a").await.expect("a back end");
+    fleet.deployment.store.announce(&leaf.replica);
+    fleet.deployment.store.publish(&moved(3, &service));
+    fleet.until_in_force(3).await;
+    fleet.come_back(|_| ());
+    let before: Vec<u64> = fleet.deployment.singles.iter().map(|leaf| leaf.record().arrivals).collect();
+    let seeds: Vec<_> = fleet.nodes.iter().map(|node| node.peers).collect();
+    for life in 0..3 {
+        let started = NodeProcess::start(&format!("started-{life}"), fleet.deployment.store.address, &seeds);
+        let mut served = 0;
+        eventually("the started node serves", || {
+            served += 1;
+            let (node, id) = (&started, format!("started-{life}-{served}"));
+            async move { node.get(SAFE_PATH, &id).await.status.as_u16() == 200 }
+        })
+        .await;
+        for call in 0..10 {
+            assert_eq!(started.get(SAFE_PATH, &format!("first-{life}-{call}")).await.status.as_u16(), 200);
+        }
+    }
+    let after: Vec<u64> = fleet.deployment.singles.iter().map(|leaf| leaf.record().arrivals).collect();
+    assert_eq!(before, after, "the service of the older configuration gets nothing");
+}
+
+/// The operator's word is in the lost seconds, and is not repeated at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_zone_stays_empty_over_a_return() {
+    let fleet = Fleet::start().await;
+    let zone = ZoneName::new("zone-b");
+    fleet.deployment.store.evacuate(&zone);
+    for node in &fleet.nodes {
+        eventually("the zone is known to be evacuated", || async {
+            node.admin_text("/v1/status").contains("\"evacuated_zones\":[\"zone-b\"]")
+        })
+        .await;
+    }
+    fleet.come_back(|_| ());
+    fleet.until_in_era(2).await;
+    let before = fleet.deployment.arrivals_in("zone-b");
+    for (number, node) in fleet.nodes.iter().enumerate() {
+        for call in 0..20 {
+            node.get(SAFE_PATH, &format!("evacuated-{number}-{call}")).await;
+        }
+    }
+    fleet.deployment.store.write_all_again();
+    fleet.until_settled().await;
+    for (number, node) in fleet.nodes.iter().enumerate() {
+        for call in 0..20 {
+            node.get(SAFE_PATH, &format!("settled-{number}-{call}")).await;
+        }
+    }
+    assert_eq!(fleet.deployment.arrivals_in("zone-b"), before);
+}
+
+/// Two returns at once, the second from the same copy; what was written between them is lost with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_written_between_two_returns_is_in_force() {
+    let fleet = Fleet::start().await;
+    fleet.come_back(|deployment| {
+        deployment.store.publish(&configuration(3));
+    });
+    fleet.until_in_force(3).await;
+    fleet.come_back(|deployment| deployment.store.raise_revision(40));
+    fleet.until_in_era(3).await;
+    fleet.deployment.store.write_all_again();
+    fleet.deployment.store.publish(&configuration(4));
+    fleet.until_in_force(4).await;
+}
+
+/// What a return costs the store: a listing by each of the two readers when they hear of it, one when the era is settled, and
+/// two of nodes that nobody had told in time.
+const LISTINGS_OF_A_RETURN: u64 = 2 * 2 + 2;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_return_costs_the_store_no_listing_a_node() {
+    let fleet = Fleet::start_of(12).await;
+    let before = fleet.deployment.store.listings();
+    fleet.come_back(|deployment| deployment.store.write_all_again());
+    fleet.until_in_era(2).await;
+    fleet.until_settled().await;
+    let listings = fleet.deployment.store.listings() - before;
+    assert!(listings <= LISTINGS_OF_A_RETURN, "{listings} listings");
+}
--- a/crates/sablebay/tests/platform/revocation.rs
+++ b/crates/sablebay/tests/platform/revocation.rs
@@ -298,3 +298,33 @@
     })
     .await;
 }
+
+/// The copy still has the key. Neither a node that heard of its end from others nor one that is alone with the store opens it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_comes_back_from_a_copy_with_the_key_opens_nothing() {
+    let deployment = deployment().await;
+    let first = start("node-1", deployment.store.address, &[]);
+    wait_for_key(&first).await;
+    deployment.store.keep_copy();
+    let since = take_keys_away(&deployment);
+    eventually("the key is known for gone", || async {
+        status(first.caller, "old", "gone").await == Some(401)
+    })
+    .await;
+    deployment.store.return_from_copy();
+    let second = start("node-2", deployment.store.address, &[first.peers]);
+    let alone = start("node-3", deployment.store.address, &[]);
+    let written_again = async {
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        deployment.store.write_all_again();
+    };
+    let (one, two, three, ()) = tokio::join!(
+        ask(first.caller, "old", "first", since, LIMIT + BEYOND),
+        ask(second.caller, "old", "second", since, LIMIT + BEYOND),
+        ask(alone.caller, "old", "alone", since, LIMIT + BEYOND),
+        written_again,
+    );
+    [&one, &two, &three].into_iter().for_each(|sent| check_none_ran_late(&deployment, sent));
+    assert!(one.iter().all(|sent| sent.status == Some(401)), "it has known better: {one:?}");
+    assert!(three.iter().all(|sent| sent.status != Some(200)), "a copy proves nothing: {three:?}");
+}
