--- a/crates/sablebay-bench/src/soak.rs
+++ b/crates/sablebay-bench/src/soak.rs
@@ -21,8 +21,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -89,6 +89,9 @@
 /// How long the system has to heal before an operation is watched.
 const HEALING: Duration = Duration::from_millis(4_000);
 
+/// The part of calm spells in which a return of the store is watched as well.
+const RETURNS_WATCHED: f64 = 0.5;
+
 /// Runs a soak.
 ///
 /// # Errors
@@ -96,6 +99,8 @@
 pub async fn run_soak(options: &SoakOptions) -> Result<SoakReport, BenchError> {
     std::fs::create_dir_all(&options.logs)?;
     let mut random = SmallRng::seed_from_u64(options.seed);
+    // Drawn by themselves: what a seed has played so far stays in its place.
+    let mut returns = SmallRng::seed_from_u64(!options.seed);
     let checker = Arc::new(Checker::default());
     let mut deployment = SoakDeployment::start(options, checker.clone()).await?;
     deployment.wait_ready().await?;
@@ -103,7 +108,7 @@
     let begun = Instant::now();
     let (mut storms, mut faults, mut operations) = (0, 0, 0);
     while begun.elapsed() < options.length {
-        let storm = Storm::draw(&mut random);
+        let storm = Storm::draw(&mut random).with_returns(&mut returns);
         faults += storm.faults.len() as u32;
         schedule::play(&storm, &mut deployment).await?;
         storms += 1;
@@ -111,6 +116,11 @@
         tokio::time::sleep(HEALING).await;
         operations::watch_one(&mut deployment, &checker, options.bounds, &mut random).await?;
         operations += 1;
+        if options.bounds && returns.random_bool(RETURNS_WATCHED) {
+            operations::watch_return(&mut deployment, &checker, returns.random_range(0..routes::SHARDS))
+                .await?;
+            operations += 1;
+        }
     }
     load.stop().await;
     tokio::time::sleep(QUIESCE).await;
--- a/crates/sablebay-bench/src/soak/deployment.rs
+++ b/crates/sablebay-bench/src/soak/deployment.rs
@@ -40,6 +40,9 @@
 const FRAGILE_COPIES: u8 = 3;
 /// How long one of these is gone.
 const FRAGILE_PAUSE: Duration = Duration::from_millis(300);
+/// The time between two writers that write again after a return of the store, and how many turns there are: two seconds.
+const WRITE_AGAIN_PERIOD: Duration = Duration::from_millis(250);
+const WRITE_AGAIN_TURNS: u32 = 9;
 /// How long a process may take to end, or to become ready.
 const PROCESS_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -83,6 +86,8 @@
     Start(usize),
     Heal(Way),
     Store,
+    Return,
+    WriteAgain(String),
     Leaf(usize),
 }
 
@@ -352,6 +357,11 @@
                 self.ends_after(*time, Ending::Store);
             }
             Fault::ForgetHistory => self.store.forget_history(),
+            Fault::KeepCopy => self.store.keep_copy(),
+            Fault::Return(away) => {
+                self.store.set_mode(StoreMode::Refusing);
+                self.ends_after(*away, Ending::Return);
+            }
             Fault::Leaf(position, behaviour, time) => {
                 let position = position % self.leaves.len();
                 self.leaves[position].leaf.behave(*behaviour);
@@ -411,6 +421,15 @@
             }
             Ending::Heal(way) => self.proxy(way).set(Faults::default()),
             Ending::Store => self.store.set_mode(StoreMode::Serving),
+            Ending::Return => {
+                self.store.return_from_copy();
+                self.store.set_mode(StoreMode::Serving);
+                for (number, key) in self.store.lost().into_iter().enumerate() {
+                    let after = WRITE_AGAIN_PERIOD * (number as u32 % WRITE_AGAIN_TURNS);
+                    self.ends_after(after, Ending::WriteAgain(key));
+                }
+            }
+            Ending::WriteAgain(key) => self.store.write_again(&key),
             Ending::Leaf(position) => self.leaves[position].leaf.behave(LeafBehaviour::Answer),
         }
         Ok(())
@@ -424,9 +443,25 @@
         for (_, ending) in std::mem::take(&mut self.endings) {
             self.end(ending).await?;
         }
+        self.store.write_all_again();
         self.wait_ready().await
     }
 
+    /// The store keeps a copy of what it holds.
+    pub fn keep_copy(&self) {
+        self.store.keep_copy();
+    }
+
+    /// The store comes back with its copy; nobody has written again.
+    pub fn come_back(&self) {
+        self.store.return_from_copy();
+    }
+
+    /// All writers of the store write again what was lost.
+    pub fn write_all_again(&self) {
+        self.store.write_all_again();
+    }
+
     /// A back end of the set of shards in force leaves: it says so, and another takes its place.
     /// Returns its position among those that left.
     ///
--- a/crates/sablebay-bench/src/soak/operations.rs
+++ b/crates/sablebay-bench/src/soak/operations.rs
@@ -191,3 +191,46 @@
     }
     Ok(())
 }
+
+/// Nodes hear that a back end leaves, that a zone is empty and of a configuration; then the store comes back with a copy of
+/// before, and nobody has written again. Nothing of it may be undone.
+pub async fn watch_return(
+    deployment: &mut SoakDeployment,
+    checker: &Checker,
+    shard: u8,
+) -> Result<(), BenchError> {
+    let zone = ZONES[1];
+    deployment.keep_copy();
+    let leaving = deployment.drain_leaf(shard).await?;
+    deployment.evacuate(zone);
+    deployment.publish();
+    let version = deployment.version();
+    tokio::time::sleep(BOUND + MACHINE_SLACK).await;
+    let before = (leaving.arrivals(), deployment.arrivals_in(zone));
+    deployment.come_back();
+    let returned = Instant::now();
+    let mut number = 0;
+    while returned.elapsed() < WATCHED {
+        for node in 0..NODES {
+            number += 1;
+            if shows(deployment, node, version - 1, number).await {
+                let seen = format!("node {node} went back to version {} with the store", version - 1);
+                checker.violated(Promise::Configuration, seen);
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    let after = (leaving.arrivals(), deployment.arrivals_in(zone));
+    if after.0 > before.0 {
+        let seen = format!("{} got {} requests when the store came back", leaving.id(), after.0 - before.0);
+        checker.violated(Promise::Leaving, seen);
+    }
+    if after.1 > before.1 {
+        let seen = format!("{zone} got {} requests when the store came back", after.1 - before.1);
+        checker.violated(Promise::Evacuation, seen);
+    }
+    deployment.write_all_again();
+    deployment.take_back(zone);
+    deployment.retire(leaving);
+    Ok(())
+}
--- a/crates/sablebay-bench/src/soak/schedule.rs
+++ b/crates/sablebay-bench/src/soak/schedule.rs
@@ -28,6 +28,10 @@
     Store(StoreMode, Duration),
     /// The store forgets its history.
     ForgetHistory,
+    /// The store keeps a copy of what it holds.
+    KeepCopy,
+    /// The store is away for a time, and comes back with the copy; its writers write again one by one.
+    Return(Duration),
     /// A back end answers oddly for a time.
     Leaf(usize, LeafBehaviour, Duration),
     /// All back ends of a shard answer oddly for a time; nothing stands for those of the requests to
@@ -149,6 +153,20 @@
         }
         Self { faults }
     }
+
+    /// Has the store come back from an older copy once or twice in the storm.
+    pub fn with_returns(mut self, random: &mut impl Rng) -> Self {
+        let half = (STORM / 2).as_millis() as u64;
+        self.faults.push((Duration::ZERO, Fault::KeepCopy));
+        let first = milliseconds(random, 1_000..half);
+        self.faults.push((first, Fault::Return(milliseconds(random, 50..1_500))));
+        if random.random_bool(0.5) {
+            let second = milliseconds(random, half..2 * half);
+            self.faults.push((second, Fault::Return(milliseconds(random, 50..1_500))));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+        self
+    }
 }
 
 /// Plays a storm; what it disturbs heals by [`SoakDeployment::heal`] at the latest.
--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -198,6 +198,8 @@
     keeps_leaving: bool,
     /// Whether replicas of evacuated zones get work; in the soak alone.
     keeps_evacuated: bool,
+    /// Whether a copy's word is taken for the newest; in the soak alone.
+    settles_at_once: bool,
 }
 
 impl CatalogueView {
@@ -229,7 +231,7 @@
     /// Whether everything is to be listed anew: the writers have had the time to write again what was lost with the
     /// source's return, and what is not there now is gone.
     pub fn must_settle(&self, now: Micros) -> bool {
-        !self.replicas_at.is_nothing() && !self.replicas_at.is_settled() && self.source.is_settled(now)
+        !self.replicas_at.is_nothing() && !self.replicas_at.is_settled() && self.is_era_settled(now)
     }
 
     /// Where this node stands, for a peer that it asks.
@@ -280,6 +282,15 @@
         self.keeps_evacuated = true;
     }
 
+    /// Takes a copy's word for the newest, which the soak must notice.
+    pub fn settle_at_once(&mut self) {
+        self.settles_at_once = true;
+    }
+
+    fn is_era_settled(&self, now: Micros) -> bool {
+        self.settles_at_once || self.source.is_settled(now)
+    }
+
     /// What operators said of zones.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
@@ -391,7 +402,7 @@
             self.begin_learning(now);
         }
         self.hear_of_source(listing.at, Micros(0), now);
-        let settled = self.source.is_settled(now);
+        let settled = self.is_era_settled(now);
         self.skip_to(listing.at);
         let mut changed = self.replace_zones(&listing, settled, now);
         changed |= self.replace_replicas(listing.at, listing.replicas, HashSet::new(), settled, now);
--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -252,11 +252,16 @@
 /// How often a starting node looks whether it has learnt what the fleet knows.
 const LEARNING_PERIOD: Duration = Duration::from_millis(20);
 
+/// How long a starting node waits at the most. One that is told of a configuration which does not come serves by what it has.
+const LEARNING_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Waits until this node knows what the fleet knew before it started, or nobody is there to tell: a source that has just come
 /// back from an older copy says less, and what it does not say would be undone here.
 async fn learn<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
     let has_learnt = |now| context.node.catalogue.read(|view| view.has_learnt(now));
-    while !has_learnt(context.clock().now()) {
+    // A large configuration arrives after the answer that tells of it.
+    let waits = || !has_learnt(context.clock().now()) || context.is_behind();
+    while waits() && context.clock().running_for() < LEARNING_LIMIT {
         tokio::time::sleep(LEARNING_PERIOD).await;
     }
 }
@@ -289,6 +294,7 @@
 /// Turns off what the soak breaks.
 fn break_mechanisms<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>) {
     let (leaving, evacuation) = (context.mechanisms.leaving, context.mechanisms.evacuation);
+    let returns = context.mechanisms.returns;
     context.node.catalogue.update(|view| {
         if !leaving {
             view.keep_leaving();
@@ -296,6 +302,9 @@
         if !evacuation {
             view.keep_evacuated();
         }
+        if !returns {
+            view.settle_at_once();
+        }
         false
     });
 }
--- a/crates/sablebay-gateway/src/mechanisms.rs
+++ b/crates/sablebay-gateway/src/mechanisms.rs
@@ -32,6 +32,8 @@
     pub revocation: bool,
     /// Refusing what is over a tenant's quota. Off: it is sent like others.
     pub quota: bool,
+    /// Keeping what was known when the source comes back from an older copy. Off: the copy's word is taken at once.
+    pub returns: bool,
     /// Having other nodes gather shards. Off: each node calls every replica itself; no promise
     /// depends on it, and the soak does not break it.
     pub gathering: bool,
@@ -54,6 +56,7 @@
             identity: true,
             revocation: true,
             quota: true,
+            returns: true,
             gathering: true,
         }
     }
@@ -61,7 +64,7 @@
 
 impl GatewayMechanisms {
     /// The names of the mechanisms.
-    pub const NAMES: [&'static str; 14] = [
+    pub const NAMES: [&'static str; 15] = [
         "correlation",
         "coverage",
         "at-most-once",
@@ -76,6 +79,7 @@
         "identity",
         "revocation",
         "quota",
+        "returns",
     ];
 
     /// All but the one named; nothing when there is none of that name.
@@ -96,6 +100,7 @@
             "identity" => &mut mechanisms.identity,
             "revocation" => &mut mechanisms.revocation,
             "quota" => &mut mechanisms.quota,
+            "returns" => &mut mechanisms.returns,
             _ => return None,
         };
         *mechanism = false;
