--- a/crates/sablebay-catalogue/src/view.rs
+++ b/crates/sablebay-catalogue/src/view.rs
@@ -12,7 +12,9 @@
 //! - a source that comes back from an older copy takes nothing back: what was known holds until its own writer has said
 //!   otherwise, or has had the time to ([`crate::SETTLING`]).
 
-use std::cmp::Ordering;
+mod entry;
+mod exchange;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
@@ -24,11 +26,12 @@
 use crate::incoming_configuration::IncomingConfiguration;
 use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
 use crate::replica::{Replica, ReplicaId, ReplicaPhase, ServiceName};
-use crate::revision::{CataloguePosition, CatalogueRevision, Era, PeerPosition};
+use crate::revision::{CataloguePosition, CatalogueRevision, Era};
 use crate::route_table::RouteTable;
-use crate::snapshot::CatalogueSnapshot;
 use crate::source_return::SourceEra;
 
+use entry::Entry;
+
 /// How long a replica whose entry vanished is a last resort.
 const ABSENCE_PATIENCE: Micros = Micros::from_millis(1_600);
 /// How long the replicas of a zone that was taken back are taken for cold where their service does not
@@ -79,86 +82,6 @@
     pub cold_calls_per_s: Option<u32>,
 }
 
-#[derive(Debug)]
-struct Entry {
-    /// The life that it is or was of.
-    life: ReplicaId,
-    /// Nothing where it was only heard that the entry went.
-    replica: Option<Arc<Replica>>,
-    revision: CatalogueRevision,
-    /// Whether the source has said something else since its return, or nothing, and this is kept by what was known before.
-    kept: bool,
-    warm_at: Micros,
-    vanished_at: Option<Micros>,
-}
-
-impl Entry {
-    /// That of a replica of which nothing was heard but that it went.
-    fn absent(life: ReplicaId, now: Micros) -> Self {
-        let revision = CatalogueRevision::NOTHING;
-        Self { life, replica: None, revision, kept: false, warm_at: Micros(0), vanished_at: Some(now) }
-    }
-
-    /// Whether it says what a replica says.
-    fn has(&self, replica: &Replica) -> bool {
-        self.vanished_at.is_none() && self.replica.as_deref() == Some(replica)
-    }
-
-    /// Whether a word of the replica takes its place.
-    ///
-    /// Within an era the source's numbers order them. Between eras the copy's word may be the older one under the newer era:
-    /// there the replica's own count goes first, and where that does not tell, a word that was surely written since.
-    fn is_replaced_by(
-        &self,
-        replica: &Replica,
-        told: CatalogueRevision,
-        source: &SourceEra,
-        settled: bool,
-    ) -> bool {
-        if told.era() == self.revision.era() {
-            return told > self.revision;
-        }
-        let later = told > self.revision;
-        let same_life = self.life == replica.id;
-        let order = match &self.replica {
-            Some(known) => known.own_order(replica),
-            None => self.life.order_of_lives(&replica.id).filter(|order| order.is_ne()),
-        };
-        match order {
-            Some(Ordering::Greater) => later || same_life || !source.is_written(self.revision),
-            Some(Ordering::Less) if same_life => false,
-            _ => later && (settled || source.is_written(told)),
-        }
-    }
-
-    /// Whether the word that the entry went, or is not there, takes its place. It names the life that there was, where that is
-    /// known.
-    fn is_ended_by(
-        &self,
-        life: &ReplicaId,
-        told: CatalogueRevision,
-        source: &SourceEra,
-        settled: bool,
-    ) -> bool {
-        if told.era() == self.revision.era() {
-            return told > self.revision;
-        }
-        if told > self.revision {
-            return settled || source.is_written(told);
-        }
-        // What is known may be the copy's: then it is older than what went after it. A later life is not.
-        let is_later_life = life.order_of_lives(&self.life) == Some(Ordering::Greater);
-        !source.is_written(self.revision) && told > self.revision.in_era(told.era()) && !is_later_life
-    }
-
-    /// Whether a peer that knows the catalogue up to a position has yet to hear of it from a node that is at another. To one that
-    /// knew an era before it was settled all of that era is said again: it may have kept something else by what it knew before.
-    fn is_news_to(&self, peer: CataloguePosition, teller: CataloguePosition) -> bool {
-        let settled_since = teller.is_settled() && !peer.is_settled() && self.revision.era() == peer.era();
-        self.revision > peer.revision() || settled_since
-    }
-}
-
 /// Changes that a node knows by what they led to alone: it knew the catalogue up to a moment, and next as a whole.
 #[derive(Clone, Copy, Debug)]
 struct Unheard {
@@ -234,31 +157,6 @@
         !self.replicas_at.is_nothing() && !self.replicas_at.is_settled() && self.is_era_settled(now)
     }
 
-    /// Where this node stands, for a peer that it asks.
-    pub fn position(&self) -> PeerPosition {
-        PeerPosition { at: self.replicas_at, known_before: self.known_before }
-    }
-
-    /// Notes that the node starts, and that others may know more than the source says.
-    pub fn begin_learning(&mut self, now: Micros) {
-        self.learning = Some(Learning { from: self.replicas_at, since: now });
-    }
-
-    /// Notes that no peer knows more than this node does.
-    pub fn end_learning(&mut self) {
-        self.learning = None;
-    }
-
-    /// Whether the node knows what the fleet knew before it started, or has waited for a peer that does for long enough.
-    pub fn has_learnt(&self, now: Micros) -> bool {
-        self.learning.is_none_or(|learning| now.since(learning.since) >= LEARNING_PATIENCE)
-    }
-
-    /// From where on a peer that has learnt is to tell what it knows; nothing where that is no matter.
-    pub fn learns_from(&self, now: Micros) -> Option<CataloguePosition> {
-        self.learning.filter(|_| !self.has_learnt(now)).map(|learning| learning.from)
-    }
-
     /// Hears that the source is at a revision of an era that somebody has known for `age`.
     fn hear_of_source(&mut self, at: CatalogueRevision, age: Micros, now: Micros) {
         if self.source.hear(at, age, now) {
@@ -572,146 +470,4 @@
         let expiries = self.entries.values().filter_map(|entry| entry.vanished_at);
         expiries.map(|at| at.plus(ABSENCE_PATIENCE)).filter(|at| *at > now).min()
     }
-
-    /// Whether a peer that has a version, and knows the replicas up to a position, is missing something.
-    pub fn is_newer_than(&self, version: u64, replicas_at: CataloguePosition) -> bool {
-        self.version() > version || self.replicas_at > replicas_at
-    }
-
-    /// Whether a peer is told of all replicas: the catalogue's vanished entries may be forgotten here since, or never have been
-    /// known.
-    pub fn lists_all_replicas(&self, peer: PeerPosition) -> bool {
-        self.replicas_at > peer.at && self.tells_all(peer)
-    }
-
-    fn tells_all(&self, peer: PeerPosition) -> bool {
-        peer.at.is_nothing() || self.has_missed(peer.at) || self.settles_more_than_known(peer)
-    }
-
-    /// Whether something may have come and gone since a position of which nothing is known here, or no more.
-    fn has_missed(&self, position: CataloguePosition) -> bool {
-        let known = position.revision();
-        let is_within = |unheard: &Unheard| unheard.after < position && known < unheard.until;
-        known < self.forgotten_up_to || self.unheard.iter().any(is_within)
-    }
-
-    /// Whether a peer may keep what this node never knew, by what it knew before the source's return, and is to hear now that
-    /// it is gone.
-    fn settles_more_than_known(&self, peer: PeerPosition) -> bool {
-        let settles = self.replicas_at.is_settled() && !peer.at.is_settled();
-        settles && (peer.known_before > self.known_before || self.has_missed(peer.known_before))
-    }
-
-    /// The number of replicas that are known, those that went lately among them.
-    pub fn known_replicas(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// The whole configuration, and the replicas that a peer is missing.
-    pub fn snapshot(&self, version: u64, peer: impl Into<PeerPosition>, now: Micros) -> CatalogueSnapshot {
-        let routes = self.routes().filter(|routes| routes.version() > version);
-        let configuration = routes.map(|routes| routes.configuration().clone());
-        CatalogueSnapshot { configuration, ..self.replica_news(peer.into(), now) }
-    }
-
-    /// What a peer is missing of the replicas. One that knew the catalogue at a moment
-    /// whose vanished entries are forgotten here is told everything.
-    pub fn replica_news(&self, peer: PeerPosition, now: Micros) -> CatalogueSnapshot {
-        let whole = self.tells_all(peer);
-        let mut snapshot = CatalogueSnapshot {
-            whole,
-            zones: Some(self.evacuations.notices()),
-            revisions: self.revisions,
-            first_number: self.source.first_number(),
-            era_age: Some(self.source.age(now)),
-            learnt: self.has_learnt(now),
-            known_before: self.known_before,
-            ..CatalogueSnapshot::at(self.replicas_at)
-        };
-        if self.replicas_at <= peer.at {
-            return snapshot;
-        }
-        for entry in
-            self.entries.values().filter(|entry| whole || entry.is_news_to(peer.at, self.replicas_at))
-        {
-            match (&entry.replica, entry.vanished_at) {
-                (Some(replica), None) => snapshot.tell(replica, entry.revision),
-                _ => snapshot.tell_gone(entry.life.clone(), entry.revision),
-            }
-        }
-        snapshot
-    }
-
-    /// Takes what a peer knows. Returns whether it changed anything.
-    ///
-    /// A peer's list stands for the position that it is at; an older one than this node's says nothing new and is left, but
-    /// while this node is to learn what the source has lost. One that does not tell of zones is left as well: this node would
-    /// not ask for them any more.
-    pub fn merge(&mut self, mut snapshot: CatalogueSnapshot, now: Micros) -> bool {
-        self.revisions.merge(snapshot.revisions);
-        if let Some(version) = snapshot.version().max(snapshot.offer.map(|offer| offer.version)) {
-            self.hear_of(version, now);
-        }
-        let mut changed = self.configuration.take_steps(std::mem::take(&mut snapshot.steps));
-        if let Some(configuration) = snapshot.configuration.take() {
-            changed |= self.configuration.take_whole(configuration);
-        }
-        let Some(zones) = snapshot.zones.take() else {
-            return changed;
-        };
-        let told_up_to = snapshot.replicas_at();
-        let first = CatalogueRevision::new(told_up_to.era(), snapshot.first_number);
-        self.hear_of_source(first, snapshot.era_age.unwrap_or_default(), now);
-        if !told_up_to.is_settled() {
-            // What the peer keeps by what it knew before is kept here from now on.
-            self.known_before = self.known_before.max(snapshot.known_before);
-        }
-        let settles = told_up_to.is_settled() && !self.replicas_at.is_settled();
-        for notice in &zones {
-            changed |= match settles {
-                true => self.evacuations.apply(notice, &self.source, true, now),
-                false => self.take_notice(notice, told_up_to.is_settled(), now),
-            };
-        }
-        if told_up_to > self.replicas_at && told_up_to.is_settled() {
-            // The peer may never have heard of a zone that was taken back before it started. Until the era is settled it may not
-            // have heard of one that is evacuated either.
-            let named = |zone: &ZoneName| zones.iter().any(|notice| notice.evacuated && notice.zone == *zone);
-            changed |=
-                self.evacuations.take_back_others(named, told_up_to.revision(), &self.source, true, now);
-        }
-        // A peer that knows less may bring back what went so long ago that it is forgotten here; unless this node is itself to
-        // learn what was before.
-        let says_more = told_up_to > self.replicas_at || self.learning.is_some();
-        if snapshot.learnt {
-            self.learning = None;
-        }
-        (says_more && self.merge_replicas(snapshot, now)) || changed
-    }
-
-    fn merge_replicas(&mut self, mut snapshot: CatalogueSnapshot, now: Micros) -> bool {
-        let told_up_to = snapshot.replicas_at();
-        let settled = told_up_to.is_settled();
-        let mut changed = false;
-        // What the peer says of this node's own era is old, where it knows less.
-        let (known, says_less) = (self.replicas_at.revision(), told_up_to <= self.replicas_at);
-        let is_old =
-            |revision: CatalogueRevision| says_less && revision.era() == known.era() && revision <= known;
-        let mut gone = HashSet::new();
-        for (id, revision) in snapshot.take_gone() {
-            gone.insert(id.any_life());
-            changed |= self.vanish(&id, revision, settled, now);
-        }
-        let replicas = snapshot.take_replicas();
-        if snapshot.whole && told_up_to > self.replicas_at {
-            self.skip_to(told_up_to.revision());
-            changed |= self.replace_replicas(told_up_to.revision(), replicas, gone, settled, now);
-        } else {
-            for (replica, revision) in replicas {
-                changed |= !is_old(revision) && self.write(replica, revision, settled, now);
-            }
-        }
-        self.advance_to(told_up_to);
-        changed
-    }
 }
