--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod quota;
 mod returning_store;
 mod revocation;
+mod store_eras;
 mod support;
 mod tenant_secrets;
 mod tenant_status;
