--- a/crates/sablebay-dispatch/src/connection_share.rs
+++ b/crates/sablebay-dispatch/src/connection_share.rs
@@ -1,5 +1,6 @@
 //! How many of a replica's connections one node may hold, and to which replicas it holds any.
 
+use sablebay_fleet::SETTLING_TIME;
 use sablebay_model::Micros;
 
 /// The part of a replica's connections that is given out. The rest is for nodes that start anew
@@ -7,9 +8,6 @@
 /// for nodes whose own replicas are all in trouble.
 const GIVEN_OUT: f64 = 0.85;
 
-/// How long a node takes to meet the others. Before that it takes no more than it must.
-pub const SETTLING_TIME: Micros = Micros::from_secs(5);
-
 /// What a node knows of how many share what is bounded for the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetSize {
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -32,7 +32,7 @@
 pub use arrival_rate::ArrivalRate;
 pub use cold_rate::{COLD_WINDOW, Callers, ColdBearing, cold_share};
 pub use connection_share::{
-    FleetSize, ReplicaShareInputs, SETTLING_TIME, ZoneNodes, connection_share, has_room_for_all, own_replicas,
+    FleetSize, ReplicaShareInputs, ZoneNodes, connection_share, has_room_for_all, own_replicas,
 };
 pub use fanout::{
     CallFailure, CallNumber, DelegatedShards, Execution, Fanout, FanoutAction, FanoutOutcome, FanoutSettings,
--- a/crates/sablebay-dispatch/tests/shares.rs
+++ b/crates/sablebay-dispatch/tests/shares.rs
@@ -5,9 +5,10 @@
 
 use sablebay_catalogue::{ServiceName, WeightedService};
 use sablebay_dispatch::{
-    BudgetShare, FleetSize, ReplicaShareInputs, RetryAllowance, RetryWindow, SETTLING_TIME, WeightedChoice,
-    ZoneNodes, connection_share, own_replicas,
+    BudgetShare, FleetSize, ReplicaShareInputs, RetryAllowance, RetryWindow, WeightedChoice, ZoneNodes,
+    connection_share, own_replicas,
 };
+use sablebay_fleet::SETTLING_TIME;
 use sablebay_model::Micros;
 
 const WINDOW: Micros = Micros::from_secs(10);
--- a/crates/sablebay-fleet/src/census.rs
+++ b/crates/sablebay-fleet/src/census.rs
@@ -16,7 +16,8 @@
 
 /// How long a starting node assumes nodes that it has not met. After that it goes by its seeds.
 const MEETING_TIME: Micros = Micros::from_secs(2);
-/// How long a starting node takes until it has met all others, the slowest among them.
+/// How long a starting node takes until it has met all others, the slowest among them. Before that it takes no more than
+/// it must.
 pub const SETTLING_TIME: Micros = Micros::from_secs(5);
 /// How long a node that said that it leaves counts on: it may be on its way back, and a cut may hide its return.
 const LEAVE_TIME: Micros = Micros::from_secs(30);
@@ -203,8 +204,7 @@
         1 + self.counted(now).count()
     }
 
-    /// The part of the fleet that this node sees. One that has just started assumes
-    /// `assumed` nodes at the least.
+    /// The part of the fleet that this node sees. One that has just started assumes `assumed` nodes at the least.
     pub fn part(&self, running_for: Micros, assumed: usize, now: Micros) -> FleetPart {
         let known = self.known(now).max(self.told(now));
         if self.knows_fleet {
--- a/crates/sablebay-gateway/src/peer_catalogue.rs
+++ b/crates/sablebay-gateway/src/peer_catalogue.rs
@@ -7,8 +7,7 @@
 use tokio::task::JoinSet;
 
 use sablebay_catalogue::{DocumentOffer, LimitedAge};
-use sablebay_dispatch::SETTLING_TIME;
-use sablebay_fleet::FleetPart;
+use sablebay_fleet::{FleetPart, SETTLING_TIME};
 use sablebay_model::Micros;
 use sablebay_node::{Lane, PeerFailure};
 use sablebay_protocol::peer::{AskerStanding, PeerRequest, PeerResponse};
--- a/crates/sablebay-gateway/src/quota.rs
+++ b/crates/sablebay-gateway/src/quota.rs
@@ -195,8 +195,8 @@
             let asker = &mut state.tenant(tenant, window, now).asker;
             let lenders = asker.lenders(window, now);
             let returned = asker.take_returned(now);
-            let starting = false;
-            QuotaQuestion { tenant: tenant.clone(), version, quota, wanted, lenders, returned, starting }
+            let tenant = tenant.clone();
+            QuotaQuestion { tenant, version, quota, wanted, lenders, returned, starting: false }
         };
         if let Some(lent) = self.ask_seeds(&question).await {
             return lent;
