--- a/crates/sablebay-node/src/peers.rs
+++ b/crates/sablebay-node/src/peers.rs
@@ -4,6 +4,8 @@
 //! data have connections of their own, so that a large result never delays a probe.
 
 mod connection;
+#[cfg(test)]
+mod connection_tests;
 mod handshake;
 mod listener;
 
--- a/crates/sablebay-node/src/peers/connection.rs
+++ b/crates/sablebay-node/src/peers/connection.rs
@@ -116,9 +116,24 @@
     }
 }
 
-/// Opens a connection and starts its tasks.
+/// How long the first attempt to reach a machine may take. Each further one may take twice as long, for machines far away.
+pub(super) const FIRST_ATTEMPT: Duration = Duration::from_millis(100);
+
+/// Connects to a machine that may be starting. Where it is not there yet, nothing answers the opening packet, and the
+/// kernel sends it again only after a second: a fleet that gets its power back at once would meet that much later.
+pub(super) async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let mut patience = FIRST_ATTEMPT;
+    loop {
+        if let Ok(connected) = tokio::time::timeout(patience, TcpStream::connect(address)).await {
+            return connected.ok();
+        }
+        patience *= 2;
+    }
+}
+
+/// Opens a connection and starts its tasks. Goes on trying until it is dropped where nothing answers.
 pub async fn open_connection(context: &Arc<PeerContext>, address: SocketAddr) -> Option<Arc<Connection>> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    let stream = connect(address).await?;
     let (info, reader, writer) = handshake(context, stream).await?;
     let (queue, receiver) = mpsc::channel(QUEUE_LENGTH);
     let connection = Arc::new(Connection {
