--- a/review/standin/src/foreign_entries.rs
+++ b/review/standin/src/foreign_entries.rs
@@ -76,7 +76,8 @@
 
 fn play(trouble: bool, store: &Store, nodes: &[Arc<Node>], record: &Arc<Record>) -> Verdict {
     let began = Instant::now();
-    while began.elapsed() < SETTLE || !nodes.iter().all(|node| node.takes_connections.load(Ordering::Acquire)) {
+    while began.elapsed() < SETTLE || !nodes.iter().all(|node| node.takes_connections.load(Ordering::Acquire))
+    {
         if began.elapsed() > SETTLE * 2 {
             eprintln!("the nodes don't become ready");
             return Verdict::CouldNotRun;
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -64,7 +64,9 @@
             };
             let body = match path {
                 "/kv-range" => self.range(&parameter("PathPrefix"), &parameter("after")),
-                "/kv-watch" => self.watch(&parameter("PathPrefix"), &parameter("after"), &parameter("WaitMs")),
+                "/kv-watch" => {
+                    self.watch(&parameter("PathPrefix"), &parameter("after"), &parameter("WaitMs"))
+                }
                 _ => "{}".to_string(),
             };
             let head = format!(
