--- a/review/standin/src/foreign_entries.rs
+++ b/review/standin/src/foreign_entries.rs
@@ -46,7 +46,8 @@
                 "{{\"Backend\":\"{SERVICE}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Slots\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Sequence\":1}}"
             ),
         );
-        let settings = LeafSettings { id, slots: 4, queue: 8, work: Duration::from_millis(20) };
+        let settings =
+            LeafSettings { id, slots: 4, queue: 8, work: Duration::from_millis(20), fails: Arc::default() };
         Leaf::start(listener, settings, record.clone());
     }
     store.put("op/config", configuration());
--- a/review/standin/src/leaf.rs
+++ b/review/standin/src/leaf.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +19,8 @@
     pub slots: usize,
     pub queue: usize,
     pub work: Duration,
+    /// Whether it answers every request with 500, which counts as run.
+    pub fails: Arc<AtomicBool>,
 }
 
 #[derive(Default)]
@@ -64,7 +67,10 @@
                 continue;
             }
             let now = self.record.now();
-            self.record.change(&id, |attempt| attempt.arrived_at = Some(now));
+            self.record.change(&id, |attempt| {
+                attempt.arrived_at = Some(now);
+                attempt.arrivals.push(now);
+            });
             self.record.note(format!("request {id} reaches leaf {}", self.settings.id));
             if !self.take_slot(&id, &watched) {
                 let load = self.load_text();
@@ -93,8 +99,13 @@
             }
             self.record.note(format!("leaf {} has run {id}", self.settings.id));
             let body = format!("done {id}\n");
+            let status = if self.settings.fails.load(Ordering::Acquire) {
+                "500 Internal Server Error"
+            } else {
+                "200 OK"
+            };
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nX-Sablebay-Request-Id: {id}\r\nX-Sablebay-Response-Stamp: {}.{id}\r\nX-Sablebay-Server-Load: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nX-Sablebay-Request-Id: {id}\r\nX-Sablebay-Response-Stamp: {}.{id}\r\nX-Sablebay-Server-Load: {}\r\nContent-Length: {}\r\n\r\n{body}",
                 self.settings.id,
                 self.load_text(),
                 body.len()
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod leaf;
 mod node;
 mod record;
+mod retry_budget;
 mod stop_while_waiting;
 mod store;
 
@@ -31,6 +32,7 @@
     let verdict = match name.as_str() {
         "stop-while-waiting" => stop_while_waiting::run(trouble, &folder, &temporary),
         "foreign-entries" => foreign_entries::run(trouble, &folder, &temporary),
+        "retry-budget" => retry_budget::run(trouble, &folder, &temporary),
         _ => {
             eprintln!("there is no script {name}");
             Verdict::CouldNotRun
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -23,8 +23,10 @@
     pub sent_at: Duration,
     pub ended_at: Option<Duration>,
     pub end: Option<End>,
-    /// When it arrived at a leaf.
+    /// When it last arrived at a leaf.
     pub arrived_at: Option<Duration>,
+    /// All its arrivals at leafs.
+    pub arrivals: Vec<Duration>,
     /// When a leaf began to work on it.
     pub begun_at: Option<Duration>,
     /// When the leaf's work on it ended.
--- a/review/standin/src/stop_while_waiting.rs
+++ b/review/standin/src/stop_while_waiting.rs
@@ -51,7 +51,7 @@
                 ZONES[0]
             ),
         );
-        let settings = LeafSettings { id, slots: SLOTS, queue: QUEUE, work: WORK };
+        let settings = LeafSettings { id, slots: SLOTS, queue: QUEUE, work: WORK, fails: Arc::default() };
         Leaf::start(listener, settings, record.clone());
     }
     store.put("op/config", &configuration());
