Review: the stand-ins hold all ports until the last is taken

Cause: each free port was released before the next was looked for, so that a set could hold one twice; the node that got it ended with 'Address already in use', and the script exited with 2.

Done: all ports are held together, and a script that can't run prints the last line of each node.

--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -27,15 +27,19 @@
     TcpListener::bind((own, 0))
 }
 
-fn free_address() -> SocketAddr {
-    listen().and_then(|listener| listener.local_addr()).expect("a loopback port is free")
-}
-
 impl Addresses {
-    pub fn free() -> Self {
-        let mut free = (0..5).map(|_| free_address());
-        let mut next = || free.next().unwrap();
-        Self { front: next(), readiness: next(), control: next(), internal: [next(), next()] }
+    /// Free addresses of several nodes. All ports are held until the last is taken: one that is freed at once may
+    /// be given out again.
+    pub fn free(nodes: usize) -> std::io::Result<Vec<Self>> {
+        let held: Vec<[TcpListener; 5]> = (0..nodes)
+            .map(|_| Ok([listen()?, listen()?, listen()?, listen()?, listen()?]))
+            .collect::<std::io::Result<_>>()?;
+        let addresses = held.iter().map(|listeners| {
+            let [front, readiness, control, first, last] =
+                listeners.each_ref().map(|listener| listener.local_addr().expect("it is bound"));
+            Self { front, readiness, control, internal: [first, last] }
+        });
+        Ok(addresses.collect())
     }
 }
 
@@ -88,7 +92,7 @@
 impl Node {
     /// Starts the nodes of a fleet, one in each of the zones.
     pub fn start_fleet(zones: &[&str], store: SocketAddr, folder: &Path) -> std::io::Result<Vec<Arc<Node>>> {
-        let addresses: Vec<Addresses> = zones.iter().map(|_| Addresses::free()).collect();
+        let addresses = Addresses::free(zones.len())?;
         let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|known| known.control).collect();
         let mut nodes = Vec::new();
         for (zone, addresses) in zones.iter().zip(addresses) {
@@ -168,6 +172,12 @@
         false
     }
 
+    /// The end of its output, to explain why a script couldn't run.
+    pub fn last_output(&self) -> String {
+        let output = fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default();
+        output.lines().last().unwrap_or("").to_string()
+    }
+
     /// SIGKILL, for the end of the grace time and of the script.
     pub fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
--- a/review/standin/src/retry_budget.rs
+++ b/review/standin/src/retry_budget.rs
@@ -85,6 +85,7 @@
     {
         if began.elapsed() > SETTLE * 2 {
             eprintln!("the nodes don't become ready");
+            nodes.iter().for_each(|node| eprintln!("{}: {}", node.name, node.last_output()));
             return Verdict::CouldNotRun;
         }
         thread::sleep(Duration::from_millis(50));
