--- a/crates/sablebay-bench/src/cli.rs
+++ b/crates/sablebay-bench/src/cli.rs
@@ -16,7 +16,7 @@
 use sablebay_config::{LeafSettings, NodeSettings, overrides_from_flags};
 use sablebay_gateway::{Gateway, GatewayMechanisms, key_digester};
 use sablebay_model::{LeafId, PartitionSet, SnapshotVersion};
-use sablebay_node::{Node, NodeMechanisms, start_draining};
+use sablebay_node::{Node, NodeMechanisms};
 use sablebay_platform::{PlatformBackends, PlatformCallers, StoreCatalogue};
 use sablebay_standin::{
     CORPUS, Corpus, Deployment, Leaf, LeafOptions, LoadOptions, Platform, ServiceTime, WeightedService,
@@ -417,10 +417,9 @@
     println!("{}", json!({ "peer_address": node.addresses.peer_address, "gateway": gateway.addresses }));
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
     terminate.recv().await;
-    start_draining(&node.shared);
-    gateway.stop().await;
+    let closing = gateway.stop(node.begin_stop()).await;
     if mechanisms.planned_stop {
-        node.stop().await;
+        tokio::join!(closing.close(), node.stop());
     }
     Ok(())
 }
--- a/crates/sablebay-bench/src/soak/operations.rs
+++ b/crates/sablebay-bench/src/soak/operations.rs
@@ -10,7 +10,7 @@
 
 use super::checker::{Checker, Promise};
 use super::deployment::{NODES, SoakDeployment, ZONES};
-use super::routes::{HOST, SHARDS, marker_path};
+use super::routes::{HOST, LONG_PATH, SHARDS, marker_path};
 use super::tenants::{GUEST_KEY, REVOCATION_LIMIT_MS, STEADY_KEY};
 use crate::error::BenchError;
 
@@ -27,6 +27,12 @@
 const IN_FLIGHT: u64 = 6;
 /// Service time of the requests in flight.
 const WORK: Duration = Duration::from_millis(1_200);
+/// Number of requests that outlast a planned stop: more than a node has connections for.
+const OUTLASTING: u64 = 40;
+/// Service time of these requests.
+const OUTLASTING_WORK: Duration = Duration::from_secs(15);
+/// Deadline of these requests.
+const OUTLASTING_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Performs and observes a randomly drawn operation.
 ///
@@ -180,6 +186,19 @@
     while !ids.iter().all(|id| deployment.runs_of(id) > 0) && started.elapsed() < WORK / 2 {
         tokio::time::sleep(POLL_INTERVAL / 5).await;
     }
+    deployment.slow_singles(Some(OUTLASTING_WORK));
+    let ids: Vec<String> =
+        (0..OUTLASTING).map(|number| format!("long{node}-{incarnation}-{number}")).collect();
+    for id in &ids {
+        checker.sent(id, true);
+        let call = CallerCall { timeout: OUTLASTING_TIMEOUT, ..CallerCall::get(HOST, LONG_PATH, id) };
+        let call = checker.with_key(call, Some(STEADY_KEY));
+        calls.spawn(async move { (call.id.clone(), caller.call(&call).await) });
+    }
+    let started = Instant::now();
+    while !ids.iter().any(|id| deployment.runs_of(id) > 0) && started.elapsed() < WORK / 2 {
+        tokio::time::sleep(POLL_INTERVAL / 5).await;
+    }
     let ended = deployment.stop_as_planned(node).await?;
     deployment.slow_singles(None);
     if !ended {
--- a/crates/sablebay-bench/src/soak/routes.rs
+++ b/crates/sablebay-bench/src/soak/routes.rs
@@ -68,6 +68,11 @@
 /// Path of a harmless request to the same back ends.
 pub const HARMLESS_PATH: &str = "/fragile/harmless";
 
+/// A path of the at-most-once route whose time limit is longer than a planned stop.
+pub const LONG_PATH: &str = "/long/1";
+/// Time limit of the route of [`LONG_PATH`], in milliseconds.
+const LONG_TIME_LIMIT_MS: u64 = 20_000;
+
 /// Path of the route that requires no key.
 pub const PUBLIC_PATH: &str = "/open/1";
 
@@ -109,6 +114,10 @@
             route("all", "/all/", Repeatability::Repeatable, Destination::Gather(gather)),
             route("one", "/one/", Repeatability::Repeatable, single()),
             route("once", "/once/", Repeatability::AtMostOnce, single()),
+            Route {
+                time_limit_ms: LONG_TIME_LIMIT_MS,
+                ..route("long", "/long/", Repeatability::AtMostOnce, single())
+            },
             Route { public: true, ..route("open", "/open/", Repeatability::Repeatable, single()) },
             route("fragile", "/fragile/", Repeatability::Repeatable, fragile()),
             route("marker", &marker_path(version), Repeatability::Repeatable, single()),
--- a/crates/sablebay-dispatch/src/fanout.rs
+++ b/crates/sablebay-dispatch/src/fanout.rs
@@ -8,6 +8,7 @@
 //!   the previous call can have arrived;
 //! - nothing is sent at or after the deadline, even if the process was suspended;
 //! - a request is refused before anything is sent if too few shards have a replica that accepts work;
+//! - a planned stop of the node ends every request while its answer can still be written;
 //! - each shard contributes to the answer once: a merged part cannot be split, so it replaces the
 //!   answers of single replicas.
 //!
@@ -20,6 +21,7 @@
 mod hedging;
 mod replies;
 mod sending;
+mod stopping;
 mod types;
 
 use smallvec::SmallVec;
@@ -32,7 +34,12 @@
 use crate::retry_window::{RetryAllowance, RetryBudgets};
 
 pub use call::{CallFailure, CallNumber, Execution};
-pub use types::{DelegatedShards, FanoutAction, FanoutOutcome, FanoutSettings, GatheredShards, ShardTargets};
+pub use types::{
+    AlwaysSent, CallDurations, DelegatedShards, FanoutAction, FanoutOutcome, FanoutSettings, GatheredShards,
+    ShardTargets, UnsentCalls,
+};
+
+use stopping::StopLimit;
 
 /// Inputs and outputs of one step of the state machine.
 pub struct FanoutContext<'a, R> {
@@ -46,6 +53,7 @@
     pub random: &'a mut R,
     /// Receives the actions for the caller to carry out.
     pub actions: &'a mut Vec<FanoutAction>,
+    pub unsent: &'a mut dyn UnsentCalls,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +68,7 @@
 struct Call {
     scope: CallScope,
     open: bool,
+    started_at: Micros,
 }
 
 /// Progress of shards that another node gathers.
@@ -126,6 +135,7 @@
     answered: usize,
     open: usize,
     may_have_run: bool,
+    stop: StopLimit,
     outcome: Option<FanoutOutcome>,
 }
 
@@ -154,6 +164,7 @@
             targets,
             answered: 0,
             may_have_run: false,
+            stop: StopLimit::default(),
             outcome: None,
         }
     }
--- a/crates/sablebay-dispatch/src/fanout/delegation.rs
+++ b/crates/sablebay-dispatch/src/fanout/delegation.rs
@@ -24,7 +24,7 @@
 
     fn send_delegation<R: Rng>(&mut self, number: usize, context: &mut FanoutContext<'_, R>) {
         let call = CallNumber(self.calls.len() as u32);
-        self.calls.push(Call { scope: CallScope::Delegation(number), open: true });
+        self.calls.push(Call { scope: CallScope::Delegation(number), open: true, started_at: context.now });
         let delegation = &mut self.delegations[number];
         delegation.call = Some(call);
         delegation.report_due_at = context.now.plus(self.settings.gatherer_timeout);
@@ -76,6 +76,9 @@
         execution: Execution,
         context: &mut FanoutContext<'_, R>,
     ) -> bool {
+        if !self.may_send(context.now) {
+            return false;
+        }
         let delegation = &mut self.delegations[number];
         let Some(fallback) = delegation.delegated.fallback.take() else {
             return false;
@@ -211,7 +214,7 @@
         if execution == Execution::Possible {
             self.ask_fallback(number, execution, context);
             self.end_delegation(call, number, execution, context);
-        } else if self.delegations[number].delegated.fallback.is_some() {
+        } else if self.delegations[number].delegated.fallback.is_some() && self.may_send(context.now) {
             // The gatherer sent no calls, so the fallback starts from the beginning.
             self.withdraw(call, number);
             self.ask_fallback(number, execution, context);
--- a/crates/sablebay-dispatch/src/fanout/ending.rs
+++ b/crates/sablebay-dispatch/src/fanout/ending.rs
@@ -11,13 +11,13 @@
 impl Fanout {
     /// Ends the request and cancels its open calls once the outcome is known.
     pub(super) fn finish_if_decided<R: Rng>(&mut self, context: &mut FanoutContext<'_, R>) {
-        if self.outcome.is_some() {
+        if self.outcome.is_some() || self.decide(context.now).is_none() {
             return;
         }
+        // Decided again: a call that was not sent and never will be cannot have run.
+        self.withdraw_unsent(context, |_| true);
         self.outcome = self.decide(context.now);
-        if self.outcome.is_some() {
-            self.abandon(context, |_| true);
-        }
+        self.abandon(context, |_| true);
     }
 
     fn decide(&self, now: Micros) -> Option<FanoutOutcome> {
@@ -36,6 +36,30 @@
         unreachable.then_some(failed)
     }
 
+    /// Cancels the selected calls that have not been sent, and closes shards that are left without a call.
+    pub(super) fn withdraw_unsent<R: Rng>(
+        &mut self,
+        context: &mut FanoutContext<'_, R>,
+        selected: impl Fn(&Call) -> bool,
+    ) {
+        for number in 0..self.calls.len() {
+            let call = &mut self.calls[number];
+            let CallScope::Shard(shard) = call.scope else {
+                continue;
+            };
+            if !call.open || !selected(call) || !context.unsent.withdraw(CallNumber(number as u32)) {
+                continue;
+            }
+            call.open = false;
+            let progress = &mut self.shards[shard];
+            progress.open_calls -= 1;
+            progress.attempts -= 1;
+            if progress.open_calls == 0 {
+                self.close(shard);
+            }
+        }
+    }
+
     pub(super) fn abandon<R: Rng>(
         &mut self,
         context: &mut FanoutContext<'_, R>,
--- a/crates/sablebay-dispatch/src/fanout/hedging.rs
+++ b/crates/sablebay-dispatch/src/fanout/hedging.rs
@@ -18,7 +18,8 @@
         if self.outcome.is_some() {
             return;
         }
-        if context.now < self.settings.deadline {
+        self.end_sending_if_due(context);
+        if self.may_send(context.now) {
             self.replace_silent_gatherers(context);
             let hedging = self.is_down_to_stragglers();
             for shard in 0..self.shards.len() {
@@ -79,6 +80,6 @@
         let partial_at = if enough { self.settings.partial_at } else { Micros::MAX };
         let report_due_at =
             self.delegations.iter().map(|delegation| delegation.report_due_at).min().unwrap_or(Micros::MAX);
-        hedge_at.min(report_due_at).min(partial_at).min(self.settings.deadline)
+        hedge_at.min(report_due_at).min(partial_at).min(self.sending_ends_at()).min(self.settings.deadline)
     }
 }
--- a/crates/sablebay-dispatch/src/fanout/replies.rs
+++ b/crates/sablebay-dispatch/src/fanout/replies.rs
@@ -97,10 +97,10 @@
     /// Schedules another round for a shard that reached no replica, since refused connections may succeed
     /// shortly after. No round starts after the target latency, when the answer is due.
     fn schedule_round(&mut self, shard: usize, execution: Execution, now: Micros) -> bool {
+        let again_at = now.plus(Micros(ROUND_BACKOFF.0 << self.shards[shard].unreachable_rounds));
+        let in_time = again_at < self.settings.partial_at && self.may_send(again_at);
         let progress = &mut self.shards[shard];
-        let again_at = now.plus(Micros(ROUND_BACKOFF.0 << progress.unreachable_rounds));
         let unreached = execution == Execution::NotSent && progress.attempts == 0;
-        let in_time = again_at < self.settings.partial_at.min(self.settings.deadline);
         if !unreached || !in_time || progress.unreachable_rounds >= MAXIMUM_UNREACHABLE_ROUNDS {
             return false;
         }
@@ -118,7 +118,7 @@
     ) -> bool {
         let progress = &self.shards[shard];
         let unreachable = progress.tried.len().saturating_sub(progress.attempts as usize);
-        let allowed = context.now < self.settings.deadline
+        let allowed = self.may_send(context.now)
             && progress.attempts < self.settings.maximum_attempts
             && unreachable < MAXIMUM_UNREACHABLE
             && (self.settings.repeatability == Repeatability::Repeatable || execution != Execution::Possible);
--- a/crates/sablebay-dispatch/src/fanout/sending.rs
+++ b/crates/sablebay-dispatch/src/fanout/sending.rs
@@ -13,12 +13,16 @@
 impl Fanout {
     /// Sends the first call of each shard, or delegates the shard to its gatherer.
     pub fn start<R: Rng>(&mut self, context: &mut FanoutContext<'_, R>) {
+        if self.outcome.is_some() {
+            return;
+        }
         self.close_unservable(context.table);
+        self.refuse_if_stopping(context.now);
         if self.open < self.settings.minimum_shards {
             self.finish_if_decided(context);
             return;
         }
-        if context.now < self.settings.deadline {
+        if self.may_send(context.now) {
             self.delegate(context);
         }
         for shard in 0..self.shards.len() {
@@ -55,7 +59,7 @@
 
     /// Sends an extra call of a shard without open calls, as soon as the budget allows.
     pub(super) fn send_extra<R: Rng>(&mut self, shard: usize, context: &mut FanoutContext<'_, R>) {
-        if self.shards[shard].attempts >= self.settings.maximum_attempts {
+        if !self.may_send(context.now) || self.shards[shard].attempts >= self.settings.maximum_attempts {
             self.close(shard);
         } else if !self.spend_budget(shard, context) {
             self.shards[shard].hedge_at = context.now.plus(HEDGE_RECHECK);
@@ -68,7 +72,7 @@
     pub(super) fn send_first<R: Rng>(&mut self, shard: usize, context: &mut FanoutContext<'_, R>) {
         let service = &self.targets[shard].service;
         context.budgets.count_request(service, context.allowance, context.now);
-        if context.now >= self.settings.deadline || !self.send(shard, context) {
+        if !self.may_send(context.now) || !self.send(shard, context) {
             self.close(shard);
         }
     }
@@ -85,7 +89,7 @@
         };
         let replica = replicas[index].replica.id.clone();
         let call = CallNumber(self.calls.len() as u32);
-        self.calls.push(Call { scope: CallScope::Shard(shard), open: true });
+        self.calls.push(Call { scope: CallScope::Shard(shard), open: true, started_at: context.now });
         let progress = &mut self.shards[shard];
         let first = progress.tried.is_empty() && progress.attempts == 0;
         progress.tried.push(replica.clone());
--- a/crates/sablebay-dispatch/src/fanout/types.rs
+++ b/crates/sablebay-dispatch/src/fanout/types.rs
@@ -33,6 +33,32 @@
     pub hedge_delay: Micros,
     /// Time without a report after which a gatherer's shards are reassigned.
     pub gatherer_timeout: Micros,
+    pub usual_call: CallDurations,
+}
+
+/// Typical durations of a route's calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallDurations {
+    /// From the choice of the replica to its answer, including the wait for a connection.
+    pub total: Micros,
+    /// From sending the request to the answer.
+    pub exchange: Micros,
+}
+
+/// Cancels calls that have not been sent yet.
+pub trait UnsentCalls {
+    /// Cancels a call unless it has been sent. Returns whether it was cancelled: no byte of it is ever sent then.
+    fn withdraw(&mut self, call: CallNumber) -> bool;
+}
+
+/// [`UnsentCalls`] of a driver whose calls count as sent from the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AlwaysSent;
+
+impl UnsentCalls for AlwaysSent {
+    fn withdraw(&mut self, _call: CallNumber) -> bool {
+        false
+    }
 }
 
 /// Shards of a request that another node gathers for this one.
--- a/crates/sablebay-dispatch/src/lib.rs
+++ b/crates/sablebay-dispatch/src/lib.rs
@@ -33,8 +33,8 @@
     FleetSize, ReplicaShareInputs, ZoneNodes, connection_share, has_room_for_all, own_replicas,
 };
 pub use fanout::{
-    CallFailure, CallNumber, DelegatedShards, Execution, Fanout, FanoutAction, FanoutContext, FanoutOutcome,
-    FanoutSettings, GatheredShards, ShardTargets,
+    AlwaysSent, CallDurations, CallFailure, CallNumber, DelegatedShards, Execution, Fanout, FanoutAction,
+    FanoutContext, FanoutOutcome, FanoutSettings, GatheredShards, ShardTargets, UnsentCalls,
 };
 pub use gatherer_table::GathererTable;
 pub use gatherers::{
--- a/crates/sablebay-dispatch/tests/delegation.rs
+++ b/crates/sablebay-dispatch/tests/delegation.rs
@@ -11,9 +11,10 @@
 
 use sablebay_catalogue::{Repeatability, Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
 use sablebay_dispatch::{
-    CallFailure, CallKey, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutContext, FanoutOutcome,
-    FanoutSettings, GatheredShards, GathererInputs, GathererNode, GathererTable, ReplicaTable,
-    RetryAllowance, RetryBudgets, ShardTargets, choose_gatherers, gatherer_count, owned_shards,
+    AlwaysSent, CallDurations, CallFailure, CallKey, CallNumber, DelegatedShards, Fanout, FanoutAction,
+    FanoutContext, FanoutOutcome, FanoutSettings, GatheredShards, GathererInputs, GathererNode,
+    GathererTable, ReplicaTable, RetryAllowance, RetryBudgets, ShardTargets, choose_gatherers,
+    gatherer_count, owned_shards,
 };
 use sablebay_model::{Micros, NodeId, ZoneName};
 
@@ -316,6 +317,7 @@
             report_at: REPORT_AT,
             hedge_delay: Micros::from_millis(50),
             gatherer_timeout: RESCUE_DELAY,
+            usual_call: CallDurations::default(),
         };
         let delegated = |name: &str, shards: std::ops::Range<usize>| DelegatedShards {
             gatherer: NodeId::new(name),
@@ -351,6 +353,7 @@
                 now: self.now,
                 random: &mut self.random,
                 actions: &mut actions,
+                unsent: &mut AlwaysSent,
             },
         );
         for action in actions {
@@ -740,6 +743,7 @@
                 now,
                 random: &mut self.random,
                 actions: &mut actions,
+                unsent: &mut AlwaysSent,
             },
         );
         for action in actions {
@@ -806,6 +810,7 @@
             report_at: DEADLINE,
             hedge_delay: Micros::from_millis(50),
             gatherer_timeout: RESCUE_DELAY,
+            usual_call: CallDurations::default(),
         };
         let zones: [&[&str]; 3] = [&["a", "b", "c", "d"][..]; 3];
         let delegated = DelegatedShards {
@@ -862,6 +867,7 @@
             report_at: DEADLINE,
             hedge_delay: Micros::from_millis(50),
             gatherer_timeout: RESCUE_DELAY,
+            usual_call: CallDurations::default(),
         };
         let zones: [&[&str]; 3] = [&["a", "b", "c", "d"][..]; 3];
         let delegated = DelegatedShards {
--- a/crates/sablebay-dispatch/tests/evacuation.rs
+++ b/crates/sablebay-dispatch/tests/evacuation.rs
@@ -9,8 +9,8 @@
 
 use sablebay_catalogue::{Repeatability, Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
 use sablebay_dispatch::{
-    CallFailure, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutContext, FanoutOutcome,
-    FanoutSettings, ReplicaTable, RetryAllowance, RetryBudgets, ShardTargets,
+    AlwaysSent, CallDurations, CallFailure, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutContext,
+    FanoutOutcome, FanoutSettings, ReplicaTable, RetryAllowance, RetryBudgets, ShardTargets,
 };
 use sablebay_model::{Micros, NodeId, ZoneName};
 
@@ -53,6 +53,7 @@
         report_at: START.plus(Micros::from_millis(400)),
         hedge_delay: HEDGE_DELAY,
         gatherer_timeout: Micros::from_millis(30),
+        usual_call: CallDurations::default(),
     }
 }
 
@@ -86,6 +87,7 @@
             now,
             random: &mut self.random,
             actions: &mut actions,
+            unsent: &mut AlwaysSent,
         });
         actions
     }
--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -10,8 +10,8 @@
 
 use sablebay_catalogue::{Repeatability, Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
 use sablebay_dispatch::{
-    CallFailure, CallKey, CallNumber, Execution, Fanout, FanoutAction, FanoutContext, FanoutOutcome,
-    FanoutSettings, ReplicaTable, RetryAllowance, RetryBudgets, ShardTargets,
+    AlwaysSent, CallDurations, CallFailure, CallKey, CallNumber, Execution, Fanout, FanoutAction,
+    FanoutContext, FanoutOutcome, FanoutSettings, ReplicaTable, RetryAllowance, RetryBudgets, ShardTargets,
 };
 use sablebay_model::{Micros, ZoneName};
 
@@ -53,6 +53,7 @@
         report_at: PARTIAL_AT,
         hedge_delay: Micros::from_millis(50),
         gatherer_timeout: Micros::from_millis(100),
+        usual_call: CallDurations::default(),
     }
 }
 
@@ -97,6 +98,7 @@
                 now: self.now,
                 random: &mut self.random,
                 actions: &mut actions,
+                unsent: &mut AlwaysSent,
             },
         );
         for action in actions {
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -21,6 +21,8 @@
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, FullAnswer};
 use crate::merge::MergedPart;
 use crate::prepare_call::{Unsent, prepare, record_unsent};
+use crate::quarantine::RunLease;
+use crate::send_gate::SendGate;
 
 /// Maximum size of a back end's answer.
 const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
@@ -90,6 +92,7 @@
     pub deadline: Micros,
     /// Resolves when the call is abandoned; also when its sender is dropped.
     pub abandoned: oneshot::Receiver<()>,
+    pub gate: Arc<SendGate>,
     /// Receives the result.
     pub events: mpsc::UnboundedSender<CallEvent>,
 }
@@ -100,21 +103,23 @@
     call: OutgoingCall,
 ) {
     let connections = context.connections_to(&call.replica);
-    let OutgoingCall { number, key, replica, request, extra, usual, deadline, mut abandoned, events } = call;
+    let OutgoingCall { number, key, replica, request, extra, usual, deadline, mut abandoned, gate, events } =
+        call;
     let lease_request = LeaseRequest {
         run: RunId { node: context.observer(), call: key.0 },
         duration: lease_duration(usual),
     };
     let prepared = tokio::select! { prepared = prepare(&context, &connections, &replica, &request, lease_request) => prepared, _ = &mut abandoned => { context.dispatch.lock().table.forget(&replica.replica.id, key); return; } () = tokio::time::sleep_until(context.clock().instant(deadline)) => Err(Unsent::Late), };
-    let (lease, run_lease) = match prepared {
-        Ok(prepared) => prepared,
-        Err(why) => {
-            let failure = record_unsent(&context, &replica, key, &request, why);
-            let unsent = CallResult::Failure(failure, None);
-            let _ = events.send(CallEvent { call: number, update: CallUpdate::Ended(unsent) });
-            return;
-        }
-    };
+    let (lease, run_lease) =
+        match prepared.and_then(|prepared| permit_now(&context, &connections, prepared, &gate, deadline)) {
+            Ok(prepared) => prepared,
+            Err(why) => {
+                let failure = record_unsent(&context, &replica, key, &request, why);
+                let unsent = CallResult::Failure(failure, None);
+                let _ = events.send(CallEvent { call: number, update: CallUpdate::Ended(unsent) });
+                return;
+            }
+        };
     let started_at = context.clock().now();
     let mut exchange =
         std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, extra, deadline));
@@ -124,10 +129,25 @@
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
     record_run(&context, &connections, &replica, &request, started_at, &result.0).await;
     drop(run_lease);
-    record_result(&context, &replica, key, &request, &result);
+    record_result(&context, &replica, key, &request, started_at, &result);
     let _ = events.send(CallEvent { call: number, update: CallUpdate::Ended(result.0) });
 }
 
+/// The last check before a call is sent. Returns the connection to the pool if the call must not be sent.
+fn permit_now<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    connections: &ReplicaConnections,
+    (lease, run_lease): (Lease, Option<RunLease<C, B>>),
+    gate: &SendGate,
+    deadline: Micros,
+) -> Result<(Lease, Option<RunLease<C, B>>), Unsent> {
+    if context.clock().now() < deadline && gate.try_send() {
+        return Ok((lease, run_lease));
+    }
+    connections.give_back(lease);
+    Err(Unsent::Late)
+}
+
 /// Records in the quarantine whether the back end survived the request.
 async fn record_run<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
@@ -193,6 +213,7 @@
     replica: &RoutableReplica,
     key: CallKey,
     request: &ForwardedRequest,
+    sent_at: Micros,
     (result, load): &(CallResult, Option<LoadHint>),
 ) {
     let now = context.clock().now();
@@ -203,7 +224,7 @@
             if let Some(latency) = dispatch.table.answered(id, key, *load, now)
                 && let Some(latencies) = dispatch.latencies.get_mut(&request.route)
             {
-                latencies.record(latency, now);
+                latencies.record(latency, now.since(sent_at), now);
             }
         }
         CallResult::Failure(CallFailure::Rejected, _) => dispatch.table.rejected(id, key, *load, now),
@@ -223,10 +244,6 @@
     deadline: Micros,
 ) -> (CallResult, Option<LoadHint>) {
     let now = context.clock().now();
-    if now >= deadline {
-        connections.give_back(lease);
-        return (CallResult::Failure(CallFailure::NoConnection, None), None);
-    }
     let remaining = request.caller_deadline.min(deadline).since(now).as_duration();
     let mut outgoing = outgoing_request(request);
     context.back_ends.address_to(&mut outgoing, &replica.replica, remaining);
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -8,16 +8,18 @@
 
 use sablebay_catalogue::{Destination, Gather, Repeatability, ReplicaId, Route};
 use sablebay_dispatch::{
-    CallFailure, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutContext, FanoutOutcome,
-    FanoutSettings, ShardTargets,
+    CallDurations, CallFailure, CallNumber, DelegatedShards, Fanout, FanoutAction, FanoutContext,
+    FanoutOutcome, FanoutSettings, ShardTargets, UnsentCalls,
 };
 use sablebay_model::Micros;
+use sablebay_node::StopWatch;
 
 use crate::call::{CallEvent, CallResult, CallUpdate, ForwardedRequest, OutgoingCall, run_call};
 use crate::context::Context;
 use crate::delegated::{DelegationTimes, OutgoingDelegation, names_of, run_delegation};
 use crate::edge::{BackendProtocol, CallerProtocol, FullAnswer};
 use crate::merge::{Part, TakenPart};
+use crate::send_gate::SendGate;
 
 /// Maximum number of events received at once.
 const EVENT_BATCH: usize = 32;
@@ -36,6 +38,8 @@
     pub failed_answer: Option<FullAnswer>,
     /// When a partial answer was due.
     pub partial_at: Micros,
+    /// Whether a planned stop of this node ended the request before its own deadline.
+    pub is_limited_by_stop: bool,
     pub work: DriverWork,
 }
 
@@ -78,20 +82,23 @@
     bounds: RequestBounds,
 ) -> DriverResult {
     let target = (route.target_latency_ms > 0).then(|| Micros::from_millis(route.target_latency_ms));
-    let (usual, hedge_delay) = expected_times(context, &route.name, target);
-    let settings = fanout_settings(context, route, targets.len(), &bounds, hedge_delay);
+    let (usual_call, hedge_delay) = expected_times(context, &route.name, target);
+    let settings = fanout_settings(context, route, targets.len(), &bounds, usual_call, hedge_delay);
     let terms = delegation_terms(route, target, &settings);
     let fanout = Fanout::new(settings, targets)
         .with_tenant(context.tenant_of(&request.headers))
         .with_delegations(delegations);
-    let mut run = RunningRequest::start(context, fanout, request, usual, terms);
-    run.run_until(Micros::MAX).await;
+    let mut run = RunningRequest::start(context, fanout, request, usual_call.total, terms);
+    while !run.is_finished() {
+        run.run_until_stop(Micros::MAX).await;
+    }
     let outcome = run.fanout.outcome().expect("an unlimited run ends with an outcome");
     DriverResult {
         outcome,
         parts: run.take_parts(),
         failed_answer: run.failed_answer.take(),
         partial_at: settings.partial_at,
+        is_limited_by_stop: run.fanout.is_limited_by_stop(),
         work: std::mem::take(&mut run.work),
     }
 }
@@ -125,12 +132,12 @@
     Micros((target.unwrap_or(DEFAULT_TARGET_LATENCY).0.min(half) as f64 * fraction) as u64)
 }
 
-/// The typical duration of calls on a route, and the delay after which a call is hedged.
+/// The typical durations of calls on a route, and the delay after which a call is hedged.
 pub fn expected_times<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     route: &str,
     target: Option<Micros>,
-) -> (Micros, Micros) {
+) -> (CallDurations, Micros) {
     let now = context.clock().now();
     let mut dispatch = context.dispatch.lock();
     if !dispatch.latencies.contains_key(route) {
@@ -145,6 +152,7 @@
     route: &Route,
     shards: usize,
     bounds: &RequestBounds,
+    usual_call: CallDurations,
     hedge_delay: Micros,
 ) -> FanoutSettings {
     let target = (route.target_latency_ms > 0).then(|| Micros::from_millis(route.target_latency_ms));
@@ -172,6 +180,7 @@
             Repeatability::AtMostOnce => Micros::MAX,
         },
         gatherer_timeout: fraction_of(target, bounds, GATHERER_TIMEOUT_FRACTION),
+        usual_call,
     }
 }
 
@@ -186,6 +195,39 @@
     received_at.plus(target.since(return_latency.plus(lag)))
 }
 
+/// What a request needs to cancel one of its calls.
+struct CallHandle {
+    /// Dropped to abandon the call.
+    abandon: Option<oneshot::Sender<()>>,
+    /// None for a delegation, which counts as sent from the start.
+    gate: Option<Arc<SendGate>>,
+}
+
+/// Handles of a request's calls, by call number.
+struct CallHandles(Vec<CallHandle>);
+
+impl CallHandles {
+    /// Abandons a call, which is not sent any more if it has not been.
+    fn abandon(&mut self, call: CallNumber) {
+        let handle = &mut self.0[call.0 as usize];
+        if let Some(gate) = &handle.gate {
+            gate.try_withdraw();
+        }
+        handle.abandon = None;
+    }
+}
+
+impl UnsentCalls for CallHandles {
+    fn withdraw(&mut self, call: CallNumber) -> bool {
+        let handle = &mut self.0[call.0 as usize];
+        let withdrawn = handle.gate.as_ref().is_some_and(|gate| gate.try_withdraw());
+        if withdrawn {
+            handle.abandon = None;
+        }
+        withdrawn
+    }
+}
+
 /// A request in progress. Dropping it abandons its calls.
 pub struct RunningRequest<C: CallerProtocol, B: BackendProtocol> {
     context: Arc<Context<C, B>>,
@@ -198,8 +240,8 @@
     receiver: mpsc::UnboundedReceiver<CallEvent>,
     parts: Vec<TakenPart>,
     failed_answer: Option<FullAnswer>,
-    /// By call number. Dropping a sender abandons its call.
-    abandon_senders: Vec<Option<oneshot::Sender<()>>>,
+    calls: CallHandles,
+    stop: StopWatch,
     /// By call number: the replica or node called.
     call_targets: Vec<String>,
     work: DriverWork,
@@ -227,28 +269,46 @@
             receiver,
             parts: Vec::with_capacity(shards),
             failed_answer: None,
-            abandon_senders: Vec::with_capacity(shards),
+            calls: CallHandles(Vec::with_capacity(shards)),
+            stop: context.node.lifecycle.watch_stop(),
             call_targets: Vec::with_capacity(shards),
             work: DriverWork::default(),
         };
+        run.note_stop();
         run.step(|fanout, fanout_context| fanout.start(fanout_context));
         run
     }
 
-    /// Runs until the request has ended or `moment` is reached.
-    pub async fn run_until(&mut self, moment: Micros) {
+    /// Passes the limit of a planned stop to the state machine, once. Returns whether the stop has just begun.
+    fn note_stop(&mut self) -> bool {
+        let Some(times) = self.stop.take_begun().filter(|_| self.context.mechanisms.stop_answers) else {
+            return false;
+        };
+        self.step(|fanout, fanout_context| fanout.on_stop(times.answer_by, fanout_context));
+        true
+    }
+
+    /// Runs until the request has ended, `moment` is reached or a planned stop begins.
+    pub async fn run_until_stop(&mut self, moment: Micros) {
         let mut events = Vec::with_capacity(EVENT_BATCH);
         while !self.is_finished() && self.context.clock().now() < moment {
             let wake = self.context.clock().instant(self.fanout.next_wake().min(moment));
             let received = self.receiver.recv_many(&mut events, EVENT_BATCH);
-            // The result is irrelevant: events and the clock are checked below.
-            let _ = tokio::time::timeout_at(wake, received).await;
+            // The result is irrelevant: events, the clock and the stop are checked below.
+            tokio::select! {
+                biased;
+                _ = tokio::time::timeout_at(wake, received) => {}
+                () = self.stop.begun() => {}
+            }
             for event in events.drain(..) {
                 self.take(event);
             }
             if self.context.clock().now() >= self.fanout.next_wake() {
                 self.step(|fanout, fanout_context| fanout.on_wake(fanout_context));
             }
+            if self.note_stop() {
+                return;
+            }
         }
     }
 
@@ -321,6 +381,7 @@
                     now,
                     random: &mut self.random,
                     actions: &mut actions,
+                    unsent: &mut self.calls,
                 },
             )
         };
@@ -333,17 +394,22 @@
                 FanoutAction::Delegate { call, delegated, spares } => {
                     self.delegate(call, delegated, spares, now);
                 }
-                FanoutAction::Abandon { call } => self.abandon_senders[call.0 as usize] = None,
+                FanoutAction::Abandon { call } => self.calls.abandon(call),
             }
         }
         result
     }
 
     /// Registers a call that is about to be made. The returned receiver resolves when the call is abandoned.
-    fn open_call(&mut self, call: CallNumber, target: String) -> oneshot::Receiver<()> {
+    fn open_call(
+        &mut self,
+        call: CallNumber,
+        target: String,
+        gate: Option<Arc<SendGate>>,
+    ) -> oneshot::Receiver<()> {
         let (abandon, abandoned) = oneshot::channel();
-        debug_assert_eq!(self.abandon_senders.len(), call.0 as usize);
-        self.abandon_senders.push(Some(abandon));
+        debug_assert_eq!(self.calls.0.len(), call.0 as usize);
+        self.calls.0.push(CallHandle { abandon: Some(abandon), gate });
         self.call_targets.push(target);
         abandoned
     }
@@ -355,7 +421,8 @@
         let key = self.context.next_call();
         self.context.dispatch.lock().table.sent(replica, key, self.usual, now);
         self.work.calls += 1;
-        let abandoned = self.open_call(call, replica.to_string());
+        let gate = Arc::new(SendGate::default());
+        let abandoned = self.open_call(call, replica.to_string(), Some(gate.clone()));
         let outgoing = OutgoingCall {
             number: call,
             key,
@@ -365,6 +432,7 @@
             usual: self.usual,
             deadline: self.fanout.deadline(),
             abandoned,
+            gate,
             events: self.events.clone(),
         };
         tokio::spawn(run_call(self.context.clone(), outgoing));
@@ -383,7 +451,7 @@
         self.context.dispatch.lock().gatherers.sent(&delegated.gatherer, key, gatherer_timeout, now);
         self.work.gatherers += 1;
         self.work.delegated_shards += delegated.shards.len() as u32;
-        let abandoned = self.open_call(call, delegated.gatherer.to_string());
+        let abandoned = self.open_call(call, delegated.gatherer.to_string(), None);
         let outgoing = OutgoingDelegation {
             number: call,
             key,
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -10,7 +10,8 @@
 use tokio::task::JoinHandle;
 
 use sablebay_config::GatewaySettings;
-use sablebay_node::{ConnectionLimits, ListenerPhase, Node, serve_http, serve_http_within};
+use sablebay_model::Micros;
+use sablebay_node::{Clock, ConnectionLimits, ListenerPhase, Node, StopTimes, serve_http, serve_http_within};
 
 use crate::catalogue_reader::{follow_source, install_changes};
 use crate::context::Context;
@@ -27,7 +28,7 @@
 use crate::warm_up::warm_up;
 
 /// How long idle connections stay open after the listener has closed.
-const IDLE_GRACE: Duration = Duration::from_millis(700);
+const IDLE_GRACE: Micros = Micros::from_millis(700);
 
 /// The bound addresses of a gateway's listeners.
 #[derive(Clone, Debug, Serialize)]
@@ -36,12 +37,15 @@
     pub readiness_address: SocketAddr,
 }
 
-/// A running gateway. Dropping it aborts its tasks; [`Gateway::stop`] shuts it down gracefully.
+/// A running gateway. Dropping it aborts its tasks; [`Gateway::stop`] stops it gracefully.
 pub struct Gateway {
     pub addresses: GatewayAddresses,
     settings: GatewaySettings,
     mechanisms: GatewayMechanisms,
+    clock: Clock,
     reload: Reload,
+    /// How requests ended in the planned stop, for the log.
+    summary: Box<dyn Fn() -> String + Send + Sync>,
     tasks: Vec<JoinHandle<()>>,
     callers: Option<JoinHandle<()>>,
     phase: watch::Sender<ListenerPhase>,
@@ -133,6 +137,8 @@
             reloaded.settings.store(Arc::new(settings));
             reloaded.fleet.lock().census.replace_seeds(seeds.iter().copied());
         });
+        let summarized = context.clone();
+        let summary = Box::new(move || summarized.metrics.stop_summary());
         let limiting = context.clone();
         let limits = move || connection_limits(&limiting.view.load());
         let callers =
@@ -143,7 +149,9 @@
             addresses,
             settings,
             mechanisms,
+            clock: node.shared.clock,
             reload,
+            summary,
             tasks,
             callers: Some(callers),
             phase,
@@ -156,33 +164,58 @@
         (self.reload)(settings, seeds);
     }
 
-    /// Shuts the gateway down gracefully. The node must already be marked as draining, so that readiness
-    /// fails and every response carries `Connection: close`. New connections are accepted during the linger
-    /// period, then the listener closes, in-flight requests finish and idle connections are closed.
-    /// Returns `false` if requests were cut off.
-    pub async fn stop(mut self) -> bool {
-        let Some(callers) = self.callers.take() else {
-            return true;
-        };
-        if !self.mechanisms.planned_stop {
-            callers.abort();
-            return false;
-        }
-        let mut callers = std::pin::pin!(callers);
-        let limit = Duration::from_millis(self.settings.stop_timeout_ms);
-        let linger = Duration::from_millis(self.settings.stop_linger_ms).min(limit);
-        tokio::time::sleep(linger).await;
-        self.phase.send_replace(ListenerPhase::Closed);
-        let grace = IDLE_GRACE.min(limit - linger);
-        if tokio::time::timeout(grace, callers.as_mut()).await.is_ok() {
-            return true;
+    /// Stops the gateway, except for responses that are still being written when answers are due. The planned stop of
+    /// the node must have begun, so that readiness fails and every response carries `Connection: close`. New
+    /// connections are accepted during the linger period, then the listener closes, requests in flight end and idle
+    /// connections are closed.
+    pub async fn stop(mut self, times: StopTimes) -> ClosingGateway {
+        if let Some(callers) = self.callers.as_mut() {
+            if self.mechanisms.planned_stop {
+                let linger = Micros::from_millis(self.settings.stop_linger_ms);
+                let clock = self.clock;
+                let closed_at = clock.now().plus(linger).min(times.answer_by);
+                let ended_at = closed_at.plus(IDLE_GRACE).min(times.answer_by);
+                tokio::time::sleep_until(clock.instant(closed_at)).await;
+                for (phase, until) in
+                    [(ListenerPhase::Closed, ended_at), (ListenerPhase::Ended, times.answer_by)]
+                {
+                    self.phase.send_replace(phase);
+                    if tokio::time::timeout_at(clock.instant(until), &mut *callers).await.is_ok() {
+                        self.callers = None;
+                        break;
+                    }
+                }
+            } else {
+                callers.abort();
+            }
         }
-        self.phase.send_replace(ListenerPhase::Ended);
-        let finished = tokio::time::timeout(limit - linger - grace, callers.as_mut()).await.is_ok();
+        ClosingGateway { gateway: self, times }
+    }
+}
+
+/// A gateway whose remaining connections are writing their last responses.
+pub struct ClosingGateway {
+    gateway: Gateway,
+    times: StopTimes,
+}
+
+impl ClosingGateway {
+    /// Waits until the last responses are written, at most until the end of the stop. Returns `false` if connections
+    /// were cut.
+    pub async fn close(mut self) -> bool {
+        let until = self.gateway.clock.instant(self.times.end_at);
+        let finished = match self.gateway.callers.as_mut() {
+            None => true,
+            Some(_) if !self.gateway.mechanisms.planned_stop => false,
+            Some(callers) => tokio::time::timeout_at(until, callers).await.is_ok(),
+        };
         if !finished {
-            callers.abort();
             log::warn!("stop: requests were still in flight at the end of the time allowed.");
         }
+        log::info!(
+            "stop: the gateway has stopped; requests limited by the stop: {}.",
+            (self.gateway.summary)()
+        );
         finished
     }
 }
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -93,7 +93,7 @@
         wanted_at: now.plus(Micros(partial.wanted_us).since(lag)),
         deadline: now.plus(Micros(partial.limit_us)),
     };
-    let (usual, hedge_delay) = expected_times(context, &partial.route, target);
+    let (usual_call, hedge_delay) = expected_times(context, &partial.route, target);
     let settings = FanoutSettings {
         repeatability: Repeatability::Repeatable,
         maximum_attempts: partial.maximum_attempts.max(1),
@@ -105,6 +105,7 @@
         report_at: times.deadline,
         hedge_delay,
         gatherer_timeout: Micros::MAX,
+        usual_call,
     };
     if let Some(notice) = &partial.quarantine {
         context.node.quarantine.merge_notices(from.node.as_str(), std::slice::from_ref(notice), false, now);
@@ -116,18 +117,20 @@
         fanout = fanout.continuing();
     }
     let request = Arc::new(request);
-    let mut run = RunningRequest::start(context, fanout, request.clone(), usual, None);
+    let mut run = RunningRequest::start(context, fanout, request.clone(), usual_call.total, None);
     let mut reported = GatherProgress::new(partial.shards.len(), partial.top as usize, crowded);
-    run.run_until(times.progress_at).await;
-    if !run.is_finished() {
-        progress.send(reported.part(context, &request, &mut run)).await;
-        run.run_until(times.wanted_at).await;
-    }
-    if !run.is_finished() {
-        // Sent even without answers: the root abandons a gatherer that hasn't reported when the answer is
-        // due.
+    // Reports are sent even without answers: the root abandons a gatherer that hasn't reported when the answer is due.
+    for report_at in [times.progress_at, times.wanted_at, Micros::MAX] {
+        run.run_until_stop(report_at).await;
+        while !run.is_finished() && context.clock().now() < report_at {
+            // A stop has begun. The root is told at once which shards it must get elsewhere.
+            progress.send(reported.part(context, &request, &mut run)).await;
+            run.run_until_stop(report_at).await;
+        }
+        if run.is_finished() {
+            break;
+        }
         progress.send(reported.part(context, &request, &mut run)).await;
-        run.run_until(Micros::MAX).await;
     }
     let last = reported.part(context, &request, &mut run);
     context.metrics.work(run.work());
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -20,7 +20,8 @@
 use crate::driver::{DriverResult, DriverWork, RequestBounds, drive};
 use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, Refusal};
 use crate::merge::merge;
-use crate::request_body::read_request;
+use crate::metrics::StopEnding;
+use crate::request_body::{BodyFailure, read_request};
 use crate::request_log::{self, Crowding, RequestRecord};
 use crate::routing_view::RoutingView;
 use crate::start_delay::retry_during_start;
@@ -35,6 +36,9 @@
 /// Retry delay after every replica rejected the request.
 const REJECTED_RETRY: Duration = Duration::from_millis(150);
 
+/// Retry delay of requests refused because the node stops. Another node may serve them at once, but load balancers may
+/// not know of the stop yet.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
 /// Retry delay when no replica is available. A replica whose entry was lost registers again within about
 /// two heartbeats.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(2_000);
@@ -166,8 +170,9 @@
     let caller_deadline = record.received_at.plus(timeout);
     let limit = routes.configuration().limits.body_bytes;
     let body_deadline = context.clock().instant(bounds.deadline);
-    let read = read_request(request, caller, &route, limit, caller_deadline, body_deadline).await;
-    let forwarded = match read {
+    let reading = read_request(request, caller, &route, limit, caller_deadline, body_deadline);
+    let read = context.node.lifecycle.before_stop(context.clock(), reading).await;
+    let forwarded = match read.unwrap_or(Err(BodyFailure::Stopped)) {
         Ok(mut forwarded) => {
             if context.mechanisms.identity {
                 context.callers.identify(&mut forwarded.headers, identity.identity());
@@ -175,6 +180,9 @@
             forwarded
         }
         Err(failure) => {
+            if failure == BodyFailure::Stopped {
+                context.metrics.stopped(StopEnding::NotRun);
+            }
             return Served::refused(refuse(context, record, failure.refusal(), failure.reason()));
         }
     };
@@ -250,8 +258,15 @@
     result: DriverResult,
     held_back: Option<Micros>,
 ) -> http::Response<Full<Bytes>> {
-    let DriverResult { outcome, parts, failed_answer, partial_at, work } = result;
+    let DriverResult { outcome, parts, failed_answer, partial_at, is_limited_by_stop, work } = result;
     context.metrics.work(&work);
+    let stop_ending = StopEnding::of(outcome).filter(|_| is_limited_by_stop);
+    if let Some(ending) = stop_ending {
+        context.metrics.stopped(ending);
+        if ending != StopEnding::Answered {
+            request_log::stopped(context, &record, ending, &work);
+        }
+    }
     let refusal = match outcome {
         FanoutOutcome::Answered { missing } => {
             request_log::answered(context, &record, missing, &work);
@@ -265,6 +280,9 @@
         FanoutOutcome::NotRun | FanoutOutcome::Expired { may_have_run: false } if held_back.is_some() => {
             Refusal::HeldBack { retry_after: held_back.unwrap_or_default().as_duration() }
         }
+        FanoutOutcome::NotRun | FanoutOutcome::Expired { may_have_run: false } if is_limited_by_stop => {
+            Refusal::NotRun { retry_after: STOPPING_RETRY }
+        }
         FanoutOutcome::NotRun => {
             let has_no_replica = work.calls == 0 && work.gatherers == 0;
             Refusal::NotRun { retry_after: if has_no_replica { NO_REPLICA_RETRY } else { REJECTED_RETRY } }
@@ -278,7 +296,9 @@
     };
     context.metrics.refused(refusal);
     record.tenant.iter().for_each(|tenant| context.node.callers.failed(tenant.as_str()));
-    request_log::refused(context, &record, refusal, "too few shards answered", &work);
+    if stop_ending.is_none() {
+        request_log::refused(context, &record, refusal, "too few shards answered", &work);
+    }
     match (failed_answer, &route.destination) {
         (Some(answer), Destination::Services(_)) if refusal == Refusal::Unknown => {
             context.callers.relayed(answer)
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod request_digest_tests;
 mod request_log;
 mod routing_view;
+mod send_gate;
 mod start_delay;
 #[cfg(test)]
 mod start_delay_tests;
@@ -57,5 +58,5 @@
 
 pub use authentication::key_digester;
 pub use error::GatewayError;
-pub use gateway::{Gateway, GatewayAddresses};
+pub use gateway::{ClosingGateway, Gateway, GatewayAddresses};
 pub use mechanisms::GatewayMechanisms;
--- a/crates/sablebay-gateway/src/mechanisms.rs
+++ b/crates/sablebay-gateway/src/mechanisms.rs
@@ -23,6 +23,8 @@
     pub configuration: bool,
     /// Finishes in-flight requests on a graceful stop. Off: they are aborted.
     pub planned_stop: bool,
+    /// Ends requests in time to answer them before a planned stop ends. Off: only their own deadlines end them.
+    pub stop_answers: bool,
     /// Quarantines requests that crash back ends. Off: they are sent like others.
     pub quarantine: bool,
     /// Authenticates callers by API key. Off: every caller is taken for the first tenant.
@@ -53,6 +55,7 @@
             pinning: true,
             configuration: true,
             planned_stop: true,
+            stop_answers: true,
             quarantine: true,
             authentication: true,
             identity: true,
@@ -66,7 +69,7 @@
 
 impl GatewayMechanisms {
     /// The mechanisms that can be disabled by name.
-    pub const NAMES: [&'static str; 15] = [
+    pub const NAMES: [&'static str; 16] = [
         "correlation",
         "coverage",
         "at-most-once",
@@ -76,6 +79,7 @@
         "pinning",
         "configuration",
         "planned-stop",
+        "stop-answers",
         "quarantine",
         "authentication",
         "identity",
@@ -97,6 +101,7 @@
             "pinning" => &mut mechanisms.pinning,
             "configuration" => &mut mechanisms.configuration,
             "planned-stop" => &mut mechanisms.planned_stop,
+            "stop-answers" => &mut mechanisms.stop_answers,
             "quarantine" => &mut mechanisms.quarantine,
             "authentication" => &mut mechanisms.authentication,
             "identity" => &mut mechanisms.identity,
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
+use derive_more::Display;
 use parking_lot::Mutex;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -10,7 +11,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use sablebay_dispatch::LOWEST_RANK;
+use sablebay_dispatch::{FanoutOutcome, LOWEST_RANK};
 use sablebay_model::Micros;
 
 use crate::driver::DriverWork;
@@ -31,6 +32,49 @@
     pub beyond_equal_part: &'static str,
 }
 
+/// How a request ended that a planned stop of this node gave less time than its deadline.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StopEnding {
+    /// In time.
+    #[display("answered")]
+    Answered,
+    /// With the shards that had answered.
+    #[display("answered in part")]
+    Partial,
+    /// Refused: no back end ran it.
+    #[display("not run")]
+    NotRun,
+    /// Sent to a back end that had not answered when the response was due.
+    #[display("unanswered")]
+    Unanswered,
+}
+
+impl StopEnding {
+    const ALL: [Self; 4] = [Self::Answered, Self::Partial, Self::NotRun, Self::Unanswered];
+
+    /// The ending for an outcome; `None` if a back end failed, in which the stop had no part.
+    pub fn of(outcome: FanoutOutcome) -> Option<Self> {
+        match outcome {
+            FanoutOutcome::Answered { missing: 0 } => Some(Self::Answered),
+            FanoutOutcome::Answered { .. } => Some(Self::Partial),
+            FanoutOutcome::NotRun | FanoutOutcome::Expired { may_have_run: false } => Some(Self::NotRun),
+            FanoutOutcome::Expired { may_have_run: true } => Some(Self::Unanswered),
+            FanoutOutcome::Unknown => None,
+        }
+    }
+
+    /// The value of the metric's label.
+    fn label(self) -> OutcomeLabel {
+        let outcome = match self {
+            Self::Answered => "answered",
+            Self::Partial => "answered_in_part",
+            Self::NotRun => "not_run",
+            Self::Unanswered => "unanswered",
+        };
+        OutcomeLabel { outcome }
+    }
+}
+
 /// Maximum number of log lines about requests in a second.
 const LINES_PER_SECOND: u64 = 10;
 
@@ -100,6 +144,7 @@
     /// while peers fail.
     pub configuration_age: Histogram,
     requests: Family<OutcomeLabel, Counter>,
+    stop_endings: Family<OutcomeLabel, Counter>,
     crowding_refusals: Family<CrowdingLabel, Counter>,
     /// Quota accounts that this node owns.
     pub accounts: Gauge,
@@ -140,6 +185,7 @@
             catalogue_age: Gauge::default(),
             configuration_age: Histogram::new(AGE_BUCKETS),
             requests: Family::default(),
+            stop_endings: Family::default(),
             crowding_refusals: Family::default(),
             accounts: Gauge::default(),
             fleet_share: Gauge::default(),
@@ -183,6 +229,19 @@
         self.requests.get_or_create(&OutcomeLabel { outcome: refusal_label(refusal) }).inc();
     }
 
+    /// Records how a request ended during a planned stop.
+    pub fn stopped(&self, ending: StopEnding) {
+        self.stop_endings.get_or_create(&ending.label()).inc();
+    }
+
+    /// The number of requests by how they ended during the planned stop, as text for the log.
+    pub fn stop_summary(&self) -> String {
+        let count = |ending: StopEnding| {
+            format!("{ending}: {}", self.stop_endings.get_or_create(&ending.label()).get())
+        };
+        StopEnding::ALL.map(count).join(", ")
+    }
+
     /// Records a request refused because its shards are overloaded.
     pub fn refused_for_crowding(&self, rank: u32, beyond_equal_part: bool) {
         let label = CrowdingLabel {
@@ -233,6 +292,11 @@
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("gateway");
         registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register(
+            "stop_endings",
+            "Requests to which a planned stop left less time than their deadline, by how they ended",
+            self.stop_endings.clone(),
+        );
         registry.register(
             "crowding_refusals",
             "Requests refused because their shards are overloaded, by rank and by whether their tenant exceeded an equal share",
--- a/crates/sablebay-gateway/src/prepare_call.rs
+++ b/crates/sablebay-gateway/src/prepare_call.rs
@@ -22,7 +22,7 @@
     NoConnection,
     /// The replica was excluded after it had been chosen.
     Withheld(Withheld),
-    /// The deadline passed first.
+    /// The deadline passed first, or the request withdrew the call.
     Late,
 }
 
--- a/crates/sablebay-gateway/src/quota.rs
+++ b/crates/sablebay-gateway/src/quota.rs
@@ -114,7 +114,8 @@
         tenant: &TenantName,
         decided: oneshot::Receiver<Result<Token, Micros>>,
     ) -> Result<Token, Micros> {
-        if let Ok(Ok(decision)) = tokio::time::timeout(DECISION_TIMEOUT, decided).await {
+        let deciding = tokio::time::timeout(DECISION_TIMEOUT, decided);
+        if let Some(Ok(Ok(decision))) = self.node.lifecycle.before_stop(self.clock(), deciding).await {
             return decision;
         }
         let now = self.clock().now();
--- a/crates/sablebay-gateway/src/request_body.rs
+++ b/crates/sablebay-gateway/src/request_body.rs
@@ -26,6 +26,8 @@
     Truncated,
     /// The body did not arrive before the deadline.
     TimedOut,
+    /// The body did not arrive before the node stopped.
+    Stopped,
 }
 
 impl BodyFailure {
@@ -34,7 +36,9 @@
     pub fn refusal(self) -> Refusal {
         match self {
             BodyFailure::TooLong => Refusal::BodyTooLong,
-            BodyFailure::Truncated | BodyFailure::TimedOut => Refusal::NotRun { retry_after: BODY_RETRY },
+            BodyFailure::Truncated | BodyFailure::TimedOut | BodyFailure::Stopped => {
+                Refusal::NotRun { retry_after: BODY_RETRY }
+            }
         }
     }
 
@@ -44,6 +48,7 @@
             BodyFailure::TooLong => "the body exceeds the size limit",
             BodyFailure::Truncated => "the connection ended before the whole body arrived",
             BodyFailure::TimedOut => "the body did not arrive before the deadline",
+            BodyFailure::Stopped => "the body did not arrive before the node stopped",
         }
     }
 }
--- a/crates/sablebay-gateway/src/request_log.rs
+++ b/crates/sablebay-gateway/src/request_log.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use crate::driver::DriverWork;
 use crate::edge::{BackendProtocol, CallerProtocol, CallerRequest, Refusal};
+use crate::metrics::StopEnding;
 
 /// Details of a request for its log line.
 pub struct RequestRecord {
@@ -132,6 +133,31 @@
     );
 }
 
+/// Logs a request that a planned stop ended before it was answered in full.
+pub fn stopped<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    record: &RequestRecord,
+    ending: StopEnding,
+    work: &DriverWork,
+) {
+    let now = context.clock().now();
+    if !context.metrics.log_budget.take(now) {
+        return;
+    }
+    let answer_by = context.node.lifecycle.stop_times().map_or(now, |times| times.answer_by);
+    let waited_for = match ending {
+        StopEnding::NotRun if work.calls == 0 => "nothing",
+        StopEnding::NotRun => "a connection",
+        StopEnding::Answered | StopEnding::Partial | StopEnding::Unanswered => "a back end",
+    };
+    log::info!(
+        request = record.id(), route = record.route_name(), waited_for = waited_for,
+        held_ms = now.since(record.received_at).as_millis(), left_ms = answer_by.since(now).as_millis(),
+        calls = work.calls, gatherers = work.gatherers;
+        "stop: a request ended early: {ending}."
+    );
+}
+
 /// Logs a delegated request that was late or closed shards without an answer.
 pub fn gathered<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -285,6 +285,9 @@
     if let Err(refusal) = authorize(&shared, from, &headers) {
         return refusal_response(refusal);
     }
+    if shared.lifecycle.stop_times().is_some() {
+        return refusal_response(Refusal::not_run(Reason::Stopping, "the node is stopping"));
+    }
     if shared.lifecycle.is_draining() {
         log::info!("stop: the node takes work again.");
         shared.lifecycle.set_draining(false);
--- a/crates/sablebay-node/src/leaf_client/operation.rs
+++ b/crates/sablebay-node/src/leaf_client/operation.rs
@@ -10,6 +10,7 @@
 use sablebay_protocol::backend::{LeafOperation, LeafOperationAnswer, LeafRefusal, OPERATION_PATH};
 
 use super::LeafClient;
+use crate::lifecycle::Lifecycle;
 
 /// Maximum size of an operation's result.
 const MAXIMUM_RESULT_BYTES: usize = 1 << 20;
@@ -29,7 +30,7 @@
 }
 
 impl LeafClient {
-    /// Sends an operation and waits for its result until `deadline`.
+    /// Sends an operation and waits for its result until `deadline`, or until the answers are due in a planned stop.
     ///
     /// # Errors
     /// [`OperationFailure`], which tells whether the operation may have run.
@@ -39,6 +40,7 @@
         ticket: &str,
         operation: Box<RawValue>,
         deadline: Micros,
+        lifecycle: &Lifecycle,
     ) -> Result<Box<RawValue>, OperationFailure> {
         let context = &self.context;
         let until = context.clock.instant(deadline);
@@ -46,8 +48,9 @@
             let permit = context.pool.permit().await;
             context.pool.connect(permit).await
         };
-        let lease = tokio::time::timeout_at(until, connecting).await.ok().flatten();
-        let mut lease = lease.ok_or(OperationFailure::NotSent)?;
+        let connecting = tokio::time::timeout_at(until, connecting);
+        let connected = lifecycle.before_stop(context.clock, connecting).await;
+        let mut lease = connected.and_then(Result::ok).flatten().ok_or(OperationFailure::NotSent)?;
         let now = context.clock.now();
         if now >= deadline {
             return Err(OperationFailure::NotSent);
@@ -73,8 +76,9 @@
             let collected = limited.collect().await.map_err(|_| OperationFailure::NoResponse)?;
             Ok(collected.to_bytes())
         };
-        let exchanged = tokio::time::timeout_at(until, exchange).await;
-        let bytes = exchanged.map_err(|_| OperationFailure::NoResponse)??;
+        let exchanging = tokio::time::timeout_at(until, exchange);
+        let exchanged = lifecycle.before_stop(context.clock, exchanging).await;
+        let bytes = exchanged.and_then(Result::ok).ok_or(OperationFailure::NoResponse)??;
         context.pool.release(lease);
         read_result(call_id, &bytes)
     }
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -48,7 +48,7 @@
 pub use error::NodeError;
 pub use http_listener::{ListenerPhase, serve_http, serve_http_within};
 pub use leaf_client::{CallEvent, LeafClient, OutgoingSearch};
-pub use lifecycle::Lifecycle;
+pub use lifecycle::{Lifecycle, StopTimes, StopWatch};
 pub use logging::{LogControl, start_logging};
 pub use mechanisms::NodeMechanisms;
 pub use node::{BoundAddresses, Node};
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -29,7 +29,7 @@
 use crate::fleet_task::run_fleet;
 use crate::freshness::Freshness;
 use crate::http_listener::{ListenerPhase, serve_http};
-use crate::lifecycle::Lifecycle;
+use crate::lifecycle::{Lifecycle, StopTimes};
 use crate::load_poll::{local_versions, run_load_polls};
 use crate::logging::LogControl;
 use crate::mechanisms::NodeMechanisms;
@@ -138,34 +138,51 @@
         Ok(Node { addresses, shared, tasks, servers, listeners })
     }
 
+    /// Begins the planned stop: new work is refused, the leave is announced, and every request in flight is told when
+    /// its answer is due. Returns the times of the stop, which bound it together with that of the gateway.
+    pub fn begin_stop(&self) -> StopTimes {
+        start_draining(&self.shared);
+        let settings = &self.shared.settings;
+        let gateway_ms = settings.gateway.as_ref().map(|gateway| gateway.stop_timeout_ms);
+        let limit_ms =
+            gateway_ms.map_or(settings.stop_timeout_ms, |limit| limit.min(settings.stop_timeout_ms));
+        let times = StopTimes::new(self.shared.clock.now(), Micros::from_millis(limit_ms));
+        self.shared.lifecycle.begin_stop(times)
+    }
+
     /// Stops gracefully within a bounded time: refuses new work, announces the leave, and finishes requests in
     /// flight. Returns whether all of them finished.
     pub async fn stop(mut self) -> bool {
-        start_draining(&self.shared);
-        let limit = Duration::from_millis(self.shared.settings.stop_timeout_ms);
-        let finished = if self.shared.mechanisms.wait_at_stop {
-            let lifecycle = &self.shared.lifecycle;
-            let finishing = async {
-                lifecycle.wait_idle().await;
-                tokio::time::sleep(LINGER).await;
-                lifecycle.wait_idle().await;
-            };
-            tokio::time::timeout(limit, finishing).await.is_ok()
-        } else {
-            false
-        };
+        let times = self.begin_stop();
+        if self.shared.mechanisms.wait_at_stop {
+            self.finish_requests(times).await;
+        }
         let cut = self.shared.lifecycle.in_flight();
         let servers = std::mem::take(&mut self.servers);
         if self.shared.mechanisms.wait_at_stop {
-            self.close_listeners(servers).await;
+            self.close_listeners(servers, times).await;
         }
         log_traffic(&self.shared);
         log::info!("stop: the node stops; {cut} requests were in flight.");
-        finished
+        self.shared.mechanisms.wait_at_stop && cut == 0
+    }
+
+    /// Waits until no request has been in flight for [`LINGER`]. Leaves half of the time after the answers are due for
+    /// closing the listeners.
+    async fn finish_requests(&self, times: StopTimes) {
+        let Shared { lifecycle, clock, .. } = &*self.shared;
+        let finishing = async {
+            lifecycle.wait_idle().await;
+            tokio::time::sleep(LINGER).await;
+            lifecycle.wait_idle().await;
+        };
+        let until = times.answer_by.plus(Micros(times.end_at.since(times.answer_by).0 / 2));
+        // At the limit, the requests that are still in flight are counted.
+        let _ = tokio::time::timeout_at(clock.instant(until), finishing).await;
     }
 
     /// Closes the listeners, then their connections. See [`ListenerPhase`].
-    async fn close_listeners(&self, servers: Vec<JoinHandle<()>>) {
+    async fn close_listeners(&self, servers: Vec<JoinHandle<()>>, times: StopTimes) {
         let closing = async {
             for server in servers {
                 // A server that failed has nothing left to close.
@@ -173,7 +190,11 @@
             }
         };
         let mut closing = std::pin::pin!(closing);
-        for (phase, limit) in [(ListenerPhase::Closed, IDLE_GRACE), (ListenerPhase::Ended, CLOSE_TIMEOUT)] {
+        let clock = self.shared.clock;
+        let left = times.end_at.since(clock.now()).as_duration();
+        let idle_grace = IDLE_GRACE.min(left / 2);
+        let close_timeout = CLOSE_TIMEOUT.min(left - idle_grace);
+        for (phase, limit) in [(ListenerPhase::Closed, idle_grace), (ListenerPhase::Ended, close_timeout)] {
             self.listeners.send_replace(phase);
             if tokio::time::timeout(limit, closing.as_mut()).await.is_ok() {
                 return;
--- a/crates/sablebay-node/src/operation.rs
+++ b/crates/sablebay-node/src/operation.rs
@@ -19,7 +19,7 @@
 
 use crate::leaf_client::OperationFailure;
 use crate::peers::{Lane, PeerFailure};
-use crate::root_search::{confirm, find_service, stopping};
+use crate::root_search::{before_stop, confirm, find_service, stopping};
 use crate::service_state::ServiceState;
 use crate::shared::Shared;
 
@@ -100,7 +100,8 @@
         None => (mint_ticket(shared, &settings), true),
         Some(ticket) => (ticket, false),
     };
-    let permit = state.admit(shared.clock, deadline).await;
+    let admitting = before_stop(shared, state.admit(shared.clock, deadline)).await;
+    let permit = admitting.map_err(|refusal| not_claimed(refusal, minted_here, &ticket))?;
     let _permit = permit.map_err(|retry_after_ms| {
         let refusal = Refusal::not_run(Reason::Overloaded, "the service has no free slot");
         not_claimed(refusal.retry_after(retry_after_ms), minted_here, &ticket)
@@ -261,11 +262,15 @@
                 "the deadline passed before the operation was dispatched",
             ));
         }
+        if shared.lifecycle.stop_times().is_some_and(|times| now >= times.answer_by) {
+            return Err(stopping(shared));
+        }
         let Some(client) = shared.known_leaf_client(&leaf) else {
             continue;
         };
         let id = ticket.id.to_string();
-        match client.operation(&ticket.service, &id, operation.clone(), deadline).await {
+        let lifecycle = &shared.lifecycle;
+        match client.operation(&ticket.service, &id, operation.clone(), deadline, lifecycle).await {
             Ok(result) => return Ok(result),
             Err(OperationFailure::NotSent) => {
                 state.fail_leaf(&leaf, shared.clock.now());
--- a/crates/sablebay-node/src/partial_search.rs
+++ b/crates/sablebay-node/src/partial_search.rs
@@ -26,7 +26,10 @@
     let Ok(query) = RawValue::from_string(partial.query) else {
         return refuse(Reason::BadRequest, "the query is not valid JSON");
     };
-    ensure_versions(shared, &service, deadline).await;
+    let asking = ensure_versions(shared, &service, deadline);
+    if shared.lifecycle.before_stop(shared.clock, asking).await.is_none() {
+        return refuse(Reason::Stopping, "the node is stopping");
+    }
     let settings = shared.configuration().and_then(|c| c.services.get(&partial.service).cloned());
     let outgoing = Arc::new(OutgoingSearch {
         service: partial.service,
--- a/crates/sablebay-node/src/root_search.rs
+++ b/crates/sablebay-node/src/root_search.rs
@@ -79,6 +79,14 @@
     refusal.retry_after(retry_ms)
 }
 
+/// Waits for a step that precedes the first call to a back end, but no longer than a planned stop allows.
+///
+/// # Errors
+/// The refusal of a node that stops.
+pub(crate) async fn before_stop<T>(shared: &Shared, step: impl Future<Output = T>) -> Result<T, Refusal> {
+    shared.lifecycle.before_stop(shared.clock, step).await.ok_or_else(|| stopping(shared))
+}
+
 /// Returns the state and settings of a service, or a refusal if the node is not ready.
 pub(crate) fn find_service(
     shared: &Arc<Shared>,
@@ -132,7 +140,8 @@
     input: &QueryInput,
     deadline: Micros,
 ) -> Result<SearchResult, Refusal> {
-    let permit = state.admit(shared.clock, deadline).await;
+    let admitting = state.admit(shared.clock, deadline);
+    let permit = before_stop(shared, admitting).await?;
     let _permit = permit.map_err(|retry_after_ms| {
         let refusal = Refusal::not_run(Reason::Overloaded, "the service has no free slot");
         refusal.retry_after(retry_after_ms)
@@ -147,10 +156,10 @@
     });
     let request = SearchRequest { deadline, limit: input.limit, order: input.sort, may_replan: true };
     let route = if state.uses_peers() {
-        ensure_peer_versions(shared, state, deadline).await;
+        before_stop(shared, ensure_peer_versions(shared, state, deadline)).await?;
         state.peer_route()
     } else {
-        ensure_versions(shared, state, deadline).await;
+        before_stop(shared, ensure_versions(shared, state, deadline)).await?;
         state.direct_route()
     };
     let (plan, version) = {
--- a/crates/sablebay-node/src/search_driver.rs
+++ b/crates/sablebay-node/src/search_driver.rs
@@ -74,13 +74,20 @@
     driver.perform(&mut actions);
     let mut guard = AbandonOnDrop { search: Some(search), driver };
     let mut events = Vec::with_capacity(EVENTS_PER_STEP);
+    let mut stop = shared.lifecycle.watch_stop();
     loop {
         let (search, driver) = guard.parts();
         if search.is_finished() {
             break;
         }
         let wake = shared.clock.instant(search.next_wake());
-        let received = tokio::time::timeout_at(wake, receiver.recv_many(&mut events, EVENTS_PER_STEP)).await;
+        let receiving = receiver.recv_many(&mut events, EVENTS_PER_STEP);
+        // The result is irrelevant: events, the clock and the stop are checked below.
+        tokio::select! {
+            biased;
+            _ = tokio::time::timeout_at(wake, receiving) => {}
+            () = stop.begun() => {}
+        }
         let now = shared.clock.now();
         {
             let routing = &mut route.routing.lock();
@@ -89,7 +96,10 @@
                 driver.note_draining(&event);
                 apply_event(search, event, &mut context);
             }
-            if received.is_err() || now >= search.next_wake() {
+            if let Some(times) = stop.take_begun() {
+                search.on_stop(times.answer_by, &mut context);
+            }
+            if now >= search.next_wake() {
                 search.on_wake(&mut context);
             }
         }
--- a/crates/sablebay-query/src/search.rs
+++ b/crates/sablebay-query/src/search.rs
@@ -348,6 +348,12 @@
         }
     }
 
+    /// Moves the deadline forward to `answer_by`, the last moment at which a stopping node can answer.
+    pub fn on_stop<R: Rng>(&mut self, answer_by: Micros, context: &mut SearchContext<'_, R>) {
+        self.request.deadline = self.request.deadline.min(answer_by);
+        self.on_wake(context);
+    }
+
     /// Hedges late calls. At the deadline closes all open shards.
     pub fn on_wake<R: Rng>(&mut self, context: &mut SearchContext<'_, R>) {
         if self.finished {
--- a/crates/sablebay/src/command/serve.rs
+++ b/crates/sablebay/src/command/serve.rs
@@ -9,11 +9,11 @@
 
 use log::LevelFilter;
 use serde::Serialize;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use sablebay_config::{ConfigurationError, NodeSettings, node_flags, overrides_from_flags};
 use sablebay_gateway::{Gateway, GatewayAddresses, GatewayMechanisms, key_digester};
-use sablebay_node::{BoundAddresses, LogControl, Node, NodeMechanisms, start_draining, start_logging};
+use sablebay_node::{BoundAddresses, LogControl, Node, NodeMechanisms, start_logging};
 
 use sablebay_platform::{PlatformBackends, PlatformCallers, StoreCatalogue};
 
@@ -98,6 +98,14 @@
 }
 
 async fn serve(settings: NodeSettings, mut file: SettingsFile, ready_fd: Option<u32>) -> ExitCode {
+    // Installed first: until then, each of these signals ends the process.
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("sablebay: cannot install signal handlers: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let level: LevelFilter = settings.log_level.parse().unwrap_or(LevelFilter::Info);
     let log_control = match start_logging(level, settings.log_format, settings.log_target) {
         Ok(control) => control,
@@ -126,19 +134,27 @@
         eprintln!("sablebay: cannot write the bound addresses: {error}");
         return ExitCode::FAILURE;
     }
-    run_until_stopped(&node, gateway.as_ref(), &mut file, &log_control).await;
-    log::info!("stop: the planned stop begins.");
-    start_draining(&node.shared);
-    let gateway_finished = match gateway {
-        Some(gateway) => gateway.stop().await,
-        None => true,
-    };
-    let finished = node.stop().await && gateway_finished;
+    run_until_stopped(signals, &node, gateway.as_ref(), &mut file, &log_control).await;
+    let finished = stop(node, gateway).await;
     log::info!(whole = finished; "stop: the process ends.");
     log::logger().flush();
     if finished { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Runs the planned stop. Returns whether no request was cut.
+async fn stop(node: Node, gateway: Option<Gateway>) -> bool {
+    let times = node.begin_stop();
+    let left_ms = times.answer_by.since(node.shared.clock.now()).as_millis();
+    log::info!(in_flight = node.shared.lifecycle.in_flight(), left_ms = left_ms; "stop: the planned stop begins.");
+    let Some(gateway) = gateway else {
+        return node.stop().await;
+    };
+    // The node outlives the gateway, which needs its peers, until all answers are due.
+    let closing = gateway.stop(times).await;
+    let (gateway_finished, node_finished) = tokio::join!(closing.close(), node.stop());
+    gateway_finished && node_finished
+}
+
 /// Starts the gateway if the settings contain one.
 async fn start_gateway(node: &Node) -> Result<Option<Gateway>, sablebay_gateway::GatewayError> {
     let Some(settings) = node.shared.settings.gateway.clone() else {
@@ -171,25 +187,38 @@
     Ok(())
 }
 
+/// The signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers, which stay in place until the process ends: later signals are ignored.
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for SIGTERM or SIGINT. Reloads the settings on SIGHUP and when the file has changed.
 async fn run_until_stopped(
+    mut signals: Signals,
     node: &Node,
     gateway: Option<&Gateway>,
     file: &mut SettingsFile,
     log_control: &LogControl,
 ) {
-    let signals =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()));
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hang_up)) = signals else {
-        log::error!("node: signal handlers cannot be installed; the planned stop is not available.");
-        return std::future::pending().await;
-    };
     let mut poll = tokio::time::interval(POLL_INTERVAL);
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = hang_up.recv() => file.reload(node, gateway, log_control, true),
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hang_up.recv() => file.reload(node, gateway, log_control, true),
             _ = poll.tick() => file.reload(node, gateway, log_control, false),
         }
     }
--- a/crates/sablebay/tests/planned_stop.rs
+++ b/crates/sablebay/tests/planned_stop.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 
-use common::{EVENT_TIMEOUT, load_options, small_deployment, start};
-use sablebay_bench::{ProcessCluster, RunOptions, run_experiment};
-use sablebay_standin::run_load;
+use common::{DESK, EVENT_TIMEOUT, PORTAL, load_options, small_deployment, start, wait_for_report};
+use sablebay_bench::{NodeCommand, ProcessCluster, RunOptions, run_experiment};
+use sablebay_standin::{CORPUS, OperationOutcome, QueryOutcome, run_load};
+
+/// Deadline of requests that outlast a stop.
+const OUTLASTING_MS: u64 = 60_000;
 
 async fn wait_for_exit(node: &mut sablebay_bench::NodeProcess) -> std::process::ExitStatus {
     let started = std::time::Instant::now();
@@ -73,6 +76,32 @@
     assert_eq!((load.connections_lost, load.unknown, load.not_run), (0, 0, 0), "{load:?}");
 }
 
+/// Guards against a stop that closes the connections of callers whose back ends do not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn with_requests_that_outlast_it() {
+    let command = NodeCommand::with_break(None).expect("the binaries are built");
+    let flags = ["--log-level", "warn", "--stop-timeout-ms", "2000"];
+    let deployment = small_deployment("latency", 2_000.0);
+    let mut cluster =
+        ProcessCluster::start(command, deployment, 3, &flags).await.expect("the cluster starts");
+    cluster.leaves.leaves.values().for_each(|leaf| leaf.state.faults.lock().black_hole = true);
+    let client = cluster.nodes[0].client();
+    let query = |service| client.query(service, 7, 10, Some(OUTLASTING_MS), &CORPUS);
+    let calls =
+        async { tokio::join!(query(DESK), query(PORTAL), client.operation(DESK, None, Some(OUTLASTING_MS))) };
+    let stopping = async {
+        wait_for_report(&cluster, 0, "three requests in flight", |report| report.in_flight >= 3).await;
+        cluster.nodes[0].terminate();
+    };
+    let ((direct, gathered, operation), ()) = tokio::join!(calls, stopping);
+    for outcome in [direct, gathered] {
+        assert!(!matches!(outcome, QueryOutcome::ConnectionLost), "a query was cut");
+    }
+    assert!(matches!(operation, OperationOutcome::Unknown { reason: Some(_) }), "{operation:?}");
+    let (mut leaving, _proxy) = cluster.remove_node(0);
+    assert_eq!(wait_for_exit(&mut leaving).await.code(), Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn of_all_nodes_in_a_rolling_restart() {
     let options = RunOptions { scale: 0.5, ..RunOptions::default() };
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod quota;
 mod restored_store;
 mod revocation;
+mod stop_in_flight;
 mod store_eras;
 mod support;
 mod tenant_secrets;
--- /dev/null
+++ b/crates/sablebay/tests/platform/stop_in_flight.rs
@@ -0,0 +1,94 @@
+//! A planned stop with requests whose deadlines lie past it: each gets a complete answer that tells whether it may
+//! have run.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tokio::task::JoinHandle;
+
+use sablebay_platform_standin::{CallerAnswer, CallerCall, LeafBehaviour, StandInError};
+
+use crate::gathering::metric;
+use crate::support::{
+    Deployment, GATHER_PATH, HOST, NodeProcess, UNSAFE_PATH, configuration, eventually, settings_text,
+};
+
+/// Connections per replica from all nodes, of which a lone node uses few.
+const MAXIMUM_CONNECTIONS: u32 = 8;
+/// More than the node has connections for.
+const REQUESTS: usize = 12;
+/// Past the end of every stop here.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+
+type Call = JoinHandle<Result<CallerAnswer, StandInError>>;
+
+fn start_call(node: &NodeProcess, path: &str, id: &str) -> Call {
+    let caller = node.caller;
+    let call = CallerCall { timeout: CALLER_TIMEOUT, ..CallerCall::get(HOST, path, id) };
+    tokio::spawn(async move { caller.call(&call).await })
+}
+
+/// Starts a node that stops within 2 s.
+async fn start_node(deployment: &Deployment, name: &str) -> NodeProcess {
+    let settings = settings_text(name, deployment.store.address, &[])
+        .replace("stop_timeout_ms = 20000", "stop_timeout_ms = 2000");
+    let node = NodeProcess::start_with(&settings);
+    node.wait_ready().await;
+    node
+}
+
+async fn wait_until_in_flight(node: &NodeProcess, requests: usize) {
+    eventually("the node holds the requests", || async {
+        metric(node, "sablebay_in_flight") as usize >= requests
+    })
+    .await;
+}
+
+async fn complete_answer(call: Call) -> CallerAnswer {
+    call.await.expect("the task ends").expect("a complete answer")
+}
+
+/// Guards against a stop that closes connections whose requests wait at a back end or for a connection to one.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_outlast_a_stop_are_answered_by_whether_they_were_sent() {
+    let deployment = Deployment::start().await;
+    let mut narrow = configuration(2);
+    narrow.services.iter_mut().for_each(|service| service.maximum_connections = MAXIMUM_CONNECTIONS);
+    deployment.store.publish(&narrow);
+    let mut node = start_node(&deployment, "node-1").await;
+    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
+    let ids: Vec<String> = (0..REQUESTS).map(|number| format!("r-{number}")).collect();
+    let calls: Vec<Call> = ids.iter().map(|id| start_call(&node, UNSAFE_PATH, id)).collect();
+    wait_until_in_flight(&node, REQUESTS).await;
+    node.signal(Signal::TERM);
+    let (mut sent, mut unsent) = (0, 0);
+    for (id, call) in ids.iter().zip(calls) {
+        let answer = complete_answer(call).await;
+        if deployment.runs_of(id) == 0 {
+            unsent += 1;
+            assert_eq!(answer.status.as_u16(), 503, "{id} was sent to no back end");
+            assert!(answer.retry_after.is_some(), "{id} may be repeated at once");
+        } else {
+            sent += 1;
+            assert_eq!(answer.status.as_u16(), 504, "{id} may have run");
+        }
+    }
+    assert!(sent > 0 && unsent > 0, "{sent} requests were sent, {unsent} were not");
+    assert_eq!(node.exit_code().await, Some(0), "no request was cut");
+    assert!(ids.iter().all(|id| deployment.runs_of(id) <= 1), "nothing ran twice");
+}
+
+/// Guards against a stop that closes the connection of a gathered request instead of returning the shards it has.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gathered_request_that_outlasts_a_stop_returns_the_shards_that_answered() {
+    let deployment = Deployment::start().await;
+    let mut node = start_node(&deployment, "node-1").await;
+    deployment.shards[..2].iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
+    let call = start_call(&node, GATHER_PATH, "gathered");
+    wait_until_in_flight(&node, 1).await;
+    node.signal(Signal::TERM);
+    let answer = complete_answer(call).await;
+    crate::support::check_gathered(&answer, "gathered");
+    assert_eq!(answer.missing, 1);
+    assert_eq!(node.exit_code().await, Some(0), "no request was cut");
+}
--- a/crates/sablebay/tests/soak.rs
+++ b/crates/sablebay/tests/soak.rs
@@ -60,3 +60,9 @@
     let report = soak(7, Some("quota")).await;
     assert!(report.violations.iter().any(|violation| violation.promise == Promise::Quota));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_whose_stop_leaves_requests_unanswered_is_noticed() {
+    let report = soak(7, Some("stop-answers")).await;
+    assert!(report.violations.iter().any(|violation| violation.promise == Promise::PlannedStop));
+}
