The idle timeout does not run while a client takes an answer

Cause: a connection counts as idle from the moment at which the answer is ready, not from that at which it is written; the idle timeout then closes it, with 200 ms for the rest. Change: each part that the client takes starts the timeout anew.

Failed before: an_answer_that_is_read_slowly_arrives_whole (64 MB read for 4 s with an idle timeout of 2 s: "the answer was cut"). Passes now (4.1 s).

--- a/crates/sablebay-node/src/connection_limits.rs
+++ b/crates/sablebay-node/src/connection_limits.rs
@@ -1,7 +1,8 @@
 //! Idle and request head timeouts of callers' connections.
 //!
 //! hyper has a single timeout for both; here they are separate and may change while a connection
-//! is open. They do not apply while a request is served: its deadline bounds it.
+//! is open. They do not apply while a request is served: its deadline bounds it. The idle timeout starts anew with
+//! each part of an answer that the client takes.
 
 use std::io;
 use std::pin::Pin;
@@ -36,7 +37,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionState {
-    /// No byte of the next request has been received.
+    /// No byte of the next request has been received. The last answer may still be written.
     Idle { since: Instant },
     /// Part of a request head has been received.
     ReadingHead { since: Instant },
@@ -63,6 +64,12 @@
         }
     }
 
+    fn record_bytes_sent(&self) {
+        if let ConnectionState::Idle { since } = &mut *self.state.lock() {
+            *since = Instant::now();
+        }
+    }
+
     /// Marks a request as being served; the connection is idle again when the guard is dropped.
     pub fn serve(&self) -> ServingGuard {
         *self.state.lock() = ConnectionState::Serving;
@@ -108,7 +115,7 @@
     }
 }
 
-/// A TCP stream that records when bytes are received.
+/// A TCP stream that records when bytes are received and sent.
 #[derive(Debug)]
 pub struct ObservedStream {
     stream: TcpStream,
@@ -119,6 +126,14 @@
     pub fn new(stream: TcpStream, activity: ConnectionActivity) -> Self {
         Self { stream, activity }
     }
+
+    /// Records the result of a write.
+    fn observe_sent(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
+            self.activity.record_bytes_sent();
+        }
+        written
+    }
 }
 
 impl AsyncRead for ObservedStream {
@@ -142,7 +157,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.observe_sent(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -158,7 +174,8 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.observe_sent(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/sablebay-node/tests/http_listener.rs
+++ b/crates/sablebay-node/tests/http_listener.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::http::header;
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use sablebay_node::{ListenerPhase, serve_http};
+use sablebay_node::{ConnectionLimits, ListenerPhase, serve_http, serve_http_within};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: node\r\n\r\n";
 
@@ -80,3 +80,36 @@
     server.await.unwrap();
     assert_eq!(read_to_end(silent).await, "");
 }
+
+/// Large enough that the client's and the server's socket buffers cannot hold it.
+const LARGE_ANSWER_BYTES: usize = 64 << 20;
+
+/// Guards against the idle timeout running while a client reads a large answer slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_read_slowly_arrives_whole() {
+    const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let routes = Router::new().route("/", get(|| async { vec![7_u8; LARGE_ANSWER_BYTES] }));
+    let (_listeners, phase) = watch::channel(ListenerPhase::Open);
+    let limits = || ConnectionLimits { idle_timeout: IDLE_TIMEOUT, ..ConnectionLimits::default() };
+    tokio::spawn(serve_http_within(listener, routes, phase, limits));
+    let reading = tokio::task::spawn_blocking(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        let mut received = 0;
+        let mut buffer = vec![0; 1 << 20];
+        let started = Instant::now();
+        while received < LARGE_ANSWER_BYTES {
+            if started.elapsed() < 2 * IDLE_TIMEOUT {
+                std::thread::sleep(IDLE_TIMEOUT / 20);
+            }
+            match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => break,
+                Ok(length) => received += length,
+            }
+        }
+        received
+    });
+    assert!(reading.await.unwrap() >= LARGE_ANSWER_BYTES, "the answer was cut");
+}
