An early answer survives a request that is still being sent

What callers saw: a node that answers before it has read the whole request (a refusal, also in a planned stop) closed the connection with input unread. That resets the connection: the client's next write fails, and it may lose the answer.

Change: a connection that the server closes takes and discards input for up to 200 ms more, or until the client closes.

Failed before: an_answer_to_a_request_that_is_still_being_sent_arrives ("the server still takes the request: Broken pipe").

--- a/crates/sablebay-node/src/connection_limits.rs
+++ b/crates/sablebay-node/src/connection_limits.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,13 +119,21 @@
 /// A TCP stream that records when bytes are received and sent.
 #[derive(Debug)]
 pub struct ObservedStream {
-    stream: TcpStream,
+    stream: Option<TcpStream>,
     activity: ConnectionActivity,
+    /// Receives the stream when this wrapper is dropped.
+    released: Option<oneshot::Sender<TcpStream>>,
 }
 
 impl ObservedStream {
-    pub fn new(stream: TcpStream, activity: ConnectionActivity) -> Self {
-        Self { stream, activity }
+    /// Wraps a stream. The receiver returns it after the wrapper is dropped.
+    pub fn new(stream: TcpStream, activity: ConnectionActivity) -> (Self, oneshot::Receiver<TcpStream>) {
+        let (released, stream_back) = oneshot::channel();
+        (Self { stream: Some(stream), activity, released: Some(released) }, stream_back)
+    }
+
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.as_mut().expect("the stream is present until the drop"))
     }
 
     /// Records the result of a write.
@@ -136,6 +145,15 @@
     }
 }
 
+impl Drop for ObservedStream {
+    fn drop(&mut self) {
+        if let (Some(stream), Some(released)) = (self.stream.take(), self.released.take()) {
+            // Fails if the connection's task was aborted: the stream is closed at once.
+            let _ = released.send(stream);
+        }
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -143,7 +161,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = self.stream().poll_read(context, buffer);
         if buffer.filled().len() > before {
             self.activity.record_bytes_received();
         }
@@ -157,16 +175,16 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let written = self.stream().poll_write(context, bytes);
         self.observe_sent(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        self.stream().poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        self.stream().poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -174,11 +192,11 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        let written = self.stream().poll_write_vectored(context, buffers);
         self.observe_sent(written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.as_ref().is_some_and(TcpStream::is_write_vectored)
     }
 }
--- a/crates/sablebay-node/src/http_listener.rs
+++ b/crates/sablebay-node/src/http_listener.rs
@@ -12,6 +12,7 @@
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -26,6 +27,11 @@
 /// How long a connection that exceeded its limits may take to shut down gracefully.
 const EXPIRED_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a connection that the server closes still takes input, which is discarded. Closing a socket with unread
+/// input resets the connection, and the client may lose the answer.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
+
 /// The shutdown phase of a listener; it only advances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ListenerPhase {
@@ -100,13 +106,35 @@
     stream: TcpStream,
     from: SocketAddr,
     routes: Router,
-    mut phase: watch::Receiver<ListenerPhase>,
+    phase: watch::Receiver<ListenerPhase>,
     limits: L,
 ) {
     // Without the option the connection works, with higher latency.
     let _ = stream.set_nodelay(true);
     let activity = ConnectionActivity::new();
-    let stream = ObservedStream::new(stream, activity.clone());
+    let (stream, stream_back) = ObservedStream::new(stream, activity.clone());
+    serve_requests(stream, activity, from, routes, phase, limits).await;
+    if let Ok(stream) = stream_back.await {
+        discard_input(stream).await;
+    }
+}
+
+/// Reads until the client closes the connection or the time is up.
+async fn discard_input(mut stream: TcpStream) {
+    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    let discarding = async { while matches!(stream.read(&mut buffer).await, Ok(length) if length > 0) {} };
+    // The connection is closed in either case.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
+}
+
+async fn serve_requests<L: Fn() -> ConnectionLimits>(
+    stream: ObservedStream,
+    activity: ConnectionActivity,
+    from: SocketAddr,
+    routes: Router,
+    mut phase: watch::Receiver<ListenerPhase>,
+    limits: L,
+) {
     let routes = TowerToHyperService::new(routes);
     let served = activity.clone();
     let service = service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
--- a/crates/sablebay-node/tests/http_listener.rs
+++ b/crates/sablebay-node/tests/http_listener.rs
@@ -113,3 +113,21 @@
     });
     assert!(reading.await.unwrap() >= LARGE_ANSWER_BYTES, "the answer was cut");
 }
+
+/// Guards against a reset that destroys an early answer because part of the request was left unread.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_a_request_that_is_still_being_sent_arrives() {
+    const BODY_BYTES: usize = 1 << 20;
+    let (address, _listeners, _server) = start().await;
+    let mut stream = TcpStream::connect(address).unwrap();
+    let head = format!("GET / HTTP/1.1\r\nhost: node\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    // The answer has arrived, and the client, which has not read it, goes on sending.
+    while stream.peek(&mut [0]).unwrap_or(0) == 0 {
+        tokio::task::yield_now().await;
+    }
+    for part in [7; BODY_BYTES].chunks(BODY_BYTES / 8) {
+        stream.write_all(part).expect("the server still takes the request");
+    }
+    assert!(read_to_end(stream).await.ends_with("served"));
+}
