A stop gives a request up only as a whole, and only calls that exist

Two faults of the mend, found by its own tests before any landing: - a call that the machine chose in the same step in which it decides was looked up before it was registered: the request's task would have panicked. Withdrawing helps the caller only if nothing of the request was sent, since it may then be repeated elsewhere; else the calls stay, until answers are due. A gatherer still hands back each shard that waits.

Further tests: a stop while the node is suspended past its end, further signals, a body that does not arrive, a gatherer that stops. The property draws gatherers (no minimum of shards), too.

--- a/crates/sablebay-dispatch/src/fanout/stopping.rs
+++ b/crates/sablebay-dispatch/src/fanout/stopping.rs
@@ -5,7 +5,8 @@
 
 use sablebay_model::Micros;
 
-use super::{Fanout, FanoutContext, ShardState};
+use super::call::CallNumber;
+use super::{Call, CallScope, Fanout, FanoutContext, ShardState};
 
 /// Effect of a planned stop on a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -13,9 +14,9 @@
     /// None: the node does not stop, or the request's own deadline comes first.
     #[default]
     Unlimited,
-    /// The stop has replaced the deadline; calls are still sent until this time.
+    /// The stop has replaced the deadline; replicas are still chosen until this time.
     Sending { until: Micros },
-    /// No call is sent any more.
+    /// No further replica is chosen.
     Draining,
 }
 
@@ -29,10 +30,29 @@
         self.settings.deadline = answer_by;
         let usual = self.settings.usual_call;
         self.stop = StopLimit::Sending { until: answer_by.since(usual.exchange) };
-        self.withdraw_unsent(context, |call| call.started_at.plus(usual.total) > answer_by);
+        let is_late = |call: &Call| call.started_at.plus(usual.total) > answer_by;
+        let all_late = self.calls.iter().filter(|call| call.open).all(is_late);
+        if self.gathers_for_root() || (all_late && self.is_unsent(context)) {
+            self.withdraw_unsent(context, is_late);
+        }
         self.finish_if_decided(context);
     }
 
+    /// Whether the shards are gathered for another node, which can get each of them elsewhere.
+    fn gathers_for_root(&self) -> bool {
+        self.settings.minimum_shards == 0
+    }
+
+    /// Whether no part of the request has been sent, so that withdrawing its calls lets the caller repeat it elsewhere.
+    /// Otherwise they can only lose shards that might still answer.
+    fn is_unsent<R: Rng>(&self, context: &FanoutContext<'_, R>) -> bool {
+        let is_unsent = |(number, call): (usize, &Call)| {
+            matches!(call.scope, CallScope::Shard(_)) && context.unsent.is_unsent(CallNumber(number as u32))
+        };
+        let mut open = self.calls.iter().enumerate().filter(|(_, call)| call.open);
+        !self.may_have_run && open.all(is_unsent)
+    }
+
     /// Returns whether a planned stop has replaced the request's own deadline.
     pub fn is_limited_by_stop(&self) -> bool {
         self.stop != StopLimit::Unlimited
@@ -62,8 +82,8 @@
         }
     }
 
-    /// Ends sending once a call could usually not be answered any more: waits for the calls that were sent, and for
-    /// nothing else.
+    /// Chooses no further replica once a call could usually not be answered any more. A request that was not sent by
+    /// then is given up.
     pub(super) fn end_sending_if_due<R: Rng>(&mut self, context: &mut FanoutContext<'_, R>) {
         if context.now < self.sending_ends_at() {
             return;
@@ -79,6 +99,8 @@
                 self.close(shard);
             }
         }
-        self.withdraw_unsent(context, |_| true);
+        if self.gathers_for_root() || self.is_unsent(context) {
+            self.withdraw_unsent(context, |_| true);
+        }
     }
 }
--- a/crates/sablebay-dispatch/src/fanout/types.rs
+++ b/crates/sablebay-dispatch/src/fanout/types.rs
@@ -22,7 +22,7 @@
     pub repeatability: Repeatability,
     /// Maximum number of replicas that each shard may be sent to.
     pub maximum_attempts: u32,
-    /// Minimum number of shards that must answer for the request to succeed.
+    /// Minimum number of shards that must answer for the request to succeed; 0 if they are gathered for another node.
     pub minimum_shards: usize,
     pub deadline: Micros,
     /// When to return a partial answer instead of waiting for the remaining shards.
@@ -45,8 +45,12 @@
     pub exchange: Micros,
 }
 
-/// Cancels calls that have not been sent yet.
+/// The calls of a request that have not been sent yet. A call of the current step, whose action has not been carried
+/// out, counts as sent.
 pub trait UnsentCalls {
+    /// Whether a call has not been sent. It may be sent at any moment, unless it is withdrawn.
+    fn is_unsent(&self, call: CallNumber) -> bool;
+
     /// Cancels a call unless it has been sent. Returns whether it was cancelled: no byte of it is ever sent then.
     fn withdraw(&mut self, call: CallNumber) -> bool;
 }
@@ -56,6 +60,10 @@
 pub struct AlwaysSent;
 
 impl UnsentCalls for AlwaysSent {
+    fn is_unsent(&self, _call: CallNumber) -> bool {
+        false
+    }
+
     fn withdraw(&mut self, _call: CallNumber) -> bool {
         false
     }
--- a/crates/sablebay-dispatch/tests/stopping.rs
+++ b/crates/sablebay-dispatch/tests/stopping.rs
@@ -87,11 +87,14 @@
 }
 
 impl UnsentCalls for Calls {
+    fn is_unsent(&self, call: CallNumber) -> bool {
+        self.0.get(&call) == Some(&CallState::Unsent)
+    }
+
     fn withdraw(&mut self, call: CallNumber) -> bool {
-        let state = self.0.get_mut(&call).expect("a known call");
-        let withdrawn = *state == CallState::Unsent;
+        let withdrawn = self.is_unsent(call);
         if withdrawn {
-            *state = CallState::Withdrawn;
+            self.0.insert(call, CallState::Withdrawn);
         }
         withdrawn
     }
@@ -316,6 +319,30 @@
     assert_eq!(harness.outcome(), Some(FanoutOutcome::Answered { missing: 1 }));
 }
 
+/// Guards against a stop that drops shards of a request which can no longer be repeated elsewhere.
+#[test]
+fn a_shard_that_waits_for_a_connection_is_not_given_up_once_another_was_sent() {
+    let mut harness = Harness::started(settings(Repeatability::Repeatable, 1), targets(2, 1));
+    harness.send(CallNumber(0));
+    harness.stop(START.plus(USUAL.exchange));
+    harness.wait(START.plus(Micros(1)));
+    assert_eq!(harness.calls.in_state(CallState::Unsent), [CallNumber(1)]);
+    harness.send(CallNumber(1));
+    harness.answer(CallNumber(0));
+    harness.answer(CallNumber(1));
+    assert_eq!(harness.outcome(), Some(FanoutOutcome::Answered { missing: 0 }));
+}
+
+#[test]
+fn a_gatherer_gives_up_each_shard_that_waits_so_that_the_root_gets_it_elsewhere() {
+    let mut harness = Harness::started(settings(Repeatability::Repeatable, 0), targets(2, 1));
+    harness.send(CallNumber(0));
+    harness.stop(START.plus(USUAL.exchange));
+    assert_eq!(harness.calls.in_state(CallState::Withdrawn), [CallNumber(1)]);
+    assert!(harness.fanout.is_closed(1));
+    assert_eq!(harness.outcome(), None, "the shard that was sent is waited for");
+}
+
 #[test]
 fn a_deadline_before_the_end_of_the_stop_stays_in_force() {
     let mut harness = single(Repeatability::AtMostOnce);
@@ -443,7 +470,7 @@
     fn every_request_ends_before_the_answers_are_due_and_promises_only_what_holds(
         shards in 1usize..5,
         replicas in 0usize..4,
-        minimum in 1usize..5,
+        minimum in 0usize..5,
         repeatable in any::<bool>(),
         gathered in any::<bool>(),
         stops_first in any::<bool>(),
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -218,8 +218,15 @@
 }
 
 impl UnsentCalls for CallHandles {
+    fn is_unsent(&self, call: CallNumber) -> bool {
+        let gate = self.0.get(call.0 as usize).and_then(|handle| handle.gate.as_ref());
+        gate.is_some_and(|gate| gate.is_pending())
+    }
+
     fn withdraw(&mut self, call: CallNumber) -> bool {
-        let handle = &mut self.0[call.0 as usize];
+        let Some(handle) = self.0.get_mut(call.0 as usize) else {
+            return false;
+        };
         let withdrawn = handle.gate.as_ref().is_some_and(|gate| gate.try_withdraw());
         if withdrawn {
             handle.abandon = None;
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -30,6 +30,9 @@
 /// How long idle connections stay open after the listener has closed.
 const IDLE_GRACE: Micros = Micros::from_millis(700);
 
+/// The least time for writing the last responses once answers are due.
+const MINIMUM_WRITE_TIME: Micros = Micros::from_millis(100);
+
 /// The bound addresses of a gateway's listeners.
 #[derive(Clone, Debug, Serialize)]
 pub struct GatewayAddresses {
@@ -203,7 +206,9 @@
     /// Waits until the last responses are written, at most until the end of the stop. Returns `false` if connections
     /// were cut.
     pub async fn close(mut self) -> bool {
-        let until = self.gateway.clock.instant(self.times.end_at);
+        // A process that was suspended past the end of the stop still writes what it has.
+        let clock = self.gateway.clock;
+        let until = clock.instant(self.times.end_at.max(clock.now().plus(MINIMUM_WRITE_TIME)));
         let finished = match self.gateway.callers.as_mut() {
             None => true,
             Some(_) if !self.gateway.mechanisms.planned_stop => false,
--- a/crates/sablebay-gateway/src/send_gate.rs
+++ b/crates/sablebay-gateway/src/send_gate.rs
@@ -23,6 +23,11 @@
         self.pass(WITHDRAWN)
     }
 
+    /// Whether the call was neither sent nor withdrawn.
+    pub fn is_pending(&self) -> bool {
+        self.state.load(Ordering::Acquire) == PENDING
+    }
+
     fn pass(&self, state: u8) -> bool {
         self.state.compare_exchange(PENDING, state, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
--- a/crates/sablebay/tests/platform/stop_in_flight.rs
+++ b/crates/sablebay/tests/platform/stop_in_flight.rs
@@ -10,7 +10,7 @@
 
 use crate::gathering::metric;
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, UNSAFE_PATH, configuration, eventually, settings_text,
+    Deployment, GATHER_PATH, HOST, NodeProcess, SHARDS, UNSAFE_PATH, configuration, eventually, settings_text,
 };
 
 /// Connections per replica from all nodes, of which a lone node uses few.
@@ -85,10 +85,91 @@
     let mut node = start_node(&deployment, "node-1").await;
     deployment.shards[..2].iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
     let call = start_call(&node, GATHER_PATH, "gathered");
-    wait_until_in_flight(&node, 1).await;
+    eventually("every shard has the request", || async { deployment.runs_of("gathered") >= SHARDS.into() })
+        .await;
     node.signal(Signal::TERM);
     let answer = complete_answer(call).await;
     crate::support::check_gathered(&answer, "gathered");
     assert_eq!(answer.missing, 1);
     assert_eq!(node.exit_code().await, Some(0), "no request was cut");
 }
+
+/// Guards against a process that resumes past the end of its stop and closes connections before it answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_suspended_past_the_end_of_its_stop_answers_when_it_resumes() {
+    let deployment = Deployment::start().await;
+    let mut node = start_node(&deployment, "node-1").await;
+    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
+    let call = start_call(&node, UNSAFE_PATH, "held");
+    eventually("the request arrives", || async { deployment.runs_of("held") > 0 }).await;
+    node.signal(Signal::TERM);
+    eventually("the stop has begun", || async { !node.is_ready().await }).await;
+    node.signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    node.signal(Signal::CONT);
+    assert_eq!(complete_answer(call).await.status.as_u16(), 504);
+    assert_eq!(node.exit_code().await, Some(0), "no request was cut");
+}
+
+/// Guards against signals that interrupt a stop: a second SIGTERM, and a SIGHUP, which would end the process by default.
+#[tokio::test(flavor = "multi_thread")]
+async fn further_signals_do_not_interrupt_a_stop() {
+    let deployment = Deployment::start().await;
+    let mut node = start_node(&deployment, "node-1").await;
+    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
+    let call = start_call(&node, UNSAFE_PATH, "held");
+    eventually("the request arrives", || async { deployment.runs_of("held") > 0 }).await;
+    node.signal(Signal::TERM);
+    eventually("the stop has begun", || async { !node.is_ready().await }).await;
+    for signal in [Signal::HUP, Signal::TERM, Signal::INT, Signal::HUP] {
+        node.signal(signal);
+    }
+    assert_eq!(complete_answer(call).await.status.as_u16(), 504);
+    assert_eq!(node.exit_code().await, Some(0), "no request was cut");
+}
+
+/// Guards against a stop that waits for the body of a request beyond its own end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_does_not_arrive_before_the_stop_ends_is_refused() {
+    use std::io::{Read, Write};
+    let deployment = Deployment::start().await;
+    let mut node = start_node(&deployment, "node-1").await;
+    let mut stream = std::net::TcpStream::connect(node.caller.address).expect("a connection");
+    let head = format!(
+        "POST {UNSAFE_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Sablebay-Request-Id: slow\r\n\
+         X-Sablebay-Deadline-Ms: {}\r\nContent-Length: 100\r\n\r\nthe beginning",
+        CALLER_TIMEOUT.as_millis()
+    );
+    stream.write_all(head.as_bytes()).expect("the request is sent");
+    wait_until_in_flight(&node, 1).await;
+    node.signal(Signal::TERM);
+    let reading = tokio::task::spawn_blocking(move || {
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).map(|_| answer)
+    });
+    let answer = reading.await.expect("the task ends").expect("a complete answer");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(node.exit_code().await, Some(0), "no request was cut");
+    assert_eq!(deployment.runs_of("slow"), 0);
+}
+
+/// Guards against a gatherer that keeps the shards of another node's request until it exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_answered_in_full_while_its_gatherer_stops() {
+    let deployment = Deployment::start().await;
+    let mut gatherer = start_node(&deployment, "gatherer").await;
+    let root = NodeProcess::start_in("zone-b", "root", deployment.store.address, &[gatherer.peers]);
+    root.wait_ready().await;
+    crate::gathering::wait_until_delegated(&root).await;
+    // Longer than the gatherer's stop, which therefore hands the shards back.
+    deployment.shards.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Slow(Duration::from_secs(3))));
+    let calls: Vec<Call> = (0..4).map(|n| start_call(&root, GATHER_PATH, &format!("g-{n}"))).collect();
+    wait_until_in_flight(&root, 1).await;
+    gatherer.signal(Signal::TERM);
+    for (number, call) in calls.into_iter().enumerate() {
+        let answer = complete_answer(call).await;
+        crate::support::check_gathered(&answer, &format!("g-{number}"));
+        assert_eq!(answer.missing, 0);
+    }
+    assert_eq!(gatherer.exit_code().await, Some(0), "no request was cut");
+}
