A call does not wait for a connection to a replica that leaves

What callers saw: a request that waits for a connection to a replica which drains, or is gone, waits until its deadline if the calls that hold the connections do not end; an at-most-once request has no hedge that would help it.

Cause: whether the replica still accepts work was asked after the wait alone. Change: the wait ends when a view is installed in which the replica gets no new work; the request goes to another replica, or is refused. Found while the paths related to the planned stop were looked at (a wait without a view of what ends it).

--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use sablebay_catalogue::{ReplicaId, ServiceName};
@@ -66,6 +67,8 @@
     pub mechanisms: GatewayMechanisms,
     /// The current routes and replicas.
     pub view: ArcSwap<RoutingView>,
+    /// Notifies of each newly installed view.
+    pub view_installs: watch::Sender<()>,
     /// The previous view. Used only while `pinning` is disabled for fault testing.
     pub replaced: ArcSwap<RoutingView>,
     pub dispatch: Mutex<Dispatch>,
@@ -126,6 +129,7 @@
             ownership: ArcSwap::from_pointee(Ownership::default()),
             mechanisms,
             view: ArcSwap::from_pointee(RoutingView::default()),
+            view_installs: watch::Sender::default(),
             replaced: ArcSwap::from_pointee(RoutingView::default()),
             dispatch: Mutex::new(dispatch),
             connections: Mutex::default(),
--- a/crates/sablebay-gateway/src/installation.rs
+++ b/crates/sablebay-gateway/src/installation.rs
@@ -30,6 +30,7 @@
             self.replaced.store(before);
         }
         self.refresh_connections();
+        self.view_installs.send_replace(());
         let view = self.view.load();
         let replicas = view.replicas.values().flat_map(|replicas| replicas.iter());
         let known: HashSet<&ReplicaId> = replicas.map(|known| &known.replica.id).collect();
--- a/crates/sablebay-gateway/src/prepare_call.rs
+++ b/crates/sablebay-gateway/src/prepare_call.rs
@@ -47,6 +47,19 @@
     }
 }
 
+/// Waits for a connection, but no longer than the replica accepts work: the calls that hold its connections may never end.
+async fn lease_unless_withheld<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    connections: &ReplicaConnections,
+    replica: &RoutableReplica,
+) -> Result<Lease, Unsent> {
+    tokio::select! {
+        biased;
+        lease = connections.lease() => lease.ok_or(Unsent::NoConnection),
+        why = context.withheld(replica) => Err(Unsent::Withheld(why)),
+    }
+}
+
 /// Waits until a call may be sent, and returns a connection and the request's lease, if it needs one.
 pub async fn prepare<C: CallerProtocol, B: BackendProtocol>(
     context: &Arc<Context<C, B>>,
@@ -57,7 +70,7 @@
 ) -> Result<(Lease, Option<RunLease<C, B>>), Unsent> {
     loop {
         let run_lease = await_permit(context, replica, request, lease_request).await?;
-        let lease = connections.lease().await.ok_or(Unsent::NoConnection)?;
+        let lease = lease_unless_withheld(context, connections, replica).await?;
         // The request may have been quarantined during the wait for a connection.
         let may_begin = match context.permit_run(request, &replica.replica.service) {
             RunPermit::Free => true,
--- a/crates/sablebay-gateway/src/routing_view.rs
+++ b/crates/sablebay-gateway/src/routing_view.rs
@@ -37,6 +37,17 @@
     }
 }
 
+impl RoutingView {
+    /// The current entry of a replica.
+    ///
+    /// # Errors
+    /// Why it gets no new work.
+    fn accepting(&self, replica: &RoutableReplica) -> Result<&RoutableReplica, Withheld> {
+        let evacuated = self.evacuated.contains(&replica.replica.zone);
+        self.routable(replica).ok_or(if evacuated { Withheld::Evacuated } else { Withheld::Leaving })
+    }
+}
+
 /// Why a call is not sent to the replica chosen for it.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Withheld {
@@ -65,14 +76,24 @@
             return Err(Withheld::Unconfirmed);
         }
         let view = self.view.load();
-        let Some(known) = view.routable(replica) else {
-            let evacuated = view.evacuated.contains(&replica.replica.zone);
-            return Err(if evacuated { Withheld::Evacuated } else { Withheld::Leaving });
-        };
+        let known = view.accepting(replica)?;
         let granted = self.dispatch.lock().table.take_cold_call(known, self.clock().now());
         if granted { Ok(()) } else { Err(Withheld::Cold) }
     }
 
+    /// Waits until a replica gets no new work any more.
+    pub async fn withheld(&self, replica: &RoutableReplica) -> Withheld {
+        let mut installs = self.view_installs.subscribe();
+        loop {
+            if let Err(why) = self.view.load().accepting(replica) {
+                return why;
+            }
+            if installs.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Whether the current view has this node keep connections to a replica.
     pub fn keeps_connections_to(&self, replica: &RoutableReplica) -> bool {
         self.view.load().routable(replica).is_some_and(|known| !known.beyond_share)
--- a/crates/sablebay/tests/platform/overload.rs
+++ b/crates/sablebay/tests/platform/overload.rs
@@ -1,8 +1,15 @@
 //! Overload: requests that would miss their deadline are refused at once, without running.
 
-use sablebay_platform_standin::LeafBehaviour;
+use std::time::Duration;
 
-use crate::support::{Deployment, GATHER_PATH, NodeProcess, SAFE_PATH, check_gathered, eventually};
+use sablebay_catalogue::{Replica, ReplicaPhase};
+use sablebay_platform_standin::{CallerCall, LeafBehaviour};
+
+use crate::gathering::metric;
+use crate::support::{
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, configuration,
+    eventually,
+};
 
 /// Requests of which at least one must be refused; each is refused with a probability of 0.8.
 const REQUESTS: usize = 300;
@@ -59,3 +66,41 @@
     })
     .await;
 }
+
+/// Guards against requests that wait until their deadline for a connection to a back end which is leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_a_connection_to_a_leaving_back_end_are_refused_at_once() {
+    const REQUESTS: usize = 12;
+    let deployment = Deployment::start().await;
+    let mut narrow = configuration(2);
+    // Of these, one of four assumed nodes uses one per back end.
+    narrow.services.iter_mut().for_each(|service| service.maximum_connections = 8);
+    deployment.store.publish(&narrow);
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
+    let start = |id: &str| {
+        let (caller, timeout) = (node.caller, Duration::from_secs(60));
+        let call = CallerCall { timeout, ..CallerCall::get(HOST, UNSAFE_PATH, id) };
+        tokio::spawn(async move { caller.call(&call).await })
+    };
+    let ids: Vec<String> = (0..REQUESTS).map(|number| format!("r-{number}")).collect();
+    let calls: Vec<_> = ids.iter().map(|id| start(id)).collect();
+    eventually("the node holds the requests", || async {
+        metric(&node, "sablebay_in_flight") as usize >= REQUESTS
+            && ids.iter().filter(|id| deployment.runs_of(id) > 0).count() == deployment.singles.len()
+    })
+    .await;
+    for leaf in &deployment.singles {
+        deployment.store.announce(&Replica { phase: ReplicaPhase::Draining, ..leaf.replica.clone() });
+    }
+    let (sent, unsent): (Vec<_>, Vec<_>) =
+        ids.iter().zip(calls).partition(|(id, _)| deployment.runs_of(id) > 0);
+    assert!(!unsent.is_empty(), "some requests wait for a connection");
+    for (id, call) in unsent {
+        let answer = call.await.expect("the task ends").expect("an answer");
+        assert_eq!(answer.status.as_u16(), 503, "{id}");
+        assert_eq!(deployment.runs_of(id), 0, "a refused request must not run");
+    }
+    assert!(sent.iter().all(|(_, call)| !call.is_finished()), "the others are still waited for");
+}
