--- a/crates/sablebay-dispatch/tests/fanout.rs
+++ b/crates/sablebay-dispatch/tests/fanout.rs
@@ -1,48 +1,27 @@
 //! Tests of the request state machine, with answers, failures and timer events in any order.
 
+mod common;
+
 use std::collections::HashMap;
-use std::sync::Arc;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use sablebay_catalogue::{Repeatability, Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
+use sablebay_catalogue::{Repeatability, ReplicaId};
 use sablebay_dispatch::{
     AlwaysSent, CallDurations, CallFailure, CallKey, CallNumber, Execution, Fanout, FanoutAction,
     FanoutContext, FanoutOutcome, FanoutSettings, ReplicaTable, RetryAllowance, RetryBudgets, ShardTargets,
 };
 use sablebay_model::{Micros, ZoneName};
 
+use common::targets;
+
 const START: Micros = Micros::from_secs(10);
 const DEADLINE: Micros = Micros::from_secs(11);
 const PARTIAL_AT: Micros = Micros::from_millis(10_500);
 
-fn targets(shards: usize, replicas: usize) -> Vec<ShardTargets> {
-    let replica = |shard: usize, index: usize| RoutableReplica {
-        replica: Arc::new(Replica {
-            id: ReplicaId::new(format!("{shard}-{index}")),
-            service: ServiceName::new(format!("s{shard}")),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            zone: ZoneName::new("z"),
-            slots: 2,
-            phase: ReplicaPhase::Ready,
-            warm_up_left_ms: 0,
-            sequence: 0,
-        }),
-        last_resort: false,
-        beyond_share: false,
-        warm_at: Micros(0),
-        cold_calls_per_s: None,
-    };
-    let shard = |shard: usize| ShardTargets {
-        service: ServiceName::new(format!("s{shard}")),
-        replicas: (0..replicas).map(|index| replica(shard, index)).collect(),
-    };
-    (0..shards).map(shard).collect()
-}
-
 fn settings(repeatability: Repeatability, minimum_shards: usize) -> FanoutSettings {
     FanoutSettings {
         repeatability,
--- a/crates/sablebay-dispatch/tests/stopping.rs
+++ b/crates/sablebay-dispatch/tests/stopping.rs
@@ -1,14 +1,15 @@
 //! A planned stop of the node at any moment of a request.
 
+mod common;
+
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use sablebay_catalogue::{Repeatability, Replica, ReplicaId, ReplicaPhase, RoutableReplica, ServiceName};
+use sablebay_catalogue::Repeatability;
 use sablebay_dispatch::{
     CallDurations, CallFailure, CallKey, CallNumber, DelegatedShards, Execution, Fanout, FanoutAction,
     FanoutContext, FanoutOutcome, FanoutSettings, GatheredShards, ReplicaTable, RetryAllowance, RetryBudgets,
@@ -16,6 +17,8 @@
 };
 use sablebay_model::{Micros, NodeId, ZoneName};
 
+use common::targets;
+
 const START: Micros = Micros::from_secs(10);
 const DEADLINE: Micros = Micros::from_secs(18);
 const USUAL: CallDurations =
@@ -23,30 +26,6 @@
 /// More wakes than this without time passing mean that the request never sleeps.
 const MAXIMUM_WAKES_AT_ONCE: u32 = 20;
 
-fn targets(shards: usize, replicas: usize) -> Vec<ShardTargets> {
-    let replica = |shard: usize, index: usize| RoutableReplica {
-        replica: Arc::new(Replica {
-            id: ReplicaId::new(format!("{shard}-{index}")),
-            service: ServiceName::new(format!("s{shard}")),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            zone: ZoneName::new("z"),
-            slots: 2,
-            phase: ReplicaPhase::Ready,
-            warm_up_left_ms: 0,
-            sequence: 0,
-        }),
-        last_resort: false,
-        beyond_share: false,
-        warm_at: Micros(0),
-        cold_calls_per_s: None,
-    };
-    let shard = |shard: usize| ShardTargets {
-        service: ServiceName::new(format!("s{shard}")),
-        replicas: (0..replicas).map(|index| replica(shard, index)).collect(),
-    };
-    (0..shards).map(shard).collect()
-}
-
 fn settings(repeatability: Repeatability, minimum_shards: usize) -> FanoutSettings {
     FanoutSettings {
         repeatability,
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -109,7 +109,14 @@
         run: RunId { node: context.observer(), call: key.0 },
         duration: lease_duration(usual),
     };
-    let prepared = tokio::select! { prepared = prepare(&context, &connections, &replica, &request, lease_request) => prepared, _ = &mut abandoned => { context.dispatch.lock().table.forget(&replica.replica.id, key); return; } () = tokio::time::sleep_until(context.clock().instant(deadline)) => Err(Unsent::Late), };
+    let prepared = tokio::select! {
+        prepared = prepare(&context, &connections, &replica, &request, lease_request) => prepared,
+        _ = &mut abandoned => {
+            context.dispatch.lock().table.forget(&replica.replica.id, key);
+            return;
+        }
+        () = tokio::time::sleep_until(context.clock().instant(deadline)) => Err(Unsent::Late),
+    };
     let (lease, run_lease) =
         match prepared.and_then(|prepared| permit_now(&context, &connections, prepared, &gate, deadline)) {
             Ok(prepared) => prepared,
@@ -123,9 +130,19 @@
     let started_at = context.clock().now();
     let mut exchange =
         std::pin::pin!(exchange(&context, &connections, lease, &replica, &request, extra, deadline));
-    let finished = tokio::select! { result = &mut exchange => Some(result), _ = &mut abandoned => { let now = context.clock().now(); let grace = match run_lease {
-    // Other nodes wait for the lease, which is released when this run ends.
-    Some(_) => lease_request.duration, None => context.dispatch.lock().table.abandoned_call_grace(&replica.replica.id, now), }; tokio::time::timeout(grace.as_duration(), &mut exchange).await.ok() } () = tokio::time::sleep_until(context.clock().instant(deadline)) => None, };
+    let finished = tokio::select! {
+        result = &mut exchange => Some(result),
+        _ = &mut abandoned => {
+            let now = context.clock().now();
+            let grace = match run_lease {
+                // Other nodes wait for the lease, which is released when this run ends.
+                Some(_) => lease_request.duration,
+                None => context.dispatch.lock().table.abandoned_call_grace(&replica.replica.id, now),
+            };
+            tokio::time::timeout(grace.as_duration(), &mut exchange).await.ok()
+        }
+        () = tokio::time::sleep_until(context.clock().instant(deadline)) => None,
+    };
     let result = finished.unwrap_or((CallResult::Failure(CallFailure::TimedOut, None), None));
     record_run(&context, &connections, &replica, &request, started_at, &result.0).await;
     drop(run_lease);
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -172,28 +172,34 @@
     /// connections are accepted during the linger period, then the listener closes, requests in flight end and idle
     /// connections are closed.
     pub async fn stop(mut self, times: StopTimes) -> ClosingGateway {
-        if let Some(callers) = self.callers.as_mut() {
-            if self.mechanisms.planned_stop {
-                let linger = Micros::from_millis(self.settings.stop_linger_ms);
-                let clock = self.clock;
-                let closed_at = clock.now().plus(linger).min(times.answer_by);
-                let ended_at = closed_at.plus(IDLE_GRACE).min(times.answer_by);
-                tokio::time::sleep_until(clock.instant(closed_at)).await;
-                for (phase, until) in
-                    [(ListenerPhase::Closed, ended_at), (ListenerPhase::Ended, times.answer_by)]
-                {
-                    self.phase.send_replace(phase);
-                    if tokio::time::timeout_at(clock.instant(until), &mut *callers).await.is_ok() {
-                        self.callers = None;
-                        break;
-                    }
-                }
-            } else {
-                callers.abort();
+        if !self.mechanisms.planned_stop {
+            self.callers.iter().for_each(JoinHandle::abort);
+            return ClosingGateway { gateway: self, times };
+        }
+        let linger = Micros::from_millis(self.settings.stop_linger_ms);
+        let closed_at = self.clock.now().plus(linger).min(times.answer_by);
+        let ended_at = closed_at.plus(IDLE_GRACE).min(times.answer_by);
+        tokio::time::sleep_until(self.clock.instant(closed_at)).await;
+        for (phase, until) in [(ListenerPhase::Closed, ended_at), (ListenerPhase::Ended, times.answer_by)] {
+            self.phase.send_replace(phase);
+            if self.callers_ended(until).await {
+                break;
             }
         }
         ClosingGateway { gateway: self, times }
     }
+
+    /// Waits until all connections of callers have ended. Returns `false` if some are still open at `until`.
+    async fn callers_ended(&mut self, until: Micros) -> bool {
+        let Some(callers) = self.callers.as_mut() else {
+            return true;
+        };
+        let ended = tokio::time::timeout_at(self.clock.instant(until), callers).await.is_ok();
+        if ended {
+            self.callers = None;
+        }
+        ended
+    }
 }
 
 /// A gateway whose remaining connections are writing their last responses.
@@ -207,13 +213,8 @@
     /// were cut.
     pub async fn close(mut self) -> bool {
         // A process that was suspended past the end of the stop still writes what it has.
-        let clock = self.gateway.clock;
-        let until = clock.instant(self.times.end_at.max(clock.now().plus(MINIMUM_WRITE_TIME)));
-        let finished = match self.gateway.callers.as_mut() {
-            None => true,
-            Some(_) if !self.gateway.mechanisms.planned_stop => false,
-            Some(callers) => tokio::time::timeout_at(until, callers).await.is_ok(),
-        };
+        let until = self.times.end_at.max(self.gateway.clock.now().plus(MINIMUM_WRITE_TIME));
+        let finished = self.gateway.mechanisms.planned_stop && self.gateway.callers_ended(until).await;
         if !finished {
             log::warn!("stop: requests were still in flight at the end of the time allowed.");
         }
--- a/crates/sablebay/tests/platform/stop_in_flight.rs
+++ b/crates/sablebay/tests/platform/stop_in_flight.rs
@@ -44,6 +44,16 @@
     .await;
 }
 
+/// Begins a stop while a back end that never answers has a request.
+async fn stop_with_held_request(deployment: &Deployment, node: &NodeProcess) -> Call {
+    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
+    let call = start_call(node, UNSAFE_PATH, "held");
+    eventually("the request arrives", || async { deployment.runs_of("held") > 0 }).await;
+    node.signal(Signal::TERM);
+    eventually("the stop has begun", || async { !node.is_ready().await }).await;
+    call
+}
+
 async fn complete_answer(call: Call) -> CallerAnswer {
     call.await.expect("the task ends").expect("a complete answer")
 }
@@ -99,11 +109,7 @@
 async fn a_node_suspended_past_the_end_of_its_stop_answers_when_it_resumes() {
     let deployment = Deployment::start().await;
     let mut node = start_node(&deployment, "node-1").await;
-    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
-    let call = start_call(&node, UNSAFE_PATH, "held");
-    eventually("the request arrives", || async { deployment.runs_of("held") > 0 }).await;
-    node.signal(Signal::TERM);
-    eventually("the stop has begun", || async { !node.is_ready().await }).await;
+    let call = stop_with_held_request(&deployment, &node).await;
     node.signal(Signal::STOP);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     node.signal(Signal::CONT);
@@ -116,11 +122,7 @@
 async fn further_signals_do_not_interrupt_a_stop() {
     let deployment = Deployment::start().await;
     let mut node = start_node(&deployment, "node-1").await;
-    deployment.singles.iter().for_each(|leaf| leaf.behave(LeafBehaviour::Silent));
-    let call = start_call(&node, UNSAFE_PATH, "held");
-    eventually("the request arrives", || async { deployment.runs_of("held") > 0 }).await;
-    node.signal(Signal::TERM);
-    eventually("the stop has begun", || async { !node.is_ready().await }).await;
+    let call = stop_with_held_request(&deployment, &node).await;
     for signal in [Signal::HUP, Signal::TERM, Signal::INT, Signal::HUP] {
         node.signal(signal);
     }
