--- a/crates/sablebay/tests/platform/stop_in_flight.rs
+++ b/crates/sablebay/tests/platform/stop_in_flight.rs
@@ -175,3 +175,54 @@
     }
     assert_eq!(gatherer.exit_code().await, Some(0), "no request was cut");
 }
+
+/// Whether a response is complete: its body has the length that its head states.
+fn is_complete(response: &[u8]) -> bool {
+    let Some(end) = response.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return false;
+    };
+    let head = String::from_utf8_lossy(&response[..end]).to_ascii_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
+    length == Some(response.len() - end - 4)
+}
+
+/// Guards against answers that a stop cuts on kept connections, whenever the next request is sent on them.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_kept_connections_are_answered_in_full_or_not_read() {
+    use std::io::{Read, Write};
+    const CONNECTIONS: usize = 24;
+    let deployment = Deployment::start().await;
+    let mut node = start_node(&deployment, "node-1").await;
+    let request = |number: usize| {
+        format!(
+            "GET {UNSAFE_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Sablebay-Request-Id: kept-{number}\r\n\
+             X-Sablebay-Deadline-Ms: 5000\r\n\r\n"
+        )
+    };
+    let open = |number: usize| {
+        let mut stream = std::net::TcpStream::connect(node.caller.address).expect("a connection");
+        stream.write_all(request(number).as_bytes()).expect("the request is sent");
+        let mut response = Vec::new();
+        while !is_complete(&response) {
+            let mut part = [0; 1024];
+            let length = stream.read(&mut part).expect("an answer");
+            assert!(length > 0, "the connection is kept before the stop");
+            response.extend_from_slice(&part[..length]);
+        }
+        stream
+    };
+    let streams: Vec<_> = (0..CONNECTIONS).map(open).collect();
+    node.signal(Signal::TERM);
+    for (number, mut stream) in streams.into_iter().enumerate() {
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        // Fails on a connection that was closed as idle.
+        let sent = stream.write_all(request(CONNECTIONS + number).as_bytes());
+        let mut response = Vec::new();
+        let read = stream.read_to_end(&mut response);
+        let whole = is_complete(&response);
+        assert!(whole || response.is_empty(), "{sent:?} {read:?} {}", String::from_utf8_lossy(&response));
+        let head = String::from_utf8_lossy(&response).to_ascii_lowercase();
+        assert!(!whole || head.contains("connection: close"), "the caller is told to use another connection");
+    }
+    assert_eq!(node.exit_code().await, Some(0), "no request was cut");
+}
