Odd keys of another writer no longer stop the listing of the store

What callers saw: with entries such as servers/spare&000 in the list of leafs, longer than one page, almost no request was served after all processes had been restarted. Running nodes that had to list again (history lost) no longer followed the store.

Cause: StoreCatalogue::list_pages put the last key of a page as it stands into the query of the next page. '&' and '#' end the value, so the same page comes again without end and all of it is kept; '+' and '%7a' name another key, so pages repeat or entries between are never read; a blank or a control byte forms no URI, and the builder's error became Unavailable, which is tried again for ever.

A key that forms no target is SourceError::InvalidTarget, with a log line and source_reads_total{outcome=invalid_target}.

--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -78,7 +78,7 @@
         SourceError::HistoryLost | SourceError::Malformed => ReadFailure::MustReadAll,
         SourceError::Restored => ReadFailure::Restored,
         SourceError::Unavailable => ReadFailure::NoAnswer,
-        SourceError::Busy | SourceError::Outdated => ReadFailure::Refused,
+        SourceError::Busy | SourceError::Outdated | SourceError::InvalidTarget => ReadFailure::Refused,
     }
 }
 
@@ -103,6 +103,7 @@
         SourceError::Busy => "busy",
         SourceError::Unavailable => "unavailable",
         SourceError::Malformed => "malformed",
+        SourceError::InvalidTarget => "invalid_target",
     });
     if !failing {
         let age = context.catalogue_age().as_millis();
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -178,6 +178,9 @@
     /// The answer cannot be parsed.
     #[display("malformed answer")]
     Malformed,
+    /// A key of the source forms no valid request, so the listing cannot go on.
+    #[display("a key forms no valid request")]
+    InvalidTarget,
 }
 
 /// The full contents of the source.
--- a/crates/sablebay/tests/platform/catalogue.rs
+++ b/crates/sablebay/tests/platform/catalogue.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use sablebay_catalogue::{Destination, ReplicaPhase, ServiceName, WeightedService};
+use sablebay_catalogue::{ReplicaPhase, ServiceName};
 use sablebay_platform_standin::{LeafBehaviour, LeafStandIn, StoreMode};
 
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, check_gathered, configuration, eventually,
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, check_gathered, configuration,
+    configuration_routed_to, eventually,
 };
 
 const FAILURE_MODES: [StoreMode; 5] = [
@@ -17,17 +18,6 @@
     StoreMode::Garbling,
 ];
 
-/// A configuration that routes single requests to another service.
-fn moved(version: u64, service: &ServiceName) -> sablebay_catalogue::RoutingConfiguration {
-    let mut configuration = configuration(version);
-    for route in &mut configuration.routes {
-        if let Destination::Services(parts) = &mut route.destination {
-            *parts = vec![WeightedService { service: service.clone(), weight: 1.0 }];
-        }
-    }
-    configuration
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn without_a_configuration_a_node_is_not_ready_and_refuses_without_a_404() {
     let deployment = Deployment::start().await;
@@ -66,7 +56,7 @@
         deployment.store.set_mode(failure);
         assert_eq!(node.get(SAFE_PATH, &format!("before-{number}")).await.status.as_u16(), 200);
         deployment.store.announce(&leaf.replica);
-        deployment.store.publish(&moved(10 + number as u64, &service));
+        deployment.store.publish(&configuration_routed_to(10 + number as u64, &service));
         deployment.store.set_mode(StoreMode::Serving);
         eventually("the configuration is in force", || async {
             node.get(SAFE_PATH, &format!("after-{number}")).await;
@@ -115,7 +105,7 @@
     let service = ServiceName::new("moved");
     let leaf = LeafStandIn::start("i-moved", &service, 100, "zone-a").await.expect("a back end");
     deployment.store.announce(&leaf.replica);
-    deployment.store.publish(&moved(20, &service));
+    deployment.store.publish(&configuration_routed_to(20, &service));
     eventually("the newer configuration is in force", || async {
         node.get(SAFE_PATH, "probe").await;
         leaf.record().arrivals > 0
--- /dev/null
+++ b/crates/sablebay/tests/platform/odd_entries.rs
@@ -0,0 +1,101 @@
+//! Entries of another writer among those of the back ends: they name no back end, and the others hold.
+
+use serde_json::json;
+
+use sablebay_catalogue::{ReplicaPhase, ServiceName};
+use sablebay_platform_standin::{LeafStandIn, StoreMode};
+
+use crate::support::{
+    Deployment, GATHER_PATH, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, configuration_routed_to,
+    eventually,
+};
+
+/// Number of odd entries of each name. With those before and behind the back ends, they fill several pages.
+const ODD_ENTRIES: usize = 40;
+/// Characters in the names of odd entries that have a meaning in a request's target, or may not stand there.
+const ODD_CHARACTERS: [&str; 5] = ["&", "+", "#", "%", " "];
+const NODES: usize = 2;
+
+/// Writes entries under odd names before and behind those of the back ends, in the order of the keys.
+fn write_odd_entries(deployment: &Deployment, odd: &str) {
+    for number in 0..ODD_ENTRIES {
+        for start in ["a", "spare"] {
+            deployment.store.write_foreign(&format!("servers/{start}{odd}{number:03}"), &json!({}));
+        }
+    }
+}
+
+async fn start_nodes(deployment: &Deployment) -> Vec<NodeProcess> {
+    let mut nodes: Vec<NodeProcess> = Vec::new();
+    for number in 0..NODES {
+        let peers: Vec<_> = nodes.iter().map(|node| node.peers).collect();
+        nodes.push(NodeProcess::start(&format!("node-{number}"), deployment.store.address, &peers));
+    }
+    for node in &nodes {
+        node.wait_ready().await;
+    }
+    nodes
+}
+
+async fn check_service(nodes: &[NodeProcess], round: &str) {
+    for (number, node) in nodes.iter().enumerate() {
+        let id = format!("{round}-{number}");
+        let gathered = node.get(GATHER_PATH, &format!("all-{id}")).await;
+        check_gathered(&gathered, &format!("all-{id}"));
+        assert_eq!(gathered.missing, 0, "{round}");
+        assert_eq!(node.get(SAFE_PATH, &format!("one-{id}")).await.status.as_u16(), 200, "{round}");
+        assert_eq!(node.get(UNSAFE_PATH, &format!("once-{id}")).await.status.as_u16(), 200, "{round}");
+    }
+}
+
+async fn check_restart(odd: &str) {
+    let deployment = Deployment::start().await;
+    let nodes = start_nodes(&deployment).await;
+    write_odd_entries(&deployment, odd);
+    check_service(&nodes, "before").await;
+    drop(nodes);
+    let nodes = start_nodes(&deployment).await;
+    check_service(&nodes, "after").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_all_start_again_serve_beside_odd_entries() {
+    for odd in ODD_CHARACTERS {
+        check_restart(odd).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_running_node_that_has_to_list_goes_on_beside_odd_entries() {
+    for odd in ODD_CHARACTERS {
+        let deployment = Deployment::start().await;
+        let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+        node.wait_ready().await;
+        deployment.store.set_mode(StoreMode::Refusing);
+        write_odd_entries(&deployment, odd);
+        let service = ServiceName::new("moved");
+        let leaf = LeafStandIn::start("i-moved", &service, 100, "zone-a").await.expect("a back end");
+        deployment.store.announce(&leaf.replica);
+        let mut draining = deployment.shards[0].replica.clone();
+        draining.phase = ReplicaPhase::Draining;
+        deployment.store.announce(&draining);
+        deployment.store.publish(&configuration_routed_to(20, &service));
+        deployment.store.compact_history();
+        deployment.store.set_mode(StoreMode::Serving);
+        let mut number = 0;
+        eventually("the configuration is in force and the draining back end gets nothing", || {
+            number += 1;
+            let before = deployment.shards[0].record().arrivals;
+            let (node, deployment, leaf) = (&node, &deployment, &leaf);
+            async move {
+                let id = format!("moved-{number}");
+                assert_eq!(node.get(SAFE_PATH, &id).await.status.as_u16(), 200, "{odd:?}");
+                for call in 0..10 {
+                    node.get(GATHER_PATH, &format!("all-{number}-{call}")).await;
+                }
+                leaf.runs_of(&id) > 0 && deployment.shards[0].record().arrivals == before
+            }
+        })
+        .await;
+    }
+}
--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -87,6 +87,17 @@
     }
 }
 
+/// A configuration that routes single requests to another service.
+pub fn configuration_routed_to(version: u64, service: &ServiceName) -> RoutingConfiguration {
+    let mut configuration = configuration(version);
+    for route in &mut configuration.routes {
+        if let Destination::Services(parts) = &mut route.destination {
+            *parts = vec![WeightedService { service: service.clone(), weight: 1.0 }];
+        }
+    }
+    configuration
+}
+
 /// The body of a correct gathered answer over these shards.
 pub fn expected_records(shards: impl IntoIterator<Item = u8>) -> Vec<u8> {
     let mut records: Vec<[u8; 16]> = shards.into_iter().flat_map(part_records).collect();
