A listing of the store ends, and what it keeps has a bound

What callers would see: a node that lists a store which answers with the same page again asks without end, keeps every page and is ended for its memory (800 MB in 13 s were seen with such keys); entries of any size were kept whole, and a finding in the log quoted the whole value of another writer.

Cause: list_pages collected the items of all pages before it decoded any, and nothing compared a page with those before; parse_replica and the findings had no bound on size.

A page that was asked for before ends the listing with SourceError::RepeatedPage. RejectedItems counts all findings, and keeps five of 400 bytes.

--- a/crates/sablebay-gateway/src/catalogue_reader.rs
+++ b/crates/sablebay-gateway/src/catalogue_reader.rs
@@ -15,7 +15,9 @@
 use sablebay_model::Micros;
 
 use crate::context::Context;
-use crate::edge::{BackendProtocol, CallerProtocol, CatalogueChanges, CatalogueSource, SourceError};
+use crate::edge::{
+    BackendProtocol, CallerProtocol, CatalogueChanges, CatalogueSource, RejectedItems, SourceError,
+};
 use crate::peer_catalogue::DISCOVERY_TIME;
 use crate::routing_view::RoutingView;
 
@@ -78,7 +80,11 @@
         SourceError::HistoryLost | SourceError::Malformed => ReadFailure::MustReadAll,
         SourceError::Restored => ReadFailure::Restored,
         SourceError::Unavailable => ReadFailure::NoAnswer,
-        SourceError::Busy | SourceError::Outdated | SourceError::InvalidTarget => ReadFailure::Refused,
+        SourceError::Busy
+        | SourceError::Outdated
+        | SourceError::InvalidTarget
+        | SourceError::RepeatedPage
+        | SourceError::TooLarge => ReadFailure::Refused,
     }
 }
 
@@ -103,6 +109,8 @@
         SourceError::Busy => "busy",
         SourceError::Unavailable => "unavailable",
         SourceError::Malformed => "malformed",
+        SourceError::RepeatedPage => "repeated_page",
+        SourceError::TooLarge => "too_large",
         SourceError::InvalidTarget => "invalid_target",
     });
     if !failing {
@@ -163,18 +171,15 @@
     Ok(changed)
 }
 
-/// Maximum number of log lines about unreadable items of one answer.
-const MAXIMUM_REJECTION_LINES: usize = 5;
-
 /// Logs unreadable items. The rest of the answer is applied: an unreadable configuration leaves the current one in
 /// force, an unreadable entry adds no replica.
-fn log_rejected<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, rejected: &[String]) {
-    context.metrics.rejected_items.inc_by(rejected.len() as u64);
-    for finding in rejected.iter().take(MAXIMUM_REJECTION_LINES) {
+fn log_rejected<C: CallerProtocol, B: BackendProtocol>(context: &Context<C, B>, rejected: &RejectedItems) {
+    context.metrics.rejected_items.inc_by(rejected.count() as u64);
+    for finding in rejected.findings() {
         log::error!(finding = finding.as_str(); "catalogue: an item is rejected and left out.");
     }
-    if rejected.len() > MAXIMUM_REJECTION_LINES {
-        let more = rejected.len() - MAXIMUM_REJECTION_LINES;
+    let more = rejected.count() - rejected.findings().len();
+    if more > 0 {
         log::error!(more = more; "catalogue: further items are rejected and left out.");
     }
 }
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -1,6 +1,7 @@
 //! Protocol traits for callers, back ends and the catalogue source. An adapter implements them for the names
 //! and formats of one platform, and contains no policy.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -178,11 +179,54 @@
     /// The answer cannot be parsed.
     #[display("malformed answer")]
     Malformed,
+    /// The source answered with a page that the listing already holds, so the listing would never end.
+    #[display("a page came again")]
+    RepeatedPage,
+    /// The source holds more than a node can.
+    #[display("too many entries")]
+    TooLarge,
     /// A key of the source forms no valid request, so the listing cannot go on.
     #[display("a key forms no valid request")]
     InvalidTarget,
 }
 
+/// Entries that could not be parsed and were left out. Holds the first findings and the number of all.
+#[derive(Clone, Debug, Default)]
+pub struct RejectedItems {
+    count: usize,
+    findings: Vec<String>,
+}
+
+impl RejectedItems {
+    /// Number of findings that are kept.
+    const MAXIMUM_FINDINGS: usize = 5;
+    /// Length at which a finding is cut, since it may quote what was found.
+    const MAXIMUM_FINDING_BYTES: usize = 400;
+
+    /// Counts an entry that was left out for this reason.
+    pub fn record(&mut self, finding: impl Display) {
+        self.count += 1;
+        if self.findings.len() == Self::MAXIMUM_FINDINGS {
+            return;
+        }
+        let mut finding = finding.to_string();
+        if finding.len() > Self::MAXIMUM_FINDING_BYTES {
+            finding.truncate(finding.floor_char_boundary(Self::MAXIMUM_FINDING_BYTES));
+            finding.push_str("...");
+        }
+        self.findings.push(finding);
+    }
+
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// The first findings, one sentence each.
+    pub fn findings(&self) -> &[String] {
+        &self.findings
+    }
+}
+
 /// The full contents of the source.
 #[derive(Clone, Debug)]
 pub struct CatalogueListing {
@@ -190,8 +234,7 @@
     pub configuration: Option<RoutingConfiguration>,
     /// The replicas and evacuated zones, with the revision at the start of the listing.
     pub listing: Listing,
-    /// Entries that could not be parsed and were left out, one sentence each.
-    pub rejected: Vec<String>,
+    pub rejected: RejectedItems,
     /// The revision of the configuration, and whether it could be parsed.
     pub revisions: ConfigurationRevisions,
 }
@@ -205,8 +248,7 @@
     pub replicas: Vec<(ReplicaChange, CatalogueRevision)>,
     /// The operator's zone notices, in order.
     pub zones: Vec<ZoneNotice>,
-    /// Entries that could not be parsed and were left out, one sentence each.
-    pub rejected: Vec<String>,
+    pub rejected: RejectedItems,
     /// The revisions of the configurations that could and could not be parsed.
     pub revisions: ConfigurationRevisions,
     /// Whether the source may have further changes that no answer contains yet.
