--- a/crates/sablebay/tests/platform/odd_entries.rs
+++ b/crates/sablebay/tests/platform/odd_entries.rs
@@ -7,7 +7,7 @@
 
 use crate::support::{
     Deployment, GATHER_PATH, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, configuration_routed_to,
-    eventually,
+    eventually, single_service,
 };
 
 /// Number of odd entries of each name. With those before and behind the back ends, they fill several pages.
@@ -65,6 +65,37 @@
     }
 }
 
+/// Guards against the removal of a live back end by an entry whose name holds that of the back end.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_named_after_a_live_back_end_takes_it_away_from_no_node() {
+    let deployment = Deployment::start().await;
+    let nodes = start_nodes(&deployment).await;
+    let named_after = [&deployment.singles[0], &deployment.shards[0]];
+    for leaf in named_after {
+        deployment.store.write_foreign(&format!("servers/{}@9", leaf.replica.id.name()), &json!({}));
+    }
+    deployment.store.publish(&configuration_routed_to(20, &single_service()));
+    eventually("the configuration behind these entries is in force", || async {
+        nodes.iter().all(|node| node.admin_text("/metrics").contains("configuration_version 20"))
+    })
+    .await;
+    let mut number = 0;
+    for (leaf, path) in named_after.into_iter().zip([SAFE_PATH, GATHER_PATH]) {
+        for node in &nodes {
+            let before = leaf.record().arrivals;
+            eventually("the back end still gets requests", || {
+                number += 1;
+                let id = format!("named-{number}");
+                async move {
+                    assert_eq!(node.get(path, &id).await.status.as_u16(), 200);
+                    leaf.record().arrivals > before
+                }
+            })
+            .await;
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_running_node_that_has_to_list_goes_on_beside_odd_entries() {
     for odd in ODD_CHARACTERS {
