Times from outside that are too large saturate

What callers would see: in a build with overflow checks, an entry with WarmupLeftMs 1e300 (or another up to 2^64) ends the task that follows the store ("attempt to multiply with overflow" in three worker threads), and a configuration with such a TimeoutMs closes callers' connections without an answer. A release build wraps: a replica that is to be warm in 584 thousand years may be warm at once, and a route may get a time limit of any length.

Cause: Micros::from_millis and from_secs multiply unchecked.

Change: both saturate, as plus and from Duration do already.

That no process ended held before; nesting 60,000 deep and ports out of range were rejected before, in a listing, in a watch and through a peer, and stay as tests.

--- a/crates/sablebay-model/src/time.rs
+++ b/crates/sablebay-model/src/time.rs
@@ -31,12 +31,14 @@
     /// The latest representable time, used for "never".
     pub const MAX: Micros = Micros(u64::MAX);
 
+    /// Converts milliseconds, saturating on overflow.
     pub const fn from_millis(milliseconds: u64) -> Self {
-        Self(milliseconds * 1_000)
+        Self(milliseconds.saturating_mul(1_000))
     }
 
+    /// Converts seconds, saturating on overflow.
     pub const fn from_secs(seconds: u64) -> Self {
-        Self(seconds * 1_000_000)
+        Self(seconds.saturating_mul(1_000_000))
     }
 
     /// The value in milliseconds, rounded down.
--- a/crates/sablebay/tests/platform/catalogue.rs
+++ b/crates/sablebay/tests/platform/catalogue.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use sablebay_catalogue::{ReplicaPhase, ServiceName};
-use sablebay_platform_standin::{LeafBehaviour, LeafStandIn, StoreMode};
+use sablebay_catalogue::{
+    CallerLimits, Destination, ReplicaPhase, RoutingConfiguration, ServiceName, WarmUp, WeightedService,
+};
+use sablebay_platform_standin::{CallerCall, LeafBehaviour, LeafStandIn, StoreMode};
 
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, check_gathered, configuration,
-    configuration_routed_to, eventually,
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, configuration,
+    configuration_routed_to, eventually, single_service,
 };
 
 const FAILURE_MODES: [StoreMode; 5] = [
@@ -155,3 +157,47 @@
     }
     assert!(deployment.singles[0].record().runs.is_empty());
 }
+
+/// A configuration in which every number is the largest of its type.
+fn extreme_configuration(version: u64) -> RoutingConfiguration {
+    let mut configuration = configuration(version);
+    for route in &mut configuration.routes {
+        route.time_limit_ms = u64::MAX;
+        route.target_latency_ms = u64::MAX;
+        route.maximum_attempts = u32::MAX;
+        route.priority = u32::MAX;
+        if let Destination::Services(parts) = &mut route.destination {
+            let part = |weight| WeightedService { service: single_service(), weight };
+            *parts = [-1.0, f64::MAX, f64::MAX, 0.0].map(part).to_vec();
+        }
+    }
+    for service in &mut configuration.services {
+        service.maximum_connections = u32::MAX;
+        service.warm_up = WarmUp { lasts_ms: u64::MAX, requests_per_s: f64::MAX };
+    }
+    configuration.limits = CallerLimits {
+        header_bytes: usize::MAX,
+        body_bytes: usize::MAX,
+        header_timeout_ms: u64::MAX,
+        idle_timeout_ms: u64::MAX,
+    };
+    configuration
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_numbers_of_a_configuration_and_of_a_caller_are_served() {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    deployment.store.publish(&extreme_configuration(20));
+    eventually("the configuration is in force", || async {
+        node.admin_text("/metrics").contains("configuration_version 20")
+    })
+    .await;
+    for (number, timeout) in [5_000, u64::MAX].map(Duration::from_millis).into_iter().enumerate() {
+        for path in [SAFE_PATH, UNSAFE_PATH, GATHER_PATH] {
+            let call = CallerCall { timeout, ..CallerCall::get(HOST, path, &format!("r-{number}{path}")) };
+            assert_eq!(node.call(&call).await.status.as_u16(), 200, "{path}, {timeout:?}");
+        }
+    }
+}
--- a/crates/sablebay/tests/platform/odd_entries.rs
+++ b/crates/sablebay/tests/platform/odd_entries.rs
@@ -65,6 +65,58 @@
     }
 }
 
+/// Numbers of an entry that no replica has, and one entry that is nested deeply.
+fn write_extreme_entries(deployment: &Deployment) {
+    let entry = |address: &str| {
+        json!({"Backend": "elsewhere", "Address": address, "Zone": "zone-a", "Version": "v1", "Slots": 2,
+               "State": "ready", "WarmupLeftMs": 0, "Sequence": 1, "born": 1})
+    };
+    let numbers = ["1e999", "1e300", "1e19", "18446744073709551615", "18446744073709551616", "-1"];
+    for (number, text) in numbers.into_iter().enumerate() {
+        for field in ["WarmupLeftMs", "Slots", "Sequence", "born"] {
+            let mut document = entry("127.0.0.1:9");
+            document[field] = json!("NUMBER");
+            let document = document.to_string().replace("\"NUMBER\"", text);
+            let key = format!("servers/extreme-{field}-{number}");
+            deployment.store.write_foreign_bytes(&key, document.as_bytes());
+        }
+    }
+    for (number, port) in ["0", "65536", "-1", "99999999999999999999", ""].into_iter().enumerate() {
+        let key = format!("servers/port-{number}");
+        deployment.store.write_foreign(&key, &entry(&format!("127.0.0.1:{port}")));
+    }
+    for depth in [100, 1_000, 60_000] {
+        let nested = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+        deployment.store.write_foreign_bytes(&format!("servers/deep-{depth}"), nested.as_bytes());
+        let within = entry("127.0.0.1:0").to_string().replacen('{', &format!("{{\"Further\":{nested},"), 1);
+        deployment.store.write_foreign_bytes(&format!("servers/deep-within-{depth}"), within.as_bytes());
+    }
+}
+
+/// In a watch, in a listing, and from a peer while the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_with_extreme_numbers_or_depth_end_no_node() {
+    let deployment = Deployment::start().await;
+    let mut nodes = start_nodes(&deployment).await;
+    write_extreme_entries(&deployment);
+    deployment.store.publish(&configuration_routed_to(20, &single_service()));
+    eventually("the configuration behind these entries is in force", || async {
+        nodes.iter().all(|node| node.admin_text("/metrics").contains("configuration_version 20"))
+    })
+    .await;
+    check_service(&nodes, "watched").await;
+    let listing = NodeProcess::start("listing", deployment.store.address, &[]);
+    listing.wait_ready().await;
+    deployment.store.set_mode(StoreMode::Silent);
+    let by_peers = NodeProcess::start("by-peers", deployment.store.address, &[nodes[0].peers]);
+    by_peers.wait_ready().await;
+    nodes.extend([listing, by_peers]);
+    check_service(&nodes, "listed").await;
+    for node in &mut nodes {
+        assert!(node.is_running());
+    }
+}
+
 /// Guards against the removal of a live back end by an entry whose name holds that of the back end.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_named_after_a_live_back_end_takes_it_away_from_no_node() {
--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -266,6 +266,10 @@
         rustix::process::kill_process(id, signal).expect("the process exists");
     }
 
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be waited for").is_none()
+    }
+
     /// Waits for the process to exit and returns its exit code.
     pub async fn exit_code(&mut self) -> Option<i32> {
         let waiting = async {
