--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod link;
 mod normal_operation;
+mod odd_answers;
 mod odd_entries;
 mod overload;
 mod quarantine;
