A status of no answer is not passed on: 101, 600 to 999

What callers saw: a leaf in trouble that answered 101 with the request's id had its status passed on, and the caller then waited for another protocol; 600 and 999 came as the leaf's answer.

Cause: the HTTP library takes 100 to 999 as a status and hands out 101 as final; the gateway took every final head with the request's id for an answer.

Change: back_end_answer.rs decides what is an answer, with the reason counted (gateway_no_answers_total{reason}) and logged; a status from 200 to 599 is one. Anything else is broken: it may have run, so 502 for a request that may not be repeated and another leaf for one that may, and the connection is closed.

--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use tokio::sync::{mpsc, oneshot};
 
 use sablebay_catalogue::RoutableReplica;
@@ -16,6 +16,7 @@
 };
 use sablebay_model::{Micros, RequestDigest};
 
+use crate::back_end_answer::{NoAnswer, answer_body, answer_head};
 use crate::connections::{Lease, Liveness, ReplicaConnections};
 use crate::context::Context;
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, FullAnswer};
@@ -24,9 +25,6 @@
 use crate::quarantine::RunLease;
 use crate::send_gate::SendGate;
 
-/// Maximum size of a back end's answer.
-const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
-
 /// A caller's request, as it is sent to every replica.
 #[derive(Debug)]
 pub struct ForwardedRequest {
@@ -250,6 +248,17 @@
     }
 }
 
+/// The result of a call in which the replica sent no answer. Its connection is closed.
+fn broken<C: CallerProtocol, B: BackendProtocol>(
+    context: &Context<C, B>,
+    replica: &RoutableReplica,
+    request: &ForwardedRequest,
+    why: NoAnswer,
+) -> CallResult {
+    why.record(&context.metrics, &request.id, replica.replica.id.as_str(), context.clock().now());
+    CallResult::Failure(CallFailure::Broken, None)
+}
+
 /// Sends a request on a connection and reads the whole answer.
 async fn exchange<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
@@ -264,8 +273,9 @@
     let remaining = request.caller_deadline.min(deadline).since(now).as_duration();
     let mut outgoing = outgoing_request(request);
     context.back_ends.address_to(&mut outgoing, &replica.replica, remaining);
-    let Ok(response) = lease.send(outgoing, extra).await else {
-        return (CallResult::Failure(CallFailure::Broken, None), None);
+    let response = match answer_head(lease.send(outgoing, extra).await) {
+        Ok(response) => response,
+        Err(why) => return (broken(context, replica, request, why), None),
     };
     let (head, body) = response.into_parts();
     let mut read = context.back_ends.read(&request.id, head.status, &head.headers);
@@ -278,8 +288,9 @@
         // Later answers on this connection cannot be matched to requests either, so it is closed.
         return (CallResult::Failure(CallFailure::Mismatched, None), None);
     }
-    let Ok(collected) = Limited::new(body, MAXIMUM_ANSWER_BYTES).collect().await else {
-        return (CallResult::Failure(CallFailure::Broken, None), read.load);
+    let body = match answer_body(body).await {
+        Ok(body) => body,
+        Err(why) => return (broken(context, replica, request, why), read.load),
     };
     if let Some(idle) = keep_alive(&head.headers) {
         lease.set_idle_timeout(idle);
@@ -291,7 +302,7 @@
         connections.give_back(lease);
     }
     let headers = end_to_end_headers(head.headers);
-    let answer = FullAnswer { status: head.status, headers, body: collected.to_bytes() };
+    let answer = FullAnswer { status: head.status, headers, body };
     let result = match read.verdict {
         AnswerVerdict::Success { receipt } => CallResult::Success(CallSuccess { receipt, answer }),
         AnswerVerdict::Failure => CallResult::Failure(CallFailure::Failed, Some(answer)),
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! the traits in [`edge`].
 
 mod authentication;
+mod back_end_answer;
 mod call;
 mod catalogue_reader;
 mod confirmation;
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -23,6 +23,12 @@
     pub outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// One of a fixed set of values.
+    pub reason: &'static str,
+}
+
 /// Labels of a request refused because its shards are overloaded.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CrowdingLabel {
@@ -110,6 +116,8 @@
     pub connections_opened: Counter,
     /// Replicas that exited during a call of this node.
     pub ended_back_ends: Counter,
+    /// Calls in which a replica sent no answer, by reason.
+    no_answers: Family<ReasonLabel, Counter>,
     /// Fraction of fleet-wide limits that the nodes visible to this one may use, from 0 to 1.
     pub fleet_share: Gauge<f64, AtomicU64>,
     /// Requests in quarantine.
@@ -169,6 +177,7 @@
         Self {
             connections_opened: Counter::default(),
             ended_back_ends: Counter::default(),
+            no_answers: Family::default(),
             held_back: Gauge::default(),
             log_budget: LogBudget::default(),
             caller_fault_log_budget: LogBudget::default(),
@@ -273,6 +282,11 @@
         self.delegated_shards.inc_by(u64::from(work.delegated_shards));
     }
 
+    /// Records a call in which a replica sent no answer.
+    pub fn no_answer(&self, reason: &'static str) {
+        self.no_answers.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Records the outcome of a read of the catalogue source.
     pub fn source_read(&self, outcome: &'static str) {
         self.source_reads.get_or_create(&OutcomeLabel { outcome }).inc();
@@ -338,6 +352,11 @@
             "Replicas that exited during a call of this node",
             self.ended_back_ends.clone(),
         );
+        registry.register(
+            "no_answers",
+            "Calls in which a replica sent no answer, by reason",
+            self.no_answers.clone(),
+        );
         registry.register("latency_seconds", "Time from request to answer", self.latency.clone());
         registry.register("source_reads", "Reads of the catalogue by outcome", self.source_reads.clone());
         registry.register(
--- a/crates/sablebay-http/src/lib.rs
+++ b/crates/sablebay-http/src/lib.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -128,10 +128,11 @@
         }
         // The error carries the request only if hyper did not send any of it.
         let sent = lease.sender.try_send_request(request).await;
-        sent.map_err(|error| match error.message() {
+        let response = sent.map_err(|error| match error.message() {
             Some(_) => ExchangeFailure::NotSent,
             None => ExchangeFailure::Broken,
-        })
+        })?;
+        if is_answer_status(response.status()) { Ok(response) } else { Err(ExchangeFailure::Broken) }
     }
 
     /// Sends a request and reads the whole response body; a non-success status is a failure.
@@ -167,6 +168,12 @@
     }
 }
 
+/// Whether a status may be that of an answer: final, and of a class that HTTP defines. A switch of protocols is not, since
+/// no request asks for one.
+pub fn is_answer_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Builds a request with a JSON body. Panics if `path` is not a valid URI.
 pub fn json_request(method: Method, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -57,6 +57,17 @@
     check_statuses(&["000", "000 OK", "099 Early", "1000 Much", "20 OK", "2 0", "OK", "-20", "2O0 OK"]).await;
 }
 
+/// Nobody asked for another protocol, and a body would be awaited for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_switch_of_protocols_is_no_answer() {
+    check_statuses(&["101 Switching Protocols"]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_of_no_known_class_is_no_answer() {
+    check_statuses(&["600 Beyond", "999 Last"]).await;
+}
+
 /// Lines that may not stand in a head.
 const ODD_LINES: [&str; 14] = [
     "X Odd: 1",
