An idle timeout of any length ends no call

What callers saw: a leaf that sends Keep-Alive: timeout= ends the task of the call ("overflow when adding duration to instant"), so callers wait until 504, and the backtraces cost the node memory.

Cause: Lease::set_idle_timeout adds the stated time to the clock unchecked.

Change: checked_add; a timeout beyond the clock never ends.

Red before, on the parent with this test: extreme_numbers_in_the_head_of_an_answer_do_no_harm (left: 504, right: 200). Other Keep-Alive values and a Retry-After too large held already.

--- a/crates/sablebay-gateway/src/connections.rs
+++ b/crates/sablebay-gateway/src/connections.rs
@@ -72,9 +72,9 @@
         self.connection.sender.send_request(request).await
     }
 
-    /// Sets the idle timeout that the replica announced for this connection.
+    /// Sets the idle timeout that the replica announced for this connection. One beyond the clock never ends.
     pub fn set_idle_timeout(&mut self, idle: Duration) {
-        self.connection.usable_until = Some(Instant::now() + idle.saturating_sub(IDLE_MARGIN));
+        self.connection.usable_until = Instant::now().checked_add(idle.saturating_sub(IDLE_MARGIN));
     }
 }
 
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -93,3 +93,33 @@
         check_no_answer(&deployment, &node, LeafBehaviour::HeadLine(line), &number.to_string()).await;
     }
 }
+
+/// Lines with numbers that no back end means. The answers themselves are whole.
+const EXTREME_LINES: [&str; 6] = [
+    "Keep-Alive: timeout=18446744073709551615",
+    "Keep-Alive: timeout=9223372036854775807",
+    "Keep-Alive: timeout=18446744073709551616",
+    "Keep-Alive: timeout=-1, max=-1",
+    "Keep-Alive: timeout=0",
+    "Retry-After: 99999999999999999999",
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn extreme_numbers_in_the_head_of_an_answer_do_no_harm() {
+    for (number, line) in EXTREME_LINES.into_iter().enumerate() {
+        let (deployment, node) = one_node().await;
+        for leaf in deployment.leaves() {
+            leaf.behave(LeafBehaviour::HeadLine(line));
+        }
+        for call in 0..4 {
+            for path in [SAFE_PATH, UNSAFE_PATH] {
+                let id = format!("{number}-{call}{path}");
+                let answer = node.get(path, &id).await;
+                assert_eq!(answer.status.as_u16(), 200, "{line}");
+                assert_eq!(deployment.runs_of(&id), 1, "{line}");
+            }
+            let id = format!("all-{number}-{call}");
+            check_gathered(&node.get(GATHER_PATH, &id).await, &id);
+        }
+    }
+}
