A load of any size from a back end ends no request

What callers would see: after X-Sablebay-Server-Load: 4294967295,4294967295,1 the next request that weighs this leaf ends with its connection closed in a build with overflow checks; a release build takes the fullest leaf for a less full one (the sum wraps).

Cause: the reported running and waiting requests are added unchecked.

Change: saturating_add.

Red before, on the parent with these tests: a_load_hint_may_have_any_size (attempt to add with overflow), a_load_of_any_size_ends_no_request (the same panic; IncompleteMessage in place of an answer). Now green, 10 of 10 and 6 of 6.

--- a/crates/sablebay-dispatch/src/replica_health.rs
+++ b/crates/sablebay-dispatch/src/replica_health.rs
@@ -205,7 +205,7 @@
     pub fn cost(&self, slots: u32, now: Micros) -> f64 {
         const REJECTED_COST: f64 = 3.0;
         let slowness = self.remembered_slowness(now).max(self.silence(now)).max(0.3);
-        let reported = self.recent_hint(now).map_or(0, |hint| hint.running + hint.waiting);
+        let reported = self.recent_hint(now).map_or(0, |hint| hint.running.saturating_add(hint.waiting));
         let load = f64::from(reported.max(self.open.len() as u32)) / f64::from(slots.max(1));
         let rejected = if self.rejected_until > now { REJECTED_COST } else { 1.0 };
         slowness * (1.0 + load) * rejected * (1.0 + f64::from(self.failures))
--- a/crates/sablebay-dispatch/tests/replica_choice.rs
+++ b/crates/sablebay-dispatch/tests/replica_choice.rs
@@ -99,6 +99,18 @@
     assert_eq!(draws(&table, &candidates, START.plus(USUAL)).0, 0);
 }
 
+#[test]
+fn a_load_hint_may_have_any_size() {
+    let candidates = [replica("a"), replica("b")];
+    let mut table = table();
+    for (candidate, running) in candidates.iter().zip([u32::MAX, 1]) {
+        table.sent(&candidate.replica.id, CallKey(1), USUAL, START);
+        let hint = LoadHint { running, waiting: running, slots: 2 };
+        table.answered(&candidate.replica.id, CallKey(1), Some(hint), START.plus(USUAL));
+    }
+    assert_eq!(draws(&table, &candidates, START.plus(USUAL)).0, 0);
+}
+
 #[test]
 fn a_replica_beyond_the_share_is_used_when_the_own_ones_stand_still() {
     let mut distant = replica("c");
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -104,22 +104,43 @@
     "Retry-After: 99999999999999999999",
 ];
 
+/// Loads that no back end has.
+const EXTREME_LOADS: [&str; 4] = [
+    "X-Sablebay-Server-Load: 4294967295,4294967295,4294967295",
+    "X-Sablebay-Server-Load: 4294967295,4294967295,0",
+    "X-Sablebay-Server-Load: 4294967296,-1,0",
+    "X-Sablebay-Server-Load: ,,",
+];
+
+/// Checks that every request is answered, and run once, while some back ends send a line.
+async fn check_served(odd: impl Fn(usize) -> bool, line: &'static str, name: &str) {
+    let (deployment, node) = one_node().await;
+    for (_, leaf) in deployment.leaves().enumerate().filter(|(number, _)| odd(*number)) {
+        leaf.behave(LeafBehaviour::HeadLine(line));
+    }
+    for call in 0..4 {
+        for path in [SAFE_PATH, UNSAFE_PATH] {
+            let id = format!("{name}-{call}{path}");
+            let answer = node.get(path, &id).await;
+            assert_eq!(answer.status.as_u16(), 200, "{line}");
+            assert_eq!(deployment.runs_of(&id), 1, "{line}");
+        }
+        let id = format!("all-{name}-{call}");
+        check_gathered(&node.get(GATHER_PATH, &id).await, &id);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn extreme_numbers_in_the_head_of_an_answer_do_no_harm() {
     for (number, line) in EXTREME_LINES.into_iter().enumerate() {
-        let (deployment, node) = one_node().await;
-        for leaf in deployment.leaves() {
-            leaf.behave(LeafBehaviour::HeadLine(line));
-        }
-        for call in 0..4 {
-            for path in [SAFE_PATH, UNSAFE_PATH] {
-                let id = format!("{number}-{call}{path}");
-                let answer = node.get(path, &id).await;
-                assert_eq!(answer.status.as_u16(), 200, "{line}");
-                assert_eq!(deployment.runs_of(&id), 1, "{line}");
-            }
-            let id = format!("all-{number}-{call}");
-            check_gathered(&node.get(GATHER_PATH, &id).await, &id);
-        }
+        check_served(|_| true, line, &number.to_string()).await;
+    }
+}
+
+/// One back end of each service, since all of them together would rightly count as overloaded.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_of_any_size_ends_no_request() {
+    for (number, line) in EXTREME_LOADS.into_iter().enumerate() {
+        check_served(|leaf| leaf % 2 == 0, line, &number.to_string()).await;
     }
 }
