Informational heads without end are no answer

What callers saw: a leaf that sends 103 heads without end held the call until its deadline (504) while the node parsed them; only then was another leaf asked, or nobody.

Cause: the HTTP library takes any number of informational heads before the final one.

Change: the 17th ends the call as no answer (reason informational_heads) and closes its connection: 502, or another leaf for a request that may be repeated.

Heads, fields, chunk extensions and trailers have bounds in the library (64 KiB for a head here, 16 KiB for the others).

--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -1,8 +1,13 @@
 //! Reads the answer of a back end, and decides whether what it sent is one.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
 use bytes::Bytes;
-use http::{HeaderValue, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
+use hyper::ext::on_informational;
+use tokio::sync::Notify;
 
 use sablebay_http::{BodyFailure, is_answer_status, read_body_within};
 use sablebay_model::Micros;
@@ -13,6 +18,9 @@
 /// Maximum size of a back end's answer.
 const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
 
+/// Maximum number of informational heads before an answer.
+const MAXIMUM_INFORMATIONAL_HEADS: u32 = 16;
+
 /// Why what a back end sent is no answer. The request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoAnswer {
@@ -20,6 +28,8 @@
     Closed,
     /// The head is not HTTP, or is too long.
     MalformedHead,
+    /// Too many informational heads came before the answer.
+    InformationalHeads,
     /// The status is not one that an answer can have.
     Status,
     /// The body ended early, or is malformed.
@@ -34,6 +44,7 @@
         match self {
             Self::Closed => "closed",
             Self::MalformedHead => "malformed_head",
+            Self::InformationalHeads => "informational_heads",
             Self::Status => "status",
             Self::BrokenBody => "broken_body",
             Self::LongBody => "long_body",
@@ -72,6 +83,36 @@
     }
 }
 
+/// Counts the informational heads before an answer, which nothing else bounds.
+pub struct InformationalHeads {
+    left: AtomicU32,
+    exceeded: Notify,
+}
+
+impl InformationalHeads {
+    /// Starts to count the informational heads that answer this request.
+    pub fn count<B>(request: &mut Request<B>) -> Arc<Self> {
+        let heads =
+            Arc::new(Self { left: AtomicU32::new(MAXIMUM_INFORMATIONAL_HEADS), exceeded: Notify::new() });
+        let counted = heads.clone();
+        on_informational(request, move |_| counted.note());
+        heads
+    }
+
+    fn note(&self) {
+        let none_left = |left: u32| left.checked_sub(1);
+        if self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, none_left).is_err() {
+            self.exceeded.notify_one();
+        }
+    }
+
+    /// Waits until there are too many.
+    pub async fn exceeded(&self) -> NoAnswer {
+        self.exceeded.notified().await;
+        NoAnswer::InformationalHeads
+    }
+}
+
 /// Reads the whole body of an answer.
 pub async fn answer_body(body: Incoming, memory: &AnswerMemory) -> Result<Bytes, NoAnswer> {
     let mut room = memory.room();
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -16,7 +16,7 @@
 };
 use sablebay_model::{Micros, RequestDigest};
 
-use crate::back_end_answer::{NoAnswer, answer_body, answer_head};
+use crate::back_end_answer::{InformationalHeads, NoAnswer, answer_body, answer_head};
 use crate::connections::{Lease, Liveness, ReplicaConnections};
 use crate::context::Context;
 use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, FullAnswer};
@@ -273,7 +273,12 @@
     let remaining = request.caller_deadline.min(deadline).since(now).as_duration();
     let mut outgoing = outgoing_request(request);
     context.back_ends.address_to(&mut outgoing, &replica.replica, remaining);
-    let response = match answer_head(lease.send(outgoing, extra).await) {
+    let informational_heads = InformationalHeads::count(&mut outgoing);
+    let head = tokio::select! {
+        sent = lease.send(outgoing, extra) => answer_head(sent),
+        why = informational_heads.exceeded() => Err(why),
+    };
+    let response = match head {
         Ok(response) => response,
         Err(why) => return (broken(context, replica, request, why), None),
     };
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -184,7 +184,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_are_no_answer_and_their_connection_is_closed() {
-    for part in EndlessPart::ALL.into_iter().filter(|part| *part != EndlessPart::Informational) {
+    for part in EndlessPart::ALL {
         check_no_answer(LeafBehaviour::Endless(part)).await;
     }
 }
