Answers of the product's own back ends in small pieces take no more than their bytes

What operators would see: the same growth of memory in the product's own path: calls to its back ends, its operations, and the platform's documents were collected piece by piece.

Change: sablebay_http::read_body there, too. Searches are read line by line into one buffer with a bound, and peers' frames state their length, which has a bound: neither keeps pieces.

--- a/crates/sablebay-http/src/lib.rs
+++ b/crates/sablebay-http/src/lib.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -153,10 +153,10 @@
         let mut lease = self.connect(permit).await.ok_or(ExchangeFailure::NotSent)?;
         let response = self.send(&mut lease, json_request(method, path, body)).await?;
         let success = response.status().is_success();
-        let limited = Limited::new(response.into_body(), MAXIMUM_EXCHANGE_BYTES);
-        let collected = limited.collect().await.map_err(|_| ExchangeFailure::Broken)?;
+        let body = read_body(response.into_body(), MAXIMUM_EXCHANGE_BYTES).await;
+        let body = body.map_err(|_| ExchangeFailure::Broken)?;
         self.release(lease);
-        if success { Ok(collected.to_bytes()) } else { Err(ExchangeFailure::Broken) }
+        if success { Ok(body) } else { Err(ExchangeFailure::Broken) }
     }
 
     /// Fetches the response body at a path; `None` on failure or timeout.
--- a/crates/sablebay-node/src/leaf_client/operation.rs
+++ b/crates/sablebay-node/src/leaf_client/operation.rs
@@ -2,10 +2,9 @@
 
 use derive_more::Display;
 use http::Method;
-use http_body_util::{BodyExt, Limited};
 use serde_json::value::RawValue;
 
-use sablebay_http::{ExchangeFailure, json_request};
+use sablebay_http::{ExchangeFailure, json_request, read_body};
 use sablebay_model::{CallId, Micros, ServiceId};
 use sablebay_protocol::backend::{LeafOperation, LeafOperationAnswer, LeafRefusal, OPERATION_PATH};
 
@@ -72,9 +71,8 @@
                 ExchangeFailure::NotSent => OperationFailure::NotSent,
                 ExchangeFailure::Broken => OperationFailure::NoResponse,
             })?;
-            let limited = Limited::new(response.into_body(), MAXIMUM_RESULT_BYTES);
-            let collected = limited.collect().await.map_err(|_| OperationFailure::NoResponse)?;
-            Ok(collected.to_bytes())
+            let body = read_body(response.into_body(), MAXIMUM_RESULT_BYTES).await;
+            body.map_err(|_| OperationFailure::NoResponse)
         };
         let exchanging = tokio::time::timeout_at(until, exchange);
         let exchanged = lifecycle.before_stop(context.clock, exchanging).await;
--- a/crates/sablebay-node/src/platform.rs
+++ b/crates/sablebay-node/src/platform.rs
@@ -7,11 +7,10 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use rand::RngExt;
 
 use sablebay_config::{Configuration, ConfigurationError, Digest, Version};
-use sablebay_http::{ConnectionPool, ExchangeFailure, json_request};
+use sablebay_http::{ConnectionPool, ExchangeFailure, json_request, read_body};
 use sablebay_model::{LeafId, Revision};
 use sablebay_protocol::backend::{
     MachineList, MachineRole, PLATFORM_CONFIGURATION_PATH, PLATFORM_MACHINES_PATH,
@@ -109,8 +108,8 @@
         let response = self.pool.send(&mut lease, request).await?;
         let status = response.status();
         let tag = response.headers().get(header::ETAG).cloned();
-        let body = Limited::new(response.into_body(), MAXIMUM_DOCUMENT_BYTES).collect().await;
-        let body = body.map_err(|_| ExchangeFailure::Broken)?.to_bytes();
+        let body = read_body(response.into_body(), MAXIMUM_DOCUMENT_BYTES).await;
+        let body = body.map_err(|_| ExchangeFailure::Broken)?;
         self.pool.release(lease);
         match status {
             StatusCode::NOT_MODIFIED => Ok(Document::Unchanged),
