Test: requests that arrive late in a planned stop

A report of other operators, which this system handles already: requests that come late in the grace are taken and passed on, then cut.

--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod incarnations;
 mod key_changes;
 mod large_configurations;
+mod late_in_stop;
 mod lifecycle;
 mod link;
 mod normal_operation;
