Lines about bytes that are no answer have a budget of their own

What operators would see: the lines "what a back end sent is no answer" took the ten lines a second that a node writes about requests, so that one back end in trouble hid why requests failed.

Change: a rate limit of their own, like that of callers' faults.

Red before, on the parent with this test: bytes_that_are_no_answer_do_not_suppress_log_lines_of_requests (timed out waiting: each failure is logged, 60 s).

--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -56,7 +56,7 @@
     pub fn record(self, metrics: &GatewayMetrics, request: &HeaderValue, replica: &str, now: Micros) {
         metrics.no_answer(self.label());
         // A back end that ends closes its connections, which says nothing new of each request.
-        if self != Self::Closed && metrics.log_budget.take(now) {
+        if self != Self::Closed && metrics.no_answer_log_budget.take(now) {
             let id = request.to_str().unwrap_or("unreadable");
             log::warn!(request = id, replica = replica, reason = self.label(); "gateway: what a back end sent is no answer.");
         }
--- a/crates/sablebay-gateway/src/metrics.rs
+++ b/crates/sablebay-gateway/src/metrics.rs
@@ -126,6 +126,8 @@
     /// Rate limit of log lines about refusals caused by the caller, such as an unknown key or an exhausted quota.
     /// Separate, so that they do not displace other lines.
     pub caller_fault_log_budget: LogBudget,
+    /// Rate limit of log lines about calls in which a replica sent no answer. Separate for the same reason.
+    pub no_answer_log_budget: LogBudget,
     /// Reads of the catalogue's source, by outcome.
     pub source_reads: Family<OutcomeLabel, Counter>,
     /// Revision of the source in its last answer.
@@ -181,6 +183,7 @@
             held_back: Gauge::default(),
             log_budget: LogBudget::default(),
             caller_fault_log_budget: LogBudget::default(),
+            no_answer_log_budget: LogBudget::default(),
             source_reads: Family::default(),
             source_revision: Gauge::default(),
             source_era: Gauge::default(),
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -6,6 +6,7 @@
 
 use crate::support::{
     Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, eventually,
+    settings_text,
 };
 
 async fn one_node() -> (Deployment, NodeProcess) {
@@ -252,3 +253,33 @@
         check_gathered(&answer, &format!("endless-{number}"));
     }
 }
+
+/// Guards against one back end in trouble that uses up the log lines about requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_are_no_answer_do_not_suppress_log_lines_of_requests() {
+    const FAILURES: usize = 3;
+    let deployment = Deployment::start().await;
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("node");
+    let log = std::fs::File::create(&path).expect("a log file");
+    let settings = settings_text("node-1", deployment.store.address, &[])
+        .replace("log_level = \"warn\"", "log_level = \"info\"\nlog_format = \"json\"");
+    let node = NodeProcess::start_with_log(&settings, log.into());
+    node.wait_ready().await;
+    for leaf in deployment.leaves() {
+        leaf.behave(LeafBehaviour::Garbage);
+    }
+    for number in 0..FAILURES {
+        // Two calls of each of four shards.
+        for gathered in 0..2 {
+            node.get(GATHER_PATH, &format!("gathered-{number}-{gathered}")).await;
+        }
+        node.get(UNSAFE_PATH, &format!("failed-{number}")).await;
+    }
+    let is_about = |line: &&str| line.contains("\"request\":\"failed-") && line.contains("\"failures\"");
+    let lines = || {
+        let log = std::fs::read_to_string(&path).expect("a log");
+        log.lines().filter(is_about).count()
+    };
+    eventually("each failure is logged", || async { lines() == FAILURES }).await;
+}
