Tests: crowds of clients that press a node for memory or descriptors

Clients that keep to every limit for a single request ended a process: out of memory. 27 tests send such crowds to a node process of the smallest machine (160 MB, 4,100 descriptors, or 256 of them where a crowd is to use them up) and check that it lives, that its peak memory and its descriptors stay under the machine's, and that an ordinary request is answered beside the crowd and one of the largest size after it. No times, no shares. They run one at a time.

Bounds and numbers of clients were not changed.

--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -1,5 +1,7 @@
 //! Shared fixtures of the platform tests: a store, back ends, and node processes in front of them.
 
+#![allow(dead_code)] // Two test binaries use this file, and each uses only some of the helpers.
+
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::io::{BufRead, BufReader};
@@ -176,6 +178,8 @@
     pub peers: SocketAddr,
     /// The address of its admin API.
     pub admin: SocketAddr,
+    /// The address of the product's own API for callers.
+    pub own_callers: SocketAddr,
 }
 
 impl Drop for NodeProcess {
@@ -221,10 +225,23 @@
 
     /// Like [`NodeProcess::start_with`], with a destination for the log.
     pub fn start_with_log(settings: &str, log: Stdio) -> Self {
+        Self::start_as(Command::new(env!("CARGO_BIN_EXE_sablebay")), settings, log)
+    }
+
+    /// Like [`NodeProcess::start_with`], with a limit on the open descriptors of the process.
+    pub fn start_with_descriptors(settings: &str, descriptors: u64) -> Self {
+        let mut shell = Command::new("sh");
+        let limited = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        shell.args(["-c", &limited, env!("CARGO_BIN_EXE_sablebay")]);
+        Self::start_as(shell, settings, Stdio::inherit())
+    }
+
+    /// Starts a node by a command that takes the arguments of the product.
+    fn start_as(mut command: Command, settings: &str, log: Stdio) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let settings_path = folder.path().join("node.toml");
         std::fs::write(&settings_path, settings).expect("the settings are written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_sablebay"))
+        let mut child = command
             .args(["serve", "--settings"])
             .arg(&settings_path)
             .stdout(Stdio::piped())
@@ -244,6 +261,7 @@
             readiness: address(&addresses["gateway"]["readiness_address"]),
             peers: address(&addresses["peer_address"]),
             admin: address(&addresses["admin_address"]),
+            own_callers: address(&addresses["caller_address"]),
         }
     }
 
@@ -274,6 +292,23 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number of kB")
     }
 
+    /// The processor time that the process has taken, in ticks of the system.
+    pub fn processor_ticks(&self) -> u64 {
+        /// The positions of the user and the system time behind the name of the program.
+        const TIMES: std::ops::Range<usize> = 11..13;
+        let path = format!("/proc/{}/stat", self.child.id());
+        let stat = std::fs::read_to_string(path).expect("the status of the process");
+        let (_, fields) = stat.rsplit_once(')').expect("the name of the program");
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        fields[TIMES].iter().map(|ticks| ticks.parse::<u64>().expect("a number of ticks")).sum()
+    }
+
+    /// The number of open descriptors of the process.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("the descriptors of the process").count()
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("the process can be waited for").is_none()
     }
