Callers' bodies take memory from one budget of the node

What callers saw: the process ended for lack of memory, and with it all their requests, while clients sent many bodies of legal size at once. Cause: `read_request` collected each body with its own bound and nothing bounded all of them; each piece kept the buffer that it had arrived in (800 bodies in pieces of 1 KB: 678 MB; chunks of one byte: 532 MB).

A body is copied into segments that are leased before they are taken; the lease travels with the bytes until the last of them is dropped. Whatever a client sends, the sum is bounded, because there is no memory without a lease. When there is none left, the connection that has been without progress for longest (a second at least, so never one that goes on) is given up: its body is refused with 503 and a time to come back, nothing of it ran, and its connection closes. A request read whole is never given up. A larger lease leaves twice its size free, so that small requests and one of the largest size find room beside a crowd.

--- a/crates/sablebay-config/src/node_settings.rs
+++ b/crates/sablebay-config/src/node_settings.rs
@@ -69,6 +69,10 @@
     pub core_share: f64,
     /// Maximum number of concurrent queries on this node, over all services. Default 4,096.
     pub concurrency: u32,
+    /// Memory of the machine, in MiB. Bounds what callers' connections, requests and answers may take. Default 160.
+    pub memory_mb: u64,
+    /// Number of descriptors that the process may open. Bounds callers' connections. Default: the process's limit.
+    pub descriptors: Option<u64>,
     /// Timeout of a graceful shutdown, in milliseconds. Default 30,000.
     pub stop_timeout_ms: u64,
     /// Probe period of the membership protocol, in milliseconds. Default 1,000.
@@ -81,6 +85,13 @@
     pub gateway: Option<GatewaySettings>,
 }
 
+/// The least memory of a machine on which a node runs.
+const MINIMUM_MEMORY_MB: u64 = 16;
+/// 64 TiB.
+const MAXIMUM_MEMORY_MB: u64 = 64 << 20;
+/// The least number of descriptors with which a node runs.
+const MINIMUM_DESCRIPTORS: u64 = 64;
+
 const LEVELS: [(&str, &str); 5] =
     [("error", "error"), ("warn", "warn"), ("info", "info"), ("debug", "debug"), ("trace", "trace")];
 
@@ -178,6 +189,8 @@
             .unwrap_or(LogTarget::Stderr),
         core_share: section.number("core_share", 0.001..=1_024.0).unwrap_or(1.0),
         concurrency: section.integer("concurrency", 1..=1_000_000).unwrap_or(4_096) as u32,
+        memory_mb: section.integer("memory_mb", MINIMUM_MEMORY_MB..=MAXIMUM_MEMORY_MB).unwrap_or(160),
+        descriptors: section.integer("descriptors", MINIMUM_DESCRIPTORS..=u64::from(u32::MAX)),
         stop_timeout_ms: section.integer("stop_timeout_ms", 1..=3_600_000).unwrap_or(30_000),
         probe_period_ms: section.integer("probe_period_ms", 10..=60_000).unwrap_or(1_000),
         platform_reads_per_second: section
--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use sablebay_config::GatewaySettings;
 use sablebay_model::Micros;
-use sablebay_node::{Clock, ConnectionLimits, ListenerPhase, Node, StopTimes, serve_http, serve_http_within};
+use sablebay_node::{Clock, ConnectionLimits, ListenerPhase, Node, StopTimes, serve_callers, serve_http};
 
 use crate::catalogue_reader::{follow_source, install_changes};
 use crate::context::Context;
@@ -144,8 +144,9 @@
         let summary = Box::new(move || summarized.metrics.stop_summary());
         let limiting = context.clone();
         let limits = move || connection_limits(&limiting.view.load());
+        let resources = node.shared.resources.clone();
         let callers =
-            tokio::spawn(serve_http_within(caller_listener, caller_routes(context), phases, limits));
+            tokio::spawn(serve_callers(caller_listener, caller_routes(context), phases, limits, resources));
         log::info!("gateway: listens for callers on {caller_address}, for readiness on {readiness_address}.");
         let addresses = GatewayAddresses { caller_address, readiness_address };
         Ok(Gateway {
--- a/crates/sablebay-gateway/src/request_body.rs
+++ b/crates/sablebay-gateway/src/request_body.rs
@@ -5,17 +5,19 @@
 
 use axum::extract::Request;
 use http::Uri;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::Instant;
 
 use sablebay_catalogue::Route;
 use sablebay_model::Micros;
+use sablebay_node::{RequestBodyFailure, read_request_body};
 
 use crate::call::{ForwardedRequest, end_to_end_headers};
 use crate::edge::{CallerRequest, Refusal};
 
 /// Retry delay after a body was truncated or timed out.
 const BODY_RETRY: Duration = Duration::from_millis(150);
+/// Retry delay after a body found no memory. By then, clients that neither send nor read have been given up.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(1_000);
 
 /// Why the body of a request could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,18 @@
     TimedOut,
     /// The body did not arrive before the node stopped.
     Stopped,
+    /// The node has no memory for the body.
+    NoRoom,
+}
+
+impl From<RequestBodyFailure> for BodyFailure {
+    fn from(failure: RequestBodyFailure) -> Self {
+        match failure {
+            RequestBodyFailure::TooLong => Self::TooLong,
+            RequestBodyFailure::Truncated => Self::Truncated,
+            RequestBodyFailure::NoRoom => Self::NoRoom,
+        }
+    }
 }
 
 impl BodyFailure {
@@ -39,6 +53,7 @@
             BodyFailure::Truncated | BodyFailure::TimedOut | BodyFailure::Stopped => {
                 Refusal::NotRun { retry_after: BODY_RETRY }
             }
+            BodyFailure::NoRoom => Refusal::NotRun { retry_after: NO_ROOM_RETRY },
         }
     }
 
@@ -49,6 +64,7 @@
             BodyFailure::Truncated => "the connection ended before the whole body arrived",
             BodyFailure::TimedOut => "the body did not arrive before the deadline",
             BodyFailure::Stopped => "the body did not arrive before the node stopped",
+            BodyFailure::NoRoom => "the node has no memory for the body",
         }
     }
 }
@@ -56,7 +72,7 @@
 /// Reads the whole body and returns the request to forward.
 ///
 /// # Errors
-/// If the body is too long, truncated or late.
+/// If the body is too long, truncated or late, or there is no memory for it.
 pub async fn read_request(
     request: Request,
     caller: CallerRequest,
@@ -65,14 +81,8 @@
     caller_deadline: Micros,
     body_deadline: Instant,
 ) -> Result<ForwardedRequest, BodyFailure> {
-    let (head, body) = request.into_parts();
-    let reading = Limited::new(body, limit).collect();
-    let body = match tokio::time::timeout_at(body_deadline, reading).await {
-        Err(_) => return Err(BodyFailure::TimedOut),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BodyFailure::TooLong),
-        Ok(Err(_)) => return Err(BodyFailure::Truncated),
-        Ok(Ok(collected)) => collected.to_bytes(),
-    };
+    let reading = tokio::time::timeout_at(body_deadline, read_request_body(request, limit));
+    let (head, body) = reading.await.map_err(|_| BodyFailure::TimedOut)??;
     let path = head.uri.path_and_query().expect("the route was found by the path").clone();
     Ok(ForwardedRequest {
         id: caller.id,
--- a/crates/sablebay-http/src/body.rs
+++ b/crates/sablebay-http/src/body.rs
@@ -23,6 +23,18 @@
     NoRoom,
 }
 
+/// The memory that a body may take.
+pub trait Room {
+    /// Takes memory up to this size for the body. Returns `false` if there is none.
+    fn grow_to(&mut self, bytes: usize) -> impl Future<Output = bool> + Send;
+}
+
+impl<F: FnMut(usize) -> bool + Send> Room for F {
+    async fn grow_to(&mut self, bytes: usize) -> bool {
+        self(bytes)
+    }
+}
+
 /// A body that has arrived in part. The pieces are copied, because each piece that is kept takes far more than its bytes.
 #[derive(Default)]
 struct Segments {
@@ -32,16 +44,12 @@
 }
 
 impl Segments {
-    /// Appends a piece. Asks `has_room` before a further segment is allocated.
-    fn append(
-        &mut self,
-        mut piece: Bytes,
-        has_room: &mut impl FnMut(usize) -> bool,
-    ) -> Result<(), BodyFailure> {
+    /// Appends a piece. Takes `room` before a further segment is allocated.
+    async fn append(&mut self, mut piece: Bytes, room: &mut impl Room) -> Result<(), BodyFailure> {
         while piece.has_remaining() {
             if self.length == self.capacity {
                 let size = if self.capacity == 0 { FIRST_SEGMENT_BYTES } else { SEGMENT_BYTES };
-                if !has_room(self.capacity + size) {
+                if !room.grow_to(self.capacity + size).await {
                     return Err(BodyFailure::NoRoom);
                 }
                 self.capacity += size;
@@ -72,15 +80,14 @@
     read_body_within(body, limit, |_| true).await
 }
 
-/// Reads a whole body of at most `limit` bytes. Asks `has_room` before the body takes more memory, with the bytes that it
-/// will take.
+/// Reads a whole body of at most `limit` bytes. Takes `room` before the body takes more memory.
 ///
 /// # Errors
 /// [`BodyFailure`]
 pub async fn read_body_within<B: Body<Data = Bytes> + Unpin>(
     mut body: B,
     limit: usize,
-    mut has_room: impl FnMut(usize) -> bool,
+    mut room: impl Room,
 ) -> Result<Bytes, BodyFailure> {
     let mut segments = Segments::default();
     while let Some(frame) = body.frame().await {
@@ -91,9 +98,9 @@
             return Err(BodyFailure::TooLong);
         }
         if segments.length == 0 && body.is_end_stream() {
-            return if has_room(piece.len()) { Ok(piece) } else { Err(BodyFailure::NoRoom) };
+            return if room.grow_to(piece.len()).await { Ok(piece) } else { Err(BodyFailure::NoRoom) };
         }
-        segments.append(piece, &mut has_room)?;
+        segments.append(piece, &mut room).await?;
     }
     Ok(segments.into_bytes())
 }
--- a/crates/sablebay-http/src/lib.rs
+++ b/crates/sablebay-http/src/lib.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-pub use body::{BodyFailure, read_body, read_body_within};
+pub use body::{BodyFailure, Room, read_body, read_body_within};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of [`ConnectionPool::get`] and [`ConnectionPool::post`].
--- a/crates/sablebay-http/tests/bodies.rs
+++ b/crates/sablebay-http/tests/bodies.rs
@@ -14,7 +14,10 @@
 const LIMIT: usize = 60_000;
 
 /// Reads a body that arrives in these pieces.
-async fn read(pieces: &[Vec<u8>], mut has_room: impl FnMut(usize) -> bool) -> Result<Bytes, BodyFailure> {
+async fn read(
+    pieces: &[Vec<u8>],
+    mut has_room: impl FnMut(usize) -> bool + Send,
+) -> Result<Bytes, BodyFailure> {
     let frames = pieces.iter().map(|piece| Ok::<_, Infallible>(Frame::data(Bytes::from(piece.clone()))));
     read_body_within(StreamBody::new(iter(frames.collect::<Vec<_>>())), LIMIT, &mut has_room).await
 }
--- a/crates/sablebay-node/src/http_listener.rs
+++ b/crates/sablebay-node/src/http_listener.rs
@@ -9,6 +9,10 @@
 
 use axum::Router;
 use axum::extract::ConnectInfo;
+use bytes::Bytes;
+use http::{HeaderValue, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -16,11 +20,16 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
-use crate::connection_limits::{ConnectionActivity, ConnectionLimits, ObservedStream};
+use crate::clock::Clock;
+use crate::connection_limits::{ConnectionActivity, ConnectionLimits, ObservedStream, ServingGuard};
+use crate::resources::{CallerConnection, OpenConnection, ResourceLimits, Resources};
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+/// Minimum interval between log lines about failed accepts.
+const ACCEPT_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The minimum that hyper accepts for `max_buf_size`, in bytes.
 const MINIMUM_HEAD_BUFFER: usize = 8_192;
@@ -54,29 +63,54 @@
 pub async fn serve_http_within<L>(
     listener: TcpListener,
     routes: Router,
-    mut phase: watch::Receiver<ListenerPhase>,
+    phase: watch::Receiver<ListenerPhase>,
+    limits: L,
+) where
+    L: Fn() -> ConnectionLimits + Clone + Send + 'static,
+{
+    let resources = Resources::new(ResourceLimits::unlimited(), Clock::start());
+    serve_callers(listener, routes, phase, limits, resources).await;
+}
+
+/// Like [`serve_http_within`], with bounds on the connections and the memory of all clients together. The requests carry
+/// their [`CallerConnection`] as an extension.
+pub async fn serve_callers<L>(
+    listener: TcpListener,
+    routes: Router,
+    phase: watch::Receiver<ListenerPhase>,
     limits: L,
+    resources: Resources,
 ) where
     L: Fn() -> ConnectionLimits + Clone + Send + 'static,
 {
     let mut connections = JoinSet::new();
+    let mut failure_logged_at: Option<Instant> = None;
+    let serve = |(stream, from)| {
+        // Registered before the next connection is accepted, so that the bound holds.
+        let open = resources.connect();
+        serve_connection(stream, from, open, routes.clone(), phase.clone(), limits.clone())
+    };
+    let mut closed = phase.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, from)) => {
-                    connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone(), limits.clone()));
+                Ok(accepted) => {
+                    connections.spawn(serve(accepted));
                 }
                 Err(error) => {
-                    log::warn!("node: cannot accept a connection: {error}.");
+                    if failure_logged_at.is_none_or(|at| at.elapsed() >= ACCEPT_LOG_INTERVAL) {
+                        failure_logged_at = Some(Instant::now());
+                        log::warn!("node: cannot accept a connection: {error}.");
+                    }
                     tokio::time::sleep(ACCEPT_RETRY).await;
                 }
             },
-            () = wait_for_phase(&mut phase, ListenerPhase::Closed) => break,
+            () = wait_for_phase(&mut closed, ListenerPhase::Closed) => break,
             Some(_) = connections.join_next() => {}
         }
     }
-    for (stream, from) in close_listener(listener) {
-        connections.spawn(serve_connection(stream, from, routes.clone(), phase.clone(), limits.clone()));
+    for accepted in close_listener(listener) {
+        connections.spawn(serve(accepted));
     }
     connections.join_all().await;
 }
@@ -102,19 +136,22 @@
     waiting
 }
 
-async fn serve_connection<L: Fn() -> ConnectionLimits>(
+async fn serve_connection<L: Fn() -> ConnectionLimits + Clone>(
     stream: TcpStream,
     from: SocketAddr,
+    open: OpenConnection,
     routes: Router,
     phase: watch::Receiver<ListenerPhase>,
     limits: L,
 ) {
     // Without the option the connection works, with higher latency.
     let _ = stream.set_nodelay(true);
-    let activity = ConnectionActivity::new();
+    let activity = ConnectionActivity::new(open.connection().clone());
     let (stream, stream_back) = ObservedStream::new(stream, activity.clone());
-    serve_requests(stream, activity, from, routes, phase, limits).await;
-    if let Ok(stream) = stream_back.await {
+    let ended = serve_requests(stream, activity, open.connection(), from, routes, phase, limits).await;
+    if ended == ConnectionEnd::Answered
+        && let Ok(stream) = stream_back.await
+    {
         discard_input(stream).await;
     }
 }
@@ -127,24 +164,34 @@
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
 }
 
-async fn serve_requests<L: Fn() -> ConnectionLimits>(
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// Its last answer may still be on the way.
+    Answered,
+    /// It was given up without an answer that could be lost.
+    Evicted,
+}
+
+async fn serve_requests<L: Fn() -> ConnectionLimits + Clone>(
     stream: ObservedStream,
     activity: ConnectionActivity,
+    caller: &CallerConnection,
     from: SocketAddr,
     routes: Router,
     mut phase: watch::Receiver<ListenerPhase>,
     limits: L,
-) {
+) -> ConnectionEnd {
     let routes = TowerToHyperService::new(routes);
     let served = activity.clone();
-    let service = service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
+    let service = service_fn(|mut request: http::Request<hyper::body::Incoming>| {
         request.extensions_mut().insert(ConnectInfo(from));
-        let serving = served.serve();
+        request.extensions_mut().insert(caller.clone());
+        let serving = served.serve(!request.body().is_end_stream());
         let answer = routes.call(request);
         async move {
-            let answer = answer.await;
-            drop(serving);
-            answer
+            let Ok(answer) = answer.await;
+            write_answer(answer, serving, caller).await
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
@@ -152,16 +199,43 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     // Connection errors affect only this client and are ignored.
     tokio::select! {
-        _ = connection.as_mut() => return,
+        _ = connection.as_mut() => return ConnectionEnd::Answered,
         () = wait_for_phase(&mut phase, ListenerPhase::Ended) => {}
-        () = activity.expired(limits) => {
+        () = caller.evicted() => {
+            log::debug!("node: closing the connection from {from}: others need its room.");
+            if !activity.is_serving() {
+                return ConnectionEnd::Evicted;
+            }
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                _ = connection => {}
+                () = activity.expired(limits) => {}
+            }
+            return ConnectionEnd::Answered;
+        }
+        () = activity.expired(limits.clone()) => {
             log::debug!("node: closing the connection from {from}: idle or request head timeout exceeded.");
             connection.as_mut().graceful_shutdown();
             // The client may never complete the head or read the response.
             let _ = tokio::time::timeout(EXPIRED_CLOSE_TIMEOUT, connection).await;
-            return;
+            return ConnectionEnd::Answered;
         }
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
+    ConnectionEnd::Answered
+}
+
+/// Hands an answer to the connection, which counts it until the client has taken it.
+async fn write_answer(
+    answer: http::Response<axum::body::Body>,
+    serving: ServingGuard,
+    caller: &CallerConnection,
+) -> Result<http::Response<Full<Bytes>>, axum::Error> {
+    let (mut head, body) = answer.into_parts();
+    let body = body.collect().await?.to_bytes();
+    if caller.is_evicted() {
+        head.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(http::Response::from_parts(head, Full::new(serving.write(body))))
 }
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -29,6 +29,8 @@
 mod platform;
 mod quarantine_store;
 mod report;
+mod request_body;
+mod resources;
 mod root_search;
 mod search_driver;
 mod service_counts;
@@ -46,7 +48,7 @@
 pub use connection_limits::ConnectionLimits;
 pub use document_store::{DocumentStore, MAXIMUM_DOCUMENT_BYTES};
 pub use error::NodeError;
-pub use http_listener::{ListenerPhase, serve_http, serve_http_within};
+pub use http_listener::{ListenerPhase, serve_callers, serve_http, serve_http_within};
 pub use leaf_client::{CallEvent, LeafClient, OutgoingSearch};
 pub use lifecycle::{Lifecycle, StopTimes, StopWatch};
 pub use logging::{LogControl, start_logging};
@@ -55,6 +57,11 @@
 pub use peers::{Lane, PeerFailure, PeerReply, PeerTransport, PendingAnswer, ProgressSender};
 pub use quarantine_store::{QuarantineStore, SuspectReport};
 pub use report::{CatalogueReport, NodeReport, TenantsReport};
+pub use request_body::{RequestBodyFailure, read_request_body};
+pub use resources::{
+    CallerConnection, ConnectionId, ConnectionPhase, Growth, MemoryLease, ResourceLimits, ResourceTable,
+    Resources, SMALL_LEASE_BYTES, Slot,
+};
 pub use root_search::{QueryInput, root_search};
 pub use service_counts::ServiceReport;
 pub use shared::{AccountOwner, PartialGatherer, Shared};
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use rand::RngExt;
+use rustix::process::{Resource, getrlimit};
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -42,6 +43,7 @@
 use crate::platform::run_platform_reader;
 use crate::quarantine_store::QuarantineStore;
 use crate::report::short_report;
+use crate::resources::{ResourceLimits, Resources};
 use crate::shared::Shared;
 use crate::suspension::Suspension;
 use crate::traffic::TrafficLedger;
@@ -244,6 +246,7 @@
     }
     let shared = Arc::new(Shared {
         slots: Semaphore::new(settings.concurrency as usize),
+        resources: Resources::new(resource_limits(&settings), clock),
         settings,
         info,
         clock,
@@ -274,6 +277,13 @@
     (shared, peer_context)
 }
 
+/// What the node may spend on its callers, from the size of its machine.
+fn resource_limits(settings: &NodeSettings) -> ResourceLimits {
+    let allowed = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let descriptors = settings.descriptors.map_or(allowed, |descriptors| descriptors.min(allowed));
+    ResourceLimits::of_machine(settings.memory_mb, descriptors)
+}
+
 struct Handler(Arc<Shared>);
 
 impl RequestHandler for Handler {
--- a/crates/sablebay-node/src/shared.rs
+++ b/crates/sablebay-node/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{PeerTransport, ProgressSender};
 use crate::quarantine_store::QuarantineStore;
+use crate::resources::Resources;
 use crate::service_state::{PlanNeed, ServiceState};
 use crate::suspension::Suspension;
 
@@ -90,6 +91,8 @@
     pub lifecycle: Lifecycle,
     /// Limits concurrent requests over all services.
     pub slots: Semaphore,
+    /// The connections and the memory of callers.
+    pub resources: Resources,
     /// Next number of a leaf call.
     pub next_call: Arc<AtomicU64>,
     /// Next number of a claim.
