Answers take memory until their callers have read them

What callers saw: a node that grew to 754 and 793 MB of its 160 beside 200 clients that read little of an answer of 4 MB. Cause: `AnswerRoom` ended once the answer had been read from the back end; parts that wait for a merge, and answers that a caller has yet to read, counted nowhere.

Now an answer leases its memory from the node's budget while it is read, and the lease stays with the bytes until hyper has written the last of them.

One check went: an answer of up to 64 KiB always had room, since it was not counted.

--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -9,15 +9,18 @@
 use hyper::ext::on_informational;
 use tokio::sync::Notify;
 
-use sablebay_http::{BodyFailure, is_answer_status, read_body_within};
+use sablebay_http::{BodyFailure, Room, is_answer_status, read_body_within};
 use sablebay_model::Micros;
+use sablebay_node::{MemoryLease, Resources};
 
-use crate::answer_memory::AnswerMemory;
 use crate::metrics::GatewayMetrics;
 
 /// Maximum size of a back end's answer.
 const MAXIMUM_ANSWER_BYTES: usize = 8 << 20;
 
+/// Size up to which an answer is not counted. The number of calls bounds the memory of these.
+const UNCOUNTED_BYTES: usize = 4 << 10;
+
 /// Maximum number of informational heads before an answer.
 const MAXIMUM_INFORMATIONAL_HEADS: u32 = 16;
 
@@ -35,7 +38,7 @@
     /// The body ended early, or is malformed.
     BrokenBody,
     LongBody,
-    /// The answers that the node is reading leave no memory for this one.
+    /// The requests and answers of the node leave no memory for this one.
     NoRoom,
 }
 
@@ -113,9 +116,20 @@
     }
 }
 
-/// Reads the whole body of an answer.
-pub async fn answer_body(body: Incoming, memory: &AnswerMemory) -> Result<Bytes, NoAnswer> {
-    let mut room = memory.room();
-    let read = read_body_within(body, MAXIMUM_ANSWER_BYTES, |bytes| room.grow_to(bytes)).await;
-    read.map_err(NoAnswer::from)
+/// The memory of an answer that is being read.
+struct AnswerRoom {
+    lease: MemoryLease,
+}
+
+impl Room for &mut AnswerRoom {
+    async fn grow_to(&mut self, bytes: usize) -> bool {
+        bytes <= UNCOUNTED_BYTES || self.lease.grow_to(bytes).await
+    }
+}
+
+/// Reads the whole body of an answer. Its memory is leased until the last of the bytes is dropped.
+pub async fn answer_body(body: Incoming, resources: &Resources) -> Result<Bytes, NoAnswer> {
+    let mut room = AnswerRoom { lease: resources.lease() };
+    let read = read_body_within(body, MAXIMUM_ANSWER_BYTES, &mut room).await?;
+    Ok(room.lease.attach_to(read))
 }
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -293,7 +293,7 @@
         // Later answers on this connection cannot be matched to requests either, so it is closed.
         return (CallResult::Failure(CallFailure::Mismatched, None), None);
     }
-    let body = match answer_body(body, &context.answer_memory).await {
+    let body = match answer_body(body, &context.node.resources).await {
         Ok(body) => body,
         Err(why) => return (broken(context, replica, request, why), read.load),
     };
--- a/crates/sablebay-gateway/src/context.rs
+++ b/crates/sablebay-gateway/src/context.rs
@@ -20,7 +20,6 @@
 use sablebay_node::{Clock, Shared};
 use sablebay_tenants::KeyDigester;
 
-use crate::answer_memory::AnswerMemory;
 use crate::authentication::key_digester;
 use crate::connections::ReplicaConnections;
 use crate::edge::{BackendProtocol, CallerProtocol};
@@ -83,8 +82,6 @@
     pub node_position: AtomicU64,
     /// Whether the last read of the catalogue source failed.
     pub source_fails: AtomicBool,
-    /// The memory of answers that are being read.
-    pub answer_memory: AnswerMemory,
     pub metrics: GatewayMetrics,
     next_call: AtomicU64,
     /// The key for request digests.
@@ -136,7 +133,6 @@
             replaced: ArcSwap::from_pointee(RoutingView::default()),
             dispatch: Mutex::new(dispatch),
             connections: Mutex::default(),
-            answer_memory: AnswerMemory::default(),
             metrics: GatewayMetrics::default(),
             next_call: AtomicU64::new(0),
         }
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -4,9 +4,6 @@
 //! and `sablebay-catalogue`. The protocols of callers, back ends and the catalogue source are behind
 //! the traits in [`edge`].
 
-mod answer_memory;
-#[cfg(test)]
-mod answer_memory_tests;
 mod authentication;
 mod back_end_answer;
 mod call;
