Callers' connections stay below the node's descriptors

What callers saw: no answer for as long as a crowd of silent connections stayed; readiness failed as well. Cause: nothing bounded connections. At the process's limit `accept` fails for everyone, and so does each new connection to replicas, the store and peers.

Connections are registered where they are accepted. The own API shares the bound with the gateway's listener.

--- a/crates/sablebay-gateway/src/gateway.rs
+++ b/crates/sablebay-gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use sablebay_config::GatewaySettings;
 use sablebay_model::Micros;
-use sablebay_node::{Clock, ConnectionLimits, ListenerPhase, Node, StopTimes, serve_callers, serve_http};
+use sablebay_node::{Clock, ConnectionLimits, ListenerPhase, Node, StopTimes, serve_callers};
 
 use crate::catalogue_reader::{follow_source, install_changes};
 use crate::context::Context;
@@ -133,7 +133,13 @@
             tokio::spawn(warm_up(context.clone())),
             tokio::spawn(share_quarantine(context.clone())),
             tokio::spawn(watch_pauses(context.clone())),
-            tokio::spawn(serve_http(readiness_listener, readiness_routes(context.clone()), always_open)),
+            tokio::spawn(serve_callers(
+                readiness_listener,
+                readiness_routes(context.clone()),
+                always_open,
+                ConnectionLimits::default,
+                node.shared.resources.for_operators(),
+            )),
         ];
         let reloaded = context.clone();
         let reload = Box::new(move |settings, seeds: &[SocketAddr]| {
--- a/crates/sablebay-node/src/http_listener.rs
+++ b/crates/sablebay-node/src/http_listener.rs
@@ -93,7 +93,7 @@
     let mut closed = phase.clone();
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = accept(&listener, &resources) => match accepted {
                 Ok(accepted) => {
                     connections.spawn(serve(accepted));
                 }
@@ -102,6 +102,7 @@
                         failure_logged_at = Some(Instant::now());
                         log::warn!("node: cannot accept a connection: {error}.");
                     }
+                    resources.free_descriptor();
                     tokio::time::sleep(ACCEPT_RETRY).await;
                 }
             },
@@ -115,6 +116,12 @@
     connections.join_all().await;
 }
 
+/// Accepts a connection once there is room for it.
+async fn accept(listener: &TcpListener, resources: &Resources) -> std::io::Result<(TcpStream, SocketAddr)> {
+    resources.wait_for_slot().await;
+    listener.accept().await
+}
+
 /// Waits until a phase is reached. A dropped sender counts as the last phase.
 async fn wait_for_phase(phase: &mut watch::Receiver<ListenerPhase>, wanted: ListenerPhase) {
     let _ = phase.wait_for(|phase| *phase >= wanted).await;
--- a/crates/sablebay-node/src/node.rs
+++ b/crates/sablebay-node/src/node.rs
@@ -26,10 +26,11 @@
 use crate::catalogue_store::CatalogueStore;
 use crate::clock::Clock;
 use crate::cluster_view::ClusterView;
+use crate::connection_limits::ConnectionLimits;
 use crate::error::NodeError;
 use crate::fleet_task::run_fleet;
 use crate::freshness::Freshness;
-use crate::http_listener::{ListenerPhase, serve_http};
+use crate::http_listener::{ListenerPhase, serve_callers};
 use crate::lifecycle::{Lifecycle, StopTimes};
 use crate::load_poll::{local_versions, run_load_polls};
 use crate::logging::LogControl;
@@ -126,9 +127,22 @@
             tokio::spawn(run_load_polls(shared.clone())),
             tokio::spawn(run_traffic_log(shared.clone())),
         ];
+        let limits = ConnectionLimits::default;
         let servers = vec![
-            tokio::spawn(serve_http(callers, caller_routes(shared.clone()), phase.clone())),
-            tokio::spawn(serve_http(admin, admin_routes(shared.clone()), phase)),
+            tokio::spawn(serve_callers(
+                callers,
+                caller_routes(shared.clone()),
+                phase.clone(),
+                limits,
+                shared.resources.clone(),
+            )),
+            tokio::spawn(serve_callers(
+                admin,
+                admin_routes(shared.clone()),
+                phase,
+                limits,
+                shared.resources.for_operators(),
+            )),
         ];
         log::info!(
             "node: {} listens for callers on {}, operators on {}, peers on {}.",
--- a/crates/sablebay-node/tests/http_listener.rs
+++ b/crates/sablebay-node/tests/http_listener.rs
@@ -12,7 +12,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use sablebay_node::{ConnectionLimits, ListenerPhase, serve_http, serve_http_within};
+use sablebay_node::{
+    Clock, ConnectionLimits, ListenerPhase, ResourceLimits, Resources, serve_callers, serve_http,
+    serve_http_within,
+};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: node\r\n\r\n";
 
@@ -131,3 +134,22 @@
     }
     assert!(read_to_end(stream).await.ends_with("served"));
 }
+
+/// Guards against connections that are never used and keep others out.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_make_room_for_new_ones() {
+    const CONNECTIONS: usize = 16;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let routes = Router::new().route("/", get(|| async { ([(header::CONNECTION, "close")], "served") }));
+    let (_listeners, phase) = watch::channel(ListenerPhase::Open);
+    let limits = ResourceLimits { connections: CONNECTIONS, ..ResourceLimits::unlimited() };
+    let resources = Resources::new(limits, Clock::start());
+    let serving = serve_callers(listener, routes, phase, ConnectionLimits::default, resources.clone());
+    tokio::spawn(serving);
+    let _silent: Vec<_> = (0..4 * CONNECTIONS).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    assert!(read_to_end(stream).await.ends_with("served"));
+    assert!(resources.connections() <= CONNECTIONS);
+}
