Bodies and answers of the own API take memory from the node's budget

What callers saw: the same end of the process by the own API: 800 bodies of 256 KiB in pieces of 1 KB took 682 MB, in chunks of one byte 1,544 MB. Cause: its handlers took `axum::body::Bytes`, which collects each body for itself.

Now it reads a body by `read_request_body`, as the gateway does, and refuses one without room with 503, `overloaded`, `not_run` and a time to come back. The lease stays until the answer is made; an answer of more than 4 KiB has a lease until its client has read it.

--- a/crates/sablebay-node/src/caller_api.rs
+++ b/crates/sablebay-node/src/caller_api.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, Path, State};
-use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::body::Body;
+use axum::extract::{FromRequest, Path, Request, State};
+use axum::http::{HeaderMap, HeaderValue, header};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
+use bytes::Bytes;
+use http_body_util::BodyExt;
 use rand::RngExt;
 use serde_json::value::RawValue;
 
@@ -22,10 +24,15 @@
 use crate::common_routes::with_common_routes;
 use crate::operation::{OperationInput, mint_ticket, run_operation, ticket_state};
 use crate::outcome_body::refusal_response;
+use crate::request_body::{RequestBodyFailure, read_request_body};
 use crate::root_search::{QueryInput, find_service, root_search, stopping};
 use crate::shared::Shared;
 
 const MAXIMUM_BODY_BYTES: usize = 256 * 1024;
+/// Retry delay after a body found no memory. By then, clients that neither send nor read have been given up.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
+/// Size up to which an answer is not counted. The number of connections bounds the memory of these.
+const UNCOUNTED_ANSWER_BYTES: usize = 4 << 10;
 /// Maximum number of hits that a query may request.
 const MAXIMUM_LIMIT: usize = 10_000;
 const MAXIMUM_DEADLINE_MS: u64 = 600_000;
@@ -41,17 +48,13 @@
         .route("/v1/services/{service}/tickets", post(new_ticket))
         .route("/v1/tickets/{ticket}", get(ticket));
     with_common_routes(routes)
-        .layer(DefaultBodyLimit::max(MAXIMUM_BODY_BYTES))
+        .layer(from_fn_with_state(shared.clone(), lease_answer))
         .layer(from_fn_with_state(shared.clone(), close_when_draining))
         .with_state(shared)
 }
 
 /// Adds `Connection: close` to responses while the node drains, so that callers reconnect to another node.
-async fn close_when_draining(
-    State(shared): State<Arc<Shared>>,
-    request: axum::extract::Request,
-    next: Next,
-) -> Response {
+async fn close_when_draining(State(shared): State<Arc<Shared>>, request: Request, next: Next) -> Response {
     let mut response = next.run(request).await;
     if shared.lifecycle.is_draining() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -59,6 +62,26 @@
     response
 }
 
+/// Counts the memory of a large answer until its client has taken it.
+async fn lease_answer(State(shared): State<Arc<Shared>>, request: Request, next: Next) -> Response {
+    let (head, body) = next.run(request).await.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let message = format!("the answer could not be read: {error}");
+            return refusal_response(Refusal::unknown(Reason::PeerFailed, message));
+        }
+    };
+    if body.len() <= UNCOUNTED_ANSWER_BYTES {
+        return Response::from_parts(head, Body::from(body));
+    }
+    let mut lease = shared.resources.lease();
+    if !lease.grow_to(body.len()).await {
+        lease.take(body.len());
+    }
+    Response::from_parts(head, Body::from(lease.attach_to(body)))
+}
+
 fn respond(answer: Answer) -> Response {
     answer.unwrap_or_else(refusal_response)
 }
@@ -102,18 +125,32 @@
     Ok(CallerHeaders { request_id, deadline_ms, ticket })
 }
 
-/// The request body, or why it was rejected.
-type ReceivedBody = Result<Bytes, axum::extract::rejection::BytesRejection>;
+/// The whole body of a request, or why it was not read.
+struct ReceivedBody(Result<Bytes, Refusal>);
 
-fn read_body(body: ReceivedBody) -> Result<Bytes, Refusal> {
-    body.map_err(|rejection| {
-        if rejection.status() == StatusCode::PAYLOAD_TOO_LARGE {
+impl<S: Send + Sync> FromRequest<S> for ReceivedBody {
+    type Rejection = std::convert::Infallible;
+
+    async fn from_request(request: Request, _state: &S) -> Result<Self, Self::Rejection> {
+        let read = read_request_body(request, MAXIMUM_BODY_BYTES).await;
+        Ok(Self(read.map(|(_, body)| body).map_err(body_refusal)))
+    }
+}
+
+fn body_refusal(failure: RequestBodyFailure) -> Refusal {
+    match failure {
+        RequestBodyFailure::TooLong => {
             let message = format!("the request body exceeds {MAXIMUM_BODY_BYTES} bytes");
             Refusal::not_run(Reason::TooLarge, message)
-        } else {
+        }
+        RequestBodyFailure::Truncated => {
             Refusal::not_run(Reason::BadRequest, "the request body could not be read")
         }
-    })
+        RequestBodyFailure::NoRoom => {
+            let message = "the node has no memory for the request body";
+            Refusal::not_run(Reason::Overloaded, message).retry_after(NO_ROOM_RETRY_MS)
+        }
+    }
 }
 
 fn parse_body<'a, T: serde::Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
@@ -138,7 +175,7 @@
     body: ReceivedBody,
 ) -> Answer {
     let headers = read_headers(headers)?;
-    let body = read_body(body)?;
+    let body = body.0?;
     let body: QueryBody = parse_body(&body)?;
     if body.limit > MAXIMUM_LIMIT {
         let message = format!("limit is {}; the maximum is {MAXIMUM_LIMIT}", body.limit);
@@ -182,7 +219,7 @@
     body: ReceivedBody,
 ) -> Answer {
     let headers = read_headers(headers)?;
-    let body = read_body(body)?;
+    let body = body.0?;
     let operation: Box<RawValue> = parse_body(&body)?;
     let request_id = headers.request_id.clone();
     let input = OperationInput { operation, ticket: headers.ticket, deadline_ms: headers.deadline_ms };
