Connections of callers keep small read buffers

What callers saw: a node at 169,040 kB of 160,000 beside 800 bodies in chunks of one byte at the own API, after bodies took leases. Cause: hyper doubles a connection's read buffer each time that it is filled, up to the limit on a request head (64 KiB there), and keeps it: memory that no lease counts.

Now at most 8 KiB are read at once, so that the buffer stays near what a connection counts for.

--- a/crates/sablebay-node/src/connection_limits.rs
+++ b/crates/sablebay-node/src/connection_limits.rs
@@ -22,6 +22,9 @@
 
 /// Size of a request head that counts as part of its connection.
 const SMALL_HEAD_BYTES: usize = 8 << 10;
+/// Maximum number of bytes read at once. hyper enlarges the buffer of a connection that fills it, up to the limit on a
+/// request head, and keeps it.
+const MAXIMUM_READ_BYTES: usize = 8 << 10;
 /// Bytes of an answer after which its client counts as making progress.
 const PROGRESS_BYTES: usize = 16 << 10;
 
@@ -262,9 +265,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = self.stream().poll_read(context, buffer);
-        let received = buffer.filled().len() - before;
+        let length = buffer.remaining().min(MAXIMUM_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        let read = self.stream().poll_read(context, &mut part);
+        let received = part.filled().len();
+        buffer.advance(received);
         if received > 0 {
             self.activity.record_bytes_received(received);
         }
