Requests and answers take a fifth of a machine's memory

Now 32 of 160 MB are leased, and a larger lease leaves its own size free, which is the capacity and the rule that answers had before: three of the largest size fit, and the properties hold as they did for `AnswerMemory`.

--- a/crates/sablebay-node/src/resources.rs
+++ b/crates/sablebay-node/src/resources.rs
@@ -23,8 +23,11 @@
 const RECLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 /// Memory that a connection takes without a request: its task, its buffers and its entry.
 const CONNECTION_BYTES: usize = 20 << 10;
-/// The part of the machine's memory for connections, and that for requests and answers, is one in this many.
-const MEMORY_DIVISOR: usize = 4;
+/// The part of the machine's memory for connections is one in this many.
+const CONNECTION_MEMORY_DIVISOR: usize = 4;
+/// The part of the machine's memory for requests and answers is one in this many. The allocator takes about twice the bytes
+/// that are leased, and the rest of the process needs memory for its configuration, replicas and peers.
+const REQUEST_MEMORY_DIVISOR: usize = 5;
 /// The part of the descriptors that callers may take is one in this many. The rest is for replicas, the store, peers,
 /// operators and logs.
 const DESCRIPTOR_DIVISOR: usize = 2;
@@ -38,12 +41,12 @@
 impl ResourceLimits {
     /// The limits of callers on a machine of this size.
     pub fn of_machine(memory_mb: u64, descriptors: u64) -> Self {
-        let memory_bytes =
-            usize::try_from(memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX) / MEMORY_DIVISOR;
+        let machine_bytes = usize::try_from(memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX);
         let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX);
+        let by_memory = machine_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
         Self {
-            connections: (descriptors / DESCRIPTOR_DIVISOR).min(memory_bytes / CONNECTION_BYTES).max(1),
-            memory_bytes,
+            connections: (descriptors / DESCRIPTOR_DIVISOR).min(by_memory).max(1),
+            memory_bytes: machine_bytes / REQUEST_MEMORY_DIVISOR,
         }
     }
 
--- a/crates/sablebay-node/src/resources/table.rs
+++ b/crates/sablebay-node/src/resources/table.rs
@@ -7,9 +7,6 @@
 
 /// Size up to which a lease may take any memory that is left, so that small requests have room beside large ones.
 pub const SMALL_LEASE_BYTES: usize = 32 << 10;
-/// What a larger lease must leave free, as a multiple of its size. Leases that grow together then always leave room for
-/// one of nearly their size.
-const REMAINDER_FACTOR: usize = 2;
 /// The part of the connections that may be closing while new ones are accepted is one in this many.
 const CLOSING_DIVISOR: usize = 8;
 /// How long a client must have made no progress before what it holds is given up in favour of others.
@@ -253,9 +250,10 @@
         }
     }
 
-    /// The memory that must be left free beside a lease of this size.
+    /// The memory that must be left free beside a lease of this size. Larger leases that grow together always leave room
+    /// for one of nearly their size.
     fn least_remainder(wanted: usize) -> usize {
-        if wanted <= SMALL_LEASE_BYTES { 0 } else { wanted.saturating_mul(REMAINDER_FACTOR) }
+        if wanted <= SMALL_LEASE_BYTES { 0 } else { wanted }
     }
 
     /// Evicts the connections that have been stalled for longest until this much memory is on its way back. Evicts none
