--- a/crates/sablebay-node/src/admin_api.rs
+++ b/crates/sablebay-node/src/admin_api.rs
@@ -23,9 +23,11 @@
 
 use crate::common_routes::with_common_routes;
 use crate::fleet_task::step_fleet;
+use crate::metrics::{GivenUpLabel, Metrics};
 use crate::outcome_body::refusal_response;
 use crate::peers::Lane;
 use crate::report::{NodeReport, node_report, short_report};
+use crate::resources::Resources;
 use crate::service_counts::ServiceReport;
 use crate::shared::Shared;
 
@@ -372,6 +374,20 @@
     }
 }
 
+fn set_caller_metrics(metrics: &Metrics, resources: &Resources) {
+    metrics.caller_connections.set(resources.connections() as i64);
+    metrics.caller_bytes.set(resources.leased_bytes() as i64);
+    let counters = resources.counters();
+    for (reason, counter) in [
+        ("connections", &counters.connections_evicted),
+        ("stalled", &counters.memory_reclaimed),
+        ("no_memory", &counters.memory_refused),
+    ] {
+        let count = counter.load(Ordering::Relaxed) as i64;
+        metrics.given_up.get_or_create(&GivenUpLabel { reason }).set(count);
+    }
+}
+
 async fn metrics(State(shared): State<Arc<Shared>>) -> String {
     let metrics = &shared.metrics;
     let counters = shared.peers.counters();
@@ -384,5 +400,6 @@
     metrics.misaddressed.set(read(&shared.client_counters.misaddressed));
     let confirmed = shared.freshness.confirmed_ms_ago(shared.clock.now());
     metrics.confirmed_ms_ago.set(confirmed.map_or(-1, |ms| ms as i64));
+    set_caller_metrics(metrics, &shared.resources);
     metrics.render()
 }
--- a/crates/sablebay-node/src/lib.rs
+++ b/crates/sablebay-node/src/lib.rs
@@ -56,7 +56,7 @@
 pub use node::{BoundAddresses, Node};
 pub use peers::{Lane, PeerFailure, PeerReply, PeerTransport, PendingAnswer, ProgressSender};
 pub use quarantine_store::{QuarantineStore, SuspectReport};
-pub use report::{CatalogueReport, NodeReport, TenantsReport};
+pub use report::{CallersReport, CatalogueReport, NodeReport, TenantsReport};
 pub use request_body::{RequestBodyFailure, read_request_body};
 pub use resources::{
     CallerConnection, ConnectionId, ConnectionPhase, Growth, MemoryLease, ResourceLimits, ResourceTable,
--- a/crates/sablebay-node/src/metrics.rs
+++ b/crates/sablebay-node/src/metrics.rs
@@ -24,6 +24,11 @@
     reason: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct GivenUpLabel {
+    pub reason: &'static str,
+}
+
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.5];
 
@@ -52,6 +57,12 @@
     pub misaddressed: Gauge,
     /// Milliseconds since the configuration was last confirmed; -1 if it never was.
     pub confirmed_ms_ago: Gauge,
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
+    /// Bytes leased for callers' requests and answers.
+    pub caller_bytes: Gauge,
+    /// What was given up of callers, by reason.
+    pub given_up: Family<GivenUpLabel, Gauge>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -84,6 +95,9 @@
             control_bytes: Gauge::default(),
             misaddressed: Gauge::default(),
             confirmed_ms_ago: Gauge::default(),
+            caller_connections: Gauge::default(),
+            caller_bytes: Gauge::default(),
+            given_up: Family::default(),
         };
         metrics.register_services();
         metrics.register_node();
@@ -120,6 +134,21 @@
             "Milliseconds since the configuration was confirmed",
             self.confirmed_ms_ago.clone(),
         );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+        registry.register(
+            "caller_bytes",
+            "Bytes of callers' requests and answers",
+            self.caller_bytes.clone(),
+        );
+        registry.register(
+            "given_up",
+            "Connections closed and bodies refused for lack of room",
+            self.given_up.clone(),
+        );
     }
 
     /// Records the result and duration of a query.
--- a/crates/sablebay-node/src/report.rs
+++ b/crates/sablebay-node/src/report.rs
@@ -1,6 +1,7 @@
 //! Status reports of a node for operators.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +10,7 @@
 use sablebay_model::Incarnation;
 
 use crate::quarantine_store::SuspectReport;
+use crate::resources::Resources;
 use crate::service_counts::ServiceReport;
 use crate::shared::Shared;
 
@@ -134,6 +136,40 @@
     /// The reachable part of the fleet; absent without a gateway.
     #[serde(default)]
     pub fleet_part: Option<FleetPartReport>,
+    /// What callers take of the node.
+    #[serde(default)]
+    pub callers: CallersReport,
+}
+
+/// What callers take of a node, and its bounds.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct CallersReport {
+    /// Open connections.
+    pub connections: usize,
+    pub maximum_connections: usize,
+    /// Bytes leased for requests and answers.
+    pub bytes: usize,
+    pub maximum_bytes: usize,
+    /// Connections closed in favour of new ones, since the start.
+    pub connections_evicted: u64,
+    /// Connections of stalled clients closed for their memory, since the start.
+    pub memory_reclaimed: u64,
+    /// Requests and answers without memory, since the start.
+    pub memory_refused: u64,
+}
+
+fn callers_report(resources: &Resources) -> CallersReport {
+    let limits = resources.limits();
+    let counters = resources.counters();
+    CallersReport {
+        connections: resources.connections(),
+        maximum_connections: limits.connections,
+        bytes: resources.leased_bytes(),
+        maximum_bytes: limits.memory_bytes,
+        connections_evicted: counters.connections_evicted.load(Ordering::Relaxed),
+        memory_reclaimed: counters.memory_reclaimed.load(Ordering::Relaxed),
+        memory_refused: counters.memory_refused.load(Ordering::Relaxed),
+    }
 }
 
 /// The report of this node without its members, for other nodes.
@@ -214,5 +250,6 @@
         catalogue: catalogue_report(shared),
         quarantine: shared.quarantine.report(now),
         fleet_part: shared.fleet_part.lock().map(|part| FleetPartReport::new(&part)),
+        callers: callers_report(&shared.resources),
     }
 }
