--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -83,6 +83,41 @@
     check_statuses(&["000", "000 OK", "099 Early", "1000 Much", "20 OK", "2 0", "OK", "-20", "2O0 OK"]).await;
 }
 
+/// A status that is no number above zero.
+const STATUS_ZERO: LeafBehaviour = LeafBehaviour::Status("000");
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shard_whose_back_ends_send_status_000_is_missing() {
+    let (deployment, node) = one_node().await;
+    for leaf in &deployment.shards[..2] {
+        leaf.behave(STATUS_ZERO);
+    }
+    let answer = node.get(GATHER_PATH, "one-shard").await;
+    check_gathered(&answer, "one-shard");
+    assert_eq!(answer.missing, 1);
+    for leaf in &deployment.shards {
+        leaf.behave(STATUS_ZERO);
+    }
+    check_own_failure(&node.get(GATHER_PATH, "all-shards").await, STATUS_ZERO);
+}
+
+/// The hedge is answered first, and its status must not end the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hedge_that_is_answered_with_status_000_leaves_the_first_call_going() {
+    const WORK: Duration = Duration::from_secs(2);
+    let (deployment, node) = one_node().await;
+    record_latencies(&node).await;
+    deployment.singles[0].behave(LeafBehaviour::Slow(WORK));
+    deployment.singles[1].behave(STATUS_ZERO);
+    for number in 0..4 {
+        let id = format!("hedged-{number}");
+        let answer = node.get(SAFE_PATH, &id).await;
+        assert_eq!(answer.status.as_u16(), 200, "{id}");
+        assert_eq!(answer.stamp, Some(format!("i-single-0.{id}")));
+    }
+    assert!(deployment.singles[1].record().arrivals > 0, "the other back end was never asked");
+}
+
 /// Nobody asked for another protocol, and a body would be awaited for ever.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_switch_of_protocols_is_no_answer() {
