Requests with large bodies are not delegated

What callers could cause: a copy of a body of 256 KiB at each gatherer of a gathered request, in frames and in the request that it builds, which no lease of either node counts. Cause: `partial_gather` copies the body.

Now a body of more than 16 KiB stays at the node that received it, which calls the back ends itself with the one copy. Gathered requests of the deployments have no body.

--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -31,6 +31,8 @@
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time reserved before the caller's deadline for returning the answer.
 const ANSWER_MARGIN: Micros = Micros::from_millis(5);
+/// Maximum size of a body that is sent to other nodes.
+const MAXIMUM_DELEGATED_BODY_BYTES: usize = 16 << 10;
 /// Retry delay while the catalogue is too old or unconfirmed.
 const NOT_READY_RETRY: Duration = Duration::from_millis(400);
 /// Retry delay after every replica rejected the request.
@@ -191,8 +193,10 @@
         let refusal = Refusal::HeldBack { retry_after: retry_after.as_duration() };
         return Served::refused(refuse(context, record, refusal, "consecutive back ends crashed on it"));
     }
-    // Gatherers would send a suspect request to several back ends at once.
-    let delegations = if context.is_suspect(&forwarded) { Vec::new() } else { delegations };
+    // Gatherers would send a suspect request to several back ends at once, and each would hold a copy of a large body.
+    let is_delegable =
+        forwarded.body.len() <= MAXIMUM_DELEGATED_BODY_BYTES && !context.is_suspect(&forwarded);
+    let delegations = if is_delegable { delegations } else { Vec::new() };
     let forwarded = Arc::new(forwarded);
     let result = drive(context, &route, targets, delegations, forwarded.clone(), bounds).await;
     if !matches!(result.outcome, FanoutOutcome::Answered { .. }) {
--- a/crates/sablebay/tests/platform/gathering.rs
+++ b/crates/sablebay/tests/platform/gathering.rs
@@ -5,7 +5,7 @@
 
 use rustix::process::Signal;
 
-use sablebay_platform_standin::{CallerCall, LeafBehaviour};
+use sablebay_platform_standin::{CallerAnswer, CallerCall, LeafBehaviour};
 
 use crate::support::{
     Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, check_gathered, configuration, eventually,
@@ -77,6 +77,47 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_delegated_shard_whose_back_ends_send_status_000_is_missing() {
+    let fleet = Fleet::start(1).await;
+    for leaf in &fleet.deployment.shards[..2] {
+        leaf.behave(LeafBehaviour::Status("000"));
+    }
+    let delegated = metric(&fleet.root, ANSWERED_DELEGATIONS);
+    for number in 0..4 {
+        let id = format!("zero-{number}");
+        let answer = fleet.root.get(GATHER_PATH, &id).await;
+        check_gathered(&answer, &id);
+        assert_eq!(answer.missing, 1, "{id}");
+    }
+    assert!(metric(&fleet.root, ANSWERED_DELEGATIONS) > delegated, "nothing was delegated");
+}
+
+/// Each gatherer would hold a copy of the body, outside the memory that the root accounts for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_a_large_body_is_not_delegated() {
+    const BODY_BYTES: usize = 64 << 10;
+    let fleet = Fleet::start(1).await;
+    let mut larger = configuration(2);
+    larger.limits.body_bytes = BODY_BYTES;
+    fleet.deployment.store.publish(&larger);
+    let is_accepted = |answer: CallerAnswer| answer.status.as_u16() == 200;
+    let call =
+        |id: &str| CallerCall { body: vec![b'x'; BODY_BYTES], ..CallerCall::get(HOST, GATHER_PATH, id) };
+    eventually("the larger limit is in force", || async {
+        is_accepted(fleet.root.call(&call("in-force")).await)
+    })
+    .await;
+    let delegated = metric(&fleet.root, ANSWERED_DELEGATIONS);
+    for number in 0..4 {
+        let id = format!("large-{number}");
+        let answer = fleet.root.call(&call(&id)).await;
+        check_gathered(&answer, &id);
+        assert_eq!(answer.missing, 0, "{id}");
+    }
+    assert_eq!(metric(&fleet.root, ANSWERED_DELEGATIONS), delegated);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_merged_part_holds_what_the_shards_hold() {
     let fleet = Fleet::start(2).await;
