Flags for the machine's size, and a line in `status`

Cause: `memory_mb` and `descriptors` could be set by the file alone, and the tables of `sablebay status` did not show what is given up.

--- a/crates/sablebay-config/src/node_flags.rs
+++ b/crates/sablebay-config/src/node_flags.rs
@@ -18,8 +18,10 @@
     "log-target",
 ];
 /// Flags with a numeric value.
-const NUMBER_FLAGS: [&str; 5] = [
+const NUMBER_FLAGS: [&str; 7] = [
     "concurrency",
+    "memory-mb",
+    "descriptors",
     "stop-timeout-ms",
     "probe-period-ms",
     "platform-reads-per-second",
--- a/crates/sablebay/src/command/serve.rs
+++ b/crates/sablebay/src/command/serve.rs
@@ -32,7 +32,7 @@
   --caller-address A  --admin-address A  --peer-address A  --advertised-peer-address A
   --platform-address A  --peers A (repeatable)  --operator-token TEXT
   --log-level LEVEL  --log-format text|json  --log-target stdout|stderr
-  --concurrency N  --stop-timeout-ms N
+  --concurrency N  --memory-mb N  --descriptors N  --stop-timeout-ms N
   --probe-period-ms N  --platform-reads-per-second X  --aggregators-per-service N
 
   --settings FILE   read settings from a TOML file
--- a/crates/sablebay/src/command/status.rs
+++ b/crates/sablebay/src/command/status.rs
@@ -100,6 +100,7 @@
     }
     print_fleet_parts(status);
     print_evacuations(status);
+    print_callers(status);
     print_catalogues(status);
     print_tenants(status);
     print_quarantine(status);
@@ -109,6 +110,28 @@
 
 /// Prints the evacuated zones with the number of nodes that know of the evacuation. All must know it before
 /// the zone counts as empty.
+/// Prints the nodes that gave up connections or requests of callers for lack of room.
+fn print_callers(status: &FleetStatus) {
+    for node in &status.nodes {
+        let callers = &node.callers;
+        if callers.connections_evicted + callers.memory_reclaimed + callers.memory_refused == 0 {
+            continue;
+        }
+        print_line(&format!(
+            "{}: callers hold {} of {} connections and {} of {} bytes; {} connections and {} stalled clients were closed, \
+             {} requests and answers had no memory",
+            node.node,
+            callers.connections,
+            callers.maximum_connections,
+            callers.bytes,
+            callers.maximum_bytes,
+            callers.connections_evicted,
+            callers.memory_reclaimed,
+            callers.memory_refused
+        ));
+    }
+}
+
 fn print_evacuations(status: &FleetStatus) {
     let mut known: BTreeMap<&str, usize> = BTreeMap::new();
     for node in &status.nodes {
