--- a/crates/sablebay/tests/misbehaving_clients/bodies.rs
+++ b/crates/sablebay/tests/misbehaving_clients/bodies.rs
@@ -125,3 +125,15 @@
     .await;
     trial.check_beside(crowd).await;
 }
+
+/// A crowd keeps no node from a planned stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_stop_short_during_a_planned_stop() {
+    let mut trial = Trial::start().await;
+    let crowd = send_bodies(trial.node.caller.address, CLIENTS, SAFE_PATH, SHORT).await;
+    trial.check_ordinary_request("before").await;
+    trial.check_machine();
+    trial.node.signal(rustix::process::Signal::TERM);
+    assert_eq!(trial.node.exit_code().await, Some(0));
+    drop(crowd);
+}
--- a/crates/sablebay/tests/misbehaving_clients/connections.rs
+++ b/crates/sablebay/tests/misbehaving_clients/connections.rs
@@ -1,5 +1,7 @@
 //! More connections than a node has descriptors, and heads without an end.
 
+use tokio::io::AsyncWriteExt;
+
 use crate::crowd::{Crowd, CrowdBody, Framing, connect, gather_crowd, head, send_bodies, send_in_pieces};
 use crate::support::SAFE_PATH;
 use crate::trial::{LIMITS, Trial};
@@ -102,3 +104,45 @@
     .await;
     trial.check_beside(crowd).await;
 }
+
+/// Clients that send these bytes and wait for an answer.
+async fn check_bytes(bytes: &'static [u8], closes_its_side: bool) {
+    const TALKERS: usize = 200;
+    let mut trial = Trial::start().await;
+    let address = trial.node.caller.address;
+    let crowd: Crowd = gather_crowd(TALKERS, |_| async move {
+        let mut stream = connect(address).await?;
+        send_in_pieces(&mut stream, bytes, usize::MAX).await;
+        if closes_its_side {
+            stream.shutdown().await?;
+        }
+        Ok(stream)
+    })
+    .await;
+    trial.check_beside(crowd).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prefaces_of_another_protocol() {
+    check_bytes(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_for_an_upgrade() {
+    check_bytes(
+        b"GET /one/1 HTTP/1.1\r\nHost: desk.example\r\nX-Sablebay-Request-Id: upgrade\r\n\
+          Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+        false,
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn half_closed_connections() {
+    check_bytes(
+        b"POST /one/1 HTTP/1.1\r\nHost: desk.example\r\nX-Sablebay-Request-Id: half\r\n\
+          Content-Length: 4000\r\n\r\nx",
+        true,
+    )
+    .await;
+}
