A connection at rest is closed cleanly when others need its room

By reading, not run: a connection between requests that is closed in favour of a new one was dropped at once. If its client had sent more by then, the kernel answers with a reset, which destroys the part of the last answer that is still on its way. Now it is shut down as one that has expired, and its input is discarded. Cut at once are only connections without a whole request so far and those whose client does not read its answer.

--- a/crates/sablebay-node/src/connection_limits.rs
+++ b/crates/sablebay-node/src/connection_limits.rs
@@ -156,11 +156,22 @@
         }
     }
 
-    /// Whether the client still sends a request, or waits for its answer.
+    /// Whether the client still sends the body of a request, or waits for its answer.
     pub fn is_serving(&self) -> bool {
         self.shared.lock().state == ConnectionState::Serving
     }
 
+    /// Whether closing the connection at once loses nothing that its client takes: it has sent no whole request yet, or
+    /// does not read its answer. A connection at rest may have an answer on the way.
+    pub fn can_be_cut(&self) -> bool {
+        let shared = self.shared.lock();
+        match shared.state {
+            ConnectionState::Idle { .. } | ConnectionState::ReadingHead { .. } => shared.requests == 0,
+            ConnectionState::Serving => false,
+            ConnectionState::Writing { .. } => true,
+        }
+    }
+
     /// Waits until the connection times out.
     ///
     /// Checks at most once per `head_timeout` to limit wake-ups, so a slow request head is detected
--- a/crates/sablebay-node/src/http_listener.rs
+++ b/crates/sablebay-node/src/http_listener.rs
@@ -176,8 +176,8 @@
 enum ConnectionEnd {
     /// Its last answer may still be on the way.
     Answered,
-    /// It was given up without an answer that could be lost.
-    Evicted,
+    /// It was given up for others, before its first request was read whole or while its client did not read.
+    Cut,
 }
 
 async fn serve_requests<L: Fn() -> ConnectionLimits + Clone>(
@@ -210,13 +210,17 @@
         () = wait_for_phase(&mut phase, ListenerPhase::Ended) => {}
         () = caller.evicted() => {
             log::debug!("node: closing the connection from {from}: others need its room.");
-            if !activity.is_serving() {
-                return ConnectionEnd::Evicted;
+            if activity.can_be_cut() {
+                return ConnectionEnd::Cut;
             }
             connection.as_mut().graceful_shutdown();
-            tokio::select! {
-                _ = connection => {}
-                () = activity.expired(limits) => {}
+            let closed = tokio::time::timeout(EXPIRED_CLOSE_TIMEOUT, connection.as_mut()).await.is_ok();
+            if !closed && activity.is_serving() {
+                // A request that was read whole is still answered.
+                tokio::select! {
+                    _ = connection => {}
+                    () = activity.expired(limits) => {}
+                }
             }
             return ConnectionEnd::Answered;
         }
