Small reads of callers' connections go straight into hyper's buffer

Cause: with the bound on a read, each poll zeroed 8 KiB, which touched whole pages of buffers that hold some 300 bytes.

Now a buffer of up to 8 KiB is passed on as it is; only a larger one is read in part.

--- a/crates/sablebay-node/src/connection_limits.rs
+++ b/crates/sablebay-node/src/connection_limits.rs
@@ -276,11 +276,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let length = buffer.remaining().min(MAXIMUM_READ_BYTES);
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
-        let read = self.stream().poll_read(context, &mut part);
-        let received = part.filled().len();
-        buffer.advance(received);
+        let before = buffer.filled().len();
+        let read = if buffer.remaining() <= MAXIMUM_READ_BYTES {
+            self.stream().poll_read(context, buffer)
+        } else {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAXIMUM_READ_BYTES));
+            let read = self.stream().poll_read(context, &mut part);
+            let received = part.filled().len();
+            buffer.advance(received);
+            read
+        };
+        let received = buffer.filled().len() - before;
         if received > 0 {
             self.activity.record_bytes_received(received);
         }
