--- /dev/null
+++ b/review/rig/rig.rs
@@ -0,0 +1,623 @@
+//! Stand-ins for the review's cases: the platform's store, leafs, clients, and the processes of nodes.
+//! Each case is a subcommand. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::{self, File};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+/// A case that takes longer could not run.
+const TIME_LIMIT: Duration = Duration::from_secs(100);
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// The file `record.txt`: what was sent, answered and run.
+#[derive(Clone)]
+struct Record {
+    file: Arc<Mutex<File>>,
+    start: Instant,
+}
+
+impl Record {
+    fn create(path: &Path) -> io::Result<Self> {
+        Ok(Self { file: Arc::new(Mutex::new(File::create(path)?)), start: Instant::now() })
+    }
+
+    fn note(&self, text: &str) {
+        let line = format!("{:8.3} {text}\n", self.start.elapsed().as_secs_f64());
+        let _ = lock(&self.file).write_all(line.as_bytes());
+    }
+}
+
+// ---------------------------------------------------------------- HTTP
+
+#[derive(Clone, Debug, Default)]
+struct Message {
+    /// The request line or the status line.
+    line: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Message {
+    fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+    }
+
+    fn target(&self) -> &str {
+        self.line.split(' ').nth(1).unwrap_or("")
+    }
+}
+
+fn broken(text: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, text.to_string())
+}
+
+/// Reads a head. `None` when the connection ended before its first byte.
+fn read_head(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let mut message = Message::default();
+    let mut line = String::new();
+    if stream.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    message.line = line.trim_end().to_string();
+    loop {
+        line.clear();
+        if stream.read_line(&mut line)? == 0 {
+            return Err(broken("the connection ended within a head"));
+        }
+        let text = line.trim_end();
+        if text.is_empty() {
+            return Ok(Some(message));
+        }
+        let (name, value) = text.split_once(':').ok_or_else(|| broken("a header without a colon"))?;
+        message.headers.push((name.trim().to_string(), value.trim().to_string()));
+    }
+}
+
+/// Reads the body that the headers announce.
+fn read_body(stream: &mut BufReader<TcpStream>, message: &mut Message) -> io::Result<()> {
+    if message.header("Transfer-Encoding").is_some_and(|coding| coding.contains("chunked")) {
+        loop {
+            let mut line = String::new();
+            stream.read_line(&mut line)?;
+            let size = usize::from_str_radix(line.trim(), 16).map_err(|_| broken("a bad chunk"))?;
+            let mut chunk = vec![0; size + 2];
+            stream.read_exact(&mut chunk)?;
+            if size == 0 {
+                return Ok(());
+            }
+            message.body.extend_from_slice(&chunk[..size]);
+        }
+    }
+    let length = message.header("Content-Length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body)
+}
+
+fn read_message(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let Some(mut message) = read_head(stream)? else {
+        return Ok(None);
+    };
+    read_body(stream, &mut message)?;
+    Ok(Some(message))
+}
+
+fn answer(status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+// ---------------------------------------------------------------- the platform's store
+
+#[derive(Default)]
+struct Contents {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+    events: Vec<(String, Option<String>, u64)>,
+}
+
+/// The platform's store: items under keys, one counter of revisions, watches.
+#[derive(Clone)]
+struct Store {
+    address: SocketAddr,
+    contents: Arc<(Mutex<Contents>, Condvar)>,
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for group in bytes.chunks(3) {
+        let number =
+            group.iter().fold(0u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        for place in 0..4 {
+            if place <= group.len() {
+                text.push(SIGNS[(number >> (18 - 6 * place) & 63) as usize] as char);
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
+
+fn item_text(key: &str, value: &str, revision: u64) -> String {
+    format!(r#"{{"Key":"{key}","Value":"{value}","Revision":{revision},"made":{revision},"lease":0}}"#)
+}
+
+impl Store {
+    fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let store = Self { address: listener.local_addr()?, contents: Arc::default() };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        Ok(store)
+    }
+
+    fn put(&self, key: &str, document: &str) {
+        let (contents, changed) = &*self.contents;
+        let mut contents = lock(contents);
+        contents.revision += 1;
+        let (value, revision) = (base64(document.as_bytes()), contents.revision);
+        contents.items.insert(key.to_string(), (value.clone(), revision));
+        contents.events.push((key.to_string(), Some(value), revision));
+        changed.notify_all();
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = read_message(&mut reader) {
+            let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+            let parameters: HashMap<&str, &str> =
+                query.split('&').filter_map(|part| part.split_once('=')).collect();
+            let body = match path {
+                "/kv-range" => self.range(),
+                "/kv-watch" => self.watch(&parameters),
+                _ => String::new(),
+            };
+            let status = if body.is_empty() { "404 Not Found" } else { "200 OK" };
+            let bytes = answer(status, &[("Content-Type", "application/json")], body.as_bytes());
+            if writer.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// All items on one page: the cases have fewer than a page holds.
+    fn range(&self) -> String {
+        let contents = lock(&self.contents.0);
+        let items = contents.items.iter().map(|(key, (value, revision))| item_text(key, value, *revision));
+        let items: Vec<String> = items.collect();
+        format!(r#"{{"items":[{}],"more":false,"at":{}}}"#, items.join(","), contents.revision)
+    }
+
+    fn watch(&self, parameters: &HashMap<&str, &str>) -> String {
+        let number = |name: &str| parameters.get(name).and_then(|text| text.parse().ok()).unwrap_or(0u64);
+        let (after, until) = (number("after"), Instant::now() + Duration::from_millis(number("WaitMs")));
+        let (contents, changed) = &*self.contents;
+        let mut contents = lock(contents);
+        while contents.revision <= after && Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now());
+            contents =
+                changed.wait_timeout(contents, left).unwrap_or_else(|poisoned| poisoned.into_inner()).0;
+        }
+        let later = contents.events.iter().filter(|(_, _, revision)| *revision > after);
+        let events: Vec<String> = later
+            .map(|(key, value, revision)| match value {
+                Some(value) => item_text(key, value, *revision),
+                None => format!(r#"{{"Key":"{key}","Revision":{revision},"gone":true}}"#),
+            })
+            .collect();
+        format!(r#"{{"events":[{}],"at":{}}}"#, events.join(","), contents.revision)
+    }
+}
+
+// ---------------------------------------------------------------- leafs
+
+/// Runs a request and returns the bytes that the leaf answers.
+type Work = dyn Fn(&LeafRequest<'_>) -> Vec<u8> + Send + Sync;
+
+struct LeafRequest<'a> {
+    id: &'a str,
+    /// The signature of a success.
+    stamp: String,
+}
+
+/// A leaf. It rejects requests that expect another one, and runs all others.
+#[derive(Clone)]
+struct Leaf {
+    id: String,
+    service: String,
+    zone: String,
+    address: SocketAddr,
+    runs: Arc<Mutex<HashMap<String, u32>>>,
+}
+
+impl Leaf {
+    fn start(id: &str, service: &str, zone: &str, record: &Record, work: Arc<Work>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let leaf = Self {
+            id: id.to_string(),
+            service: service.to_string(),
+            zone: zone.to_string(),
+            address: listener.local_addr()?,
+            runs: Arc::default(),
+        };
+        let (serving, record) = (leaf.clone(), record.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (leaf, record, work) = (serving.clone(), record.clone(), work.clone());
+                thread::spawn(move || leaf.serve(stream, &record, &*work));
+            }
+        });
+        Ok(leaf)
+    }
+
+    /// Its entry in the store.
+    fn entry(&self) -> String {
+        format!(
+            r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":4,"State":"ready","WarmupLeftMs":0,"Sequence":1}}"#,
+            self.service, self.address, self.zone
+        )
+    }
+
+    fn register(&self, store: &Store) {
+        store.put(&format!("servers/{}", self.id), &self.entry());
+    }
+
+    fn runs_of(&self, id: &str) -> u32 {
+        lock(&self.runs).get(id).copied().unwrap_or(0)
+    }
+
+    fn serve(&self, stream: TcpStream, record: &Record, work: &Work) {
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let _ = writer.set_nodelay(true);
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(message)) = read_message(&mut reader) {
+            let id = message.header("X-Sablebay-Request-Id").unwrap_or("").to_string();
+            let expected = message.header("X-Sablebay-Expect-Instance");
+            if expected.is_some_and(|expected| expected != self.id) {
+                record.note(&format!("leaf {} got {id} for another instance: 421", self.id));
+                let headers = [("X-Sablebay-Request-Id", id.as_str()), ("X-Sablebay-Instance-Id", &self.id)];
+                if writer.write_all(&answer("421 Misdirected Request", &headers, b"")).is_err() {
+                    return;
+                }
+                continue;
+            }
+            *lock(&self.runs).entry(id.clone()).or_default() += 1;
+            record.note(&format!("leaf {} runs {id}: {}", self.id, message.line));
+            let stamp = format!("{}.{id}", self.id);
+            let bytes = work(&LeafRequest { id: &id, stamp });
+            let head = String::from_utf8_lossy(&bytes);
+            record.note(&format!("leaf {} answers {id}: {}", self.id, head.lines().next().unwrap_or("")));
+            if writer.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// The whole answer of a sound leaf.
+fn success(request: &LeafRequest<'_>) -> Vec<u8> {
+    let headers = [("X-Sablebay-Request-Id", request.id), ("X-Sablebay-Response-Stamp", &request.stamp)];
+    answer("200 OK", &headers, format!("done {}", request.id).as_bytes())
+}
+
+// ---------------------------------------------------------------- nodes
+
+/// A node: the program of the deploy file as a process of its own.
+struct Node {
+    child: Child,
+    front: SocketAddr,
+    readiness: SocketAddr,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Addresses that nobody listens on at the moment.
+fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let listeners: io::Result<Vec<TcpListener>> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+    listeners?.iter().map(TcpListener::local_addr).collect()
+}
+
+impl Node {
+    /// Starts a node with the settings that the deploy file's template gives a small deployment.
+    fn start(name: &str, zone: &str, store: &Store, folder: &Path) -> io::Result<Self> {
+        let free = free_addresses(5)?;
+        let settings = format!(
+            r#"node = "{name}"
+zone = "{zone}"
+region = "mazowsze"
+fleet = "sablebay"
+fleet_key = "frames-of-this-fleet"
+caller_address = "{}"
+admin_address = "{}"
+peer_address = "{}"
+peers = ["{}"]
+log_format = "json"
+log_target = "stdout"
+log_level = "info"
+probe_period_ms = 400
+core_share = 0.25
+memory_mb = 260
+descriptors = 4100
+
+[gateway]
+caller_address = "{}"
+readiness_address = "{}"
+catalogue_address = "{}"
+start_patience_ms = 500
+retry_ratio = 0.2
+retry_fixed = 56
+retry_window_ms = 10000
+"#,
+            free[0], free[1], free[2], free[2], free[3], free[4], store.address
+        );
+        let path = folder.join(format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let log = File::create(folder.join(format!("{name}.log")))?;
+        let mut command = Command::new(program()?);
+        command.args(["serve", "--settings"]).arg(&path);
+        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        // SAFETY: the call is async-signal-safe and touches no memory.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn()?;
+        let node = Self { child, front: free[3], readiness: free[4] };
+        node.wait_ready()?;
+        Ok(node)
+    }
+
+    fn wait_ready(&self) -> io::Result<()> {
+        let until = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < until {
+            let asked = call(self.readiness, &request("GET", "/ready", &[], b""), Duration::from_secs(1));
+            if asked.is_ok_and(|answer| answer.status() == 200) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Err(broken("the node did not get ready"))
+    }
+}
+
+fn program() -> io::Result<PathBuf> {
+    let path = std::env::var("SABLEBAY").unwrap_or("target/release/sablebay".to_string());
+    fs::canonicalize(path)
+}
+
+// ---------------------------------------------------------------- clients
+
+fn request(method: &str, target: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("{method} {target} HTTP/1.1\r\nHost: desk.example\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if !body.is_empty() {
+        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// Sends a request on a connection of its own and reads the whole answer.
+fn call(address: SocketAddr, request: &[u8], timeout: Duration) -> io::Result<Message> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_nodelay(true)?;
+    stream.write_all(request)?;
+    read_message(&mut BufReader::new(stream))?.ok_or_else(|| broken("closed without an answer"))
+}
+
+// ---------------------------------------------------------------- cases
+
+struct Setting {
+    record: Record,
+    folder: PathBuf,
+    trouble: bool,
+}
+
+const ROUTES: &str = r#"{"Version":1,"Routes":[
+{"Name":"orders","Hostname":"desk.example","PathPrefix":"/orders/","Type":"unsafe","TimeoutMs":6000,"TargetLatencyMs":400,"Priority":2,"Backend":"archiwum","MaxAttempts":2},
+{"Name":"fetch","Hostname":"desk.example","PathPrefix":"/fetch/","Type":"safe","TimeoutMs":6000,"TargetLatencyMs":400,"Priority":2,"Backend":"archiwum","MaxAttempts":2}],
+"Services":[{"Name":"archiwum","HealthPath":"/health","MaxConnections":110,"Protocol":"h1","Tls":false}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
+
+/// Which leafs give odd answers, and how many of their answers are odd.
+struct Share {
+    leafs: u32,
+    /// Of this many answers...
+    of: u32,
+    /// ...so many are odd.
+    odd: u32,
+}
+
+/// Leafs of the service.
+const LEAFS: u32 = 7;
+
+/// Starts the leafs of one service behind one node. A share of the requests that they run ends in `odd`.
+fn with_odd_answers(
+    setting: &Setting,
+    share: Share,
+    odd: fn(&LeafRequest<'_>) -> Vec<u8>,
+) -> io::Result<(Node, Vec<Leaf>)> {
+    let store = Store::start()?;
+    let mut leafs = Vec::new();
+    for number in 0..LEAFS {
+        let is_odd = setting.trouble && number < share.leafs;
+        let (of, odd_count) = (share.of, share.odd);
+        let count = Mutex::new(0u32);
+        let work = move |request: &LeafRequest<'_>| {
+            thread::sleep(Duration::from_millis(5));
+            let mut count = lock(&count);
+            *count += 1;
+            if is_odd && *count % of < odd_count { odd(request) } else { success(request) }
+        };
+        let zone = ["wola-a", "wola-b", "praga-c"][number as usize % 3];
+        let leaf = Leaf::start(&format!("i-{number}"), "archiwum", zone, &setting.record, Arc::new(work))?;
+        leaf.register(&store);
+        leafs.push(leaf);
+    }
+    store.put("op/config", ROUTES);
+    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &setting.folder)?;
+    Ok((node, leafs))
+}
+
+/// Time between an answer and the next request.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends requests one after the other, and hands each answer to `check`, which returns whether the rule holds.
+fn send_all(
+    setting: &Setting,
+    node: &Node,
+    method: &str,
+    path: &str,
+    mut check: impl FnMut(&str, &Message) -> bool,
+) -> io::Result<bool> {
+    let mut held = true;
+    for number in 0..600 {
+        thread::sleep(PAUSE);
+        let id = format!("{number:016x}");
+        let headers = [("X-Sablebay-Request-Id", id.as_str()), ("X-Sablebay-Deadline-Ms", "6000")];
+        let body: &[u8] = if method == "POST" { b"one standing order" } else { b"" };
+        setting.record.note(&format!("client sends {id}: {method} {path}{number}"));
+        let sent = request(method, &format!("{path}{number}"), &headers, body);
+        match call(node.front, &sent, Duration::from_secs(8)) {
+            Ok(answer) => {
+                setting.record.note(&format!(
+                    "client got {id}: {} stamp {:?} {} bytes",
+                    answer.line,
+                    answer.header("X-Sablebay-Response-Stamp"),
+                    answer.body.len()
+                ));
+                held &= check(&id, &answer);
+            }
+            Err(error) => setting.record.note(&format!("client got no answer to {id}: {error}")),
+        }
+    }
+    Ok(held)
+}
+
+/// REFUSED: a leaf runs a request of an `unsafe` route and answers 503 without `X-Sablebay-Not-Executed`.
+fn failed_with_503(setting: &Setting) -> io::Result<bool> {
+    let grey = Share { leafs: 1, of: 5, odd: 2 };
+    let (node, leafs) = with_odd_answers(setting, grey, |request| {
+        let headers = [("X-Sablebay-Request-Id", request.id), ("X-Sablebay-Response-Stamp", &request.stamp)];
+        answer("503 Service Unavailable", &headers, b"stored, but the printer is down")
+    })?;
+    send_all(setting, &node, "POST", "/orders/", |id, answer| {
+        let runs: u32 = leafs.iter().map(|leaf| leaf.runs_of(id)).sum();
+        let promised = [408, 421, 429, 503].contains(&answer.status());
+        if promised && runs > 0 {
+            setting
+                .record
+                .note(&format!("BROKEN: {id} was answered {} and has run {runs} times", answer.status()));
+        }
+        !(promised && runs > 0)
+    })
+}
+
+/// MIXED: a leaf answers 200 without `X-Sablebay-Response-Stamp`.
+fn success_without_stamp(setting: &Setting) -> io::Result<bool> {
+    let garbled = Share { leafs: 4, of: 50, odd: 1 };
+    let (node, _leafs) = with_odd_answers(setting, garbled, |request| {
+        answer("200 OK", &[("X-Sablebay-Request-Id", request.id)], b"<html>it works</html>")
+    })?;
+    send_all(setting, &node, "POST", "/orders/", |id, answer| {
+        let unsigned =
+            (200..300).contains(&answer.status()) && answer.header("X-Sablebay-Response-Stamp").is_none();
+        if unsigned {
+            setting.record.note(&format!("BROKEN: {id} got a success without a stamp"));
+        }
+        !unsigned
+    })
+}
+
+fn run(case: &str, folder: &Path) -> io::Result<bool> {
+    let work = std::env::temp_dir().join(format!("sablebay-review-{}", std::process::id()));
+    fs::create_dir_all(&work)?;
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let record = Record::create(&folder.join("record.txt"))?;
+    record.note(&format!("case {case}, trouble: {trouble}"));
+    let setting = Setting { record, folder: work.clone(), trouble };
+    let held = match case {
+        "failed-with-503" => failed_with_503(&setting),
+        "success-without-stamp" => success_without_stamp(&setting),
+        _ => Err(broken("no such case")),
+    };
+    if std::env::var_os("KEEP").is_none() {
+        let _ = fs::remove_dir_all(work);
+    }
+    held
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: rig CASE FOLDER");
+        std::process::exit(2);
+    };
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case took too long");
+        // The nodes end with this process.
+        std::process::exit(2);
+    });
+    let status = match run(case, Path::new(folder)) {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            2
+        }
+    };
+    std::process::exit(status);
+}
