Review case 6: a stale seed joins two deployments

Cause: the settings template gives all deployments one fleet name and key. Done: claim and script; the stand-ins can run two deployments.

--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -346,6 +346,7 @@
     child: Child,
     front: SocketAddr,
     readiness: SocketAddr,
+    control: SocketAddr,
 }
 
 impl Drop for Node {
@@ -364,8 +365,10 @@
 
 impl Node {
     /// Starts a node with the settings that the deploy file's template gives a small deployment.
-    fn start(name: &str, zone: &str, store: &Store, folder: &Path) -> io::Result<Self> {
+    /// `seeds` are the control addresses of other machines; the node is the first seed itself.
+    fn start(name: &str, zone: &str, store: &Store, seeds: &[SocketAddr], folder: &Path) -> io::Result<Self> {
         let free = free_addresses(5)?;
+        let seeds = [free[2]].iter().chain(seeds).map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>();
         let settings = format!(
             r#"node = "{name}"
 zone = "{zone}"
@@ -375,7 +378,7 @@
 caller_address = "{}"
 admin_address = "{}"
 peer_address = "{}"
-peers = ["{}"]
+peers = [{}]
 log_format = "json"
 log_target = "stdout"
 log_level = "info"
@@ -393,7 +396,13 @@
 retry_fixed = 56
 retry_window_ms = 10000
 "#,
-            free[0], free[1], free[2], free[2], free[3], free[4], store.address
+            free[0],
+            free[1],
+            free[2],
+            seeds.join(","),
+            free[3],
+            free[4],
+            store.address
         );
         let path = folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
@@ -409,7 +418,7 @@
             });
         }
         let child = command.spawn()?;
-        let node = Self { child, front: free[3], readiness: free[4] };
+        let node = Self { child, front: free[3], readiness: free[4], control: free[2] };
         node.wait_ready()?;
         Ok(node)
     }
@@ -507,7 +516,7 @@
         leafs.push(leaf);
     }
     store.put("op/config", ROUTES);
-    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &setting.folder)?;
+    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &[], &setting.folder)?;
     Ok((node, leafs))
 }
 
@@ -581,6 +590,43 @@
     })
 }
 
+/// Starts the leafs of a service and the store of one deployment.
+fn deployment(
+    setting: &Setting,
+    prefix: &str,
+    service: &str,
+    version: u32,
+) -> io::Result<(Store, Vec<Leaf>)> {
+    let store = Store::start()?;
+    let mut leafs = Vec::new();
+    for number in 0..3 {
+        let id = format!("{prefix}{number}");
+        let leaf = Leaf::start(&id, service, "wola-a", &setting.record, Arc::new(success))?;
+        leaf.register(&store);
+        leafs.push(leaf);
+    }
+    let configuration = ROUTES.replace("archiwum", service);
+    store.put("op/config", &configuration.replace("\"Version\":1", &format!("\"Version\":{version}")));
+    Ok((store, leafs))
+}
+
+/// ROUTE: one of a node's seeds is stale; the address belongs to a machine of another deployment now.
+fn stale_seed(setting: &Setting) -> io::Result<bool> {
+    let (other_store, other_leafs) = deployment(setting, "i-other-", "rozliczenia", 40)?;
+    let other = Node::start("frontend-kl-a-1", "kl-a", &other_store, &[], &setting.folder)?;
+    let (store, _leafs) = deployment(setting, "i-own-", "archiwum", 7)?;
+    let stale: &[SocketAddr] = if setting.trouble { &[other.control] } else { &[] };
+    let node = Node::start("frontend-wola-a-1", "wola-a", &store, stale, &setting.folder)?;
+    send_all(setting, &node, "POST", "/orders/", |id, answer| {
+        let foreign: u32 = other_leafs.iter().map(|leaf| leaf.runs_of(id)).sum();
+        if foreign > 0 {
+            let status = answer.status();
+            setting.record.note(&format!("BROKEN: {id} ran at another deployment's leaf; answered {status}"));
+        }
+        foreign == 0
+    })
+}
+
 fn run(case: &str, folder: &Path) -> io::Result<bool> {
     let work = std::env::temp_dir().join(format!("sablebay-review-{}", std::process::id()));
     fs::create_dir_all(&work)?;
@@ -591,6 +637,7 @@
     let held = match case {
         "failed-with-503" => failed_with_503(&setting),
         "success-without-stamp" => success_without_stamp(&setting),
+        "stale-seed" => stale_seed(&setting),
         _ => Err(broken("no such case")),
     };
     if std::env::var_os("KEEP").is_none() {
