--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -590,6 +590,52 @@
     })
 }
 
+const SHARDS: usize = 4;
+
+const GATHER_ROUTE: &str = r#"{"Version":1,"Routes":[
+{"Name":"sweep","Hostname":"desk.example","PathPrefix":"/sweep/","Type":"safe","TimeoutMs":1500,"TargetLatencyMs":100,"Priority":1,"Gather":["shard-0","shard-1","shard-2","shard-3"],"MaxAttempts":2,"TopK":50,"MinShardShare":0.75}],
+"Services":[{"Name":"shard-0","HealthPath":"/health","MaxConnections":26,"Protocol":"h1","Tls":false},
+{"Name":"shard-1","HealthPath":"/health","MaxConnections":26,"Protocol":"h1","Tls":false},
+{"Name":"shard-2","HealthPath":"/health","MaxConnections":26,"Protocol":"h1","Tls":false},
+{"Name":"shard-3","HealthPath":"/health","MaxConnections":26,"Protocol":"h1","Tls":false}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
+
+/// The entries of all lines of `X-Sablebay-Part-Stamps`.
+fn part_stamps(answer: &Message) -> Vec<String> {
+    let lines = answer.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("X-Sablebay-Part-Stamps"));
+    lines.flat_map(|(_, value)| value.split(',').map(|entry| entry.trim().to_string())).collect()
+}
+
+/// MIXED: a leaf of a shard answers 200 with an empty `X-Sablebay-Response-Stamp`.
+fn part_without_stamp(setting: &Setting) -> io::Result<bool> {
+    let store = Store::start()?;
+    for number in 0..2 * SHARDS {
+        let garbles = setting.trouble && number < SHARDS;
+        let count = Mutex::new(0u32);
+        let work = move |request: &LeafRequest<'_>| {
+            thread::sleep(Duration::from_millis(5));
+            let mut count = lock(&count);
+            *count += 1;
+            let stamp = if garbles && count.is_multiple_of(50) { "" } else { &request.stamp };
+            let headers = [("X-Sablebay-Request-Id", request.id), ("X-Sablebay-Response-Stamp", stamp)];
+            answer("200 OK", &headers, &[number as u8; 32])
+        };
+        let (id, shard) = (format!("i-{number}"), format!("shard-{}", number / 2));
+        let leaf = Leaf::start(&id, &shard, "wola-a", &setting.record, Arc::new(work))?;
+        leaf.register(&store);
+    }
+    store.put("op/config", GATHER_ROUTE);
+    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &[], &setting.folder)?;
+    send_all(setting, &node, "GET", "/sweep/", |id, answer| {
+        let stamps = part_stamps(answer);
+        let foreign = stamps.iter().any(|stamp| !stamp.ends_with(&format!(".{id}")));
+        if answer.status() == 200 && foreign {
+            setting.record.note(&format!("BROKEN: {id} got a success with the stamps {stamps:?}"));
+        }
+        answer.status() != 200 || !foreign
+    })
+}
+
 /// Starts the leafs of a service and the store of one deployment.
 fn deployment(
     setting: &Setting,
@@ -637,6 +683,7 @@
     let held = match case {
         "failed-with-503" => failed_with_503(&setting),
         "success-without-stamp" => success_without_stamp(&setting),
+        "part-without-stamp" => part_without_stamp(&setting),
         "stale-seed" => stale_seed(&setting),
         _ => Err(broken("no such case")),
     };
