--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -19,6 +19,8 @@
 /// Option of `prctl`: the signal that a process gets when its parent ends.
 const PARENT_DEATH_SIGNAL: i32 = 1;
 const SIGKILL: u64 = 9;
+/// `Limits.MemoryMb` of the site's machines.
+const MEMORY_MB: u64 = 260;
 /// A case that takes longer could not run.
 const TIME_LIMIT: Duration = Duration::from_secs(100);
 
@@ -341,12 +343,37 @@
 
 // ---------------------------------------------------------------- nodes
 
+/// The addresses of one machine.
+#[derive(Clone, Copy)]
+struct Addresses {
+    own_api: SocketAddr,
+    admin: SocketAddr,
+    control: SocketAddr,
+    front: SocketAddr,
+    readiness: SocketAddr,
+}
+
+impl Addresses {
+    /// Addresses that nobody listens on at the moment.
+    fn free() -> io::Result<Self> {
+        let listeners: io::Result<Vec<_>> = (0..5).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+        let addresses: io::Result<Vec<_>> = listeners?.iter().map(TcpListener::local_addr).collect();
+        let addresses = addresses?;
+        Ok(Self {
+            own_api: addresses[0],
+            admin: addresses[1],
+            control: addresses[2],
+            front: addresses[3],
+            readiness: addresses[4],
+        })
+    }
+}
+
 /// A node: the program of the deploy file as a process of its own.
 struct Node {
     child: Child,
     front: SocketAddr,
     readiness: SocketAddr,
-    control: SocketAddr,
 }
 
 impl Drop for Node {
@@ -356,21 +383,18 @@
     }
 }
 
-/// Addresses that nobody listens on at the moment.
-fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: io::Result<Vec<TcpListener>> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    listeners?.iter().map(TcpListener::local_addr).collect()
-}
-
-impl Node {
-    /// Starts a node with the settings that the deploy file's template gives a small deployment.
-    /// `seeds` are the control addresses of other machines; the node is the first seed itself.
-    fn start(name: &str, zone: &str, store: &Store, seeds: &[SocketAddr], folder: &Path) -> io::Result<Self> {
-        let free = free_addresses(5)?;
-        let seeds = [free[2]].iter().chain(seeds).map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>();
-        let settings = format!(
-            r#"node = "{name}"
+/// Writes the settings that the deploy file's template gives a node of a small deployment.
+fn write_settings(
+    path: &Path,
+    name: &str,
+    zone: &str,
+    store: &Store,
+    addresses: &Addresses,
+    seeds: &[SocketAddr],
+) -> io::Result<()> {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let settings = format!(
+        r#"node = "{name}"
 zone = "{zone}"
 region = "mazowsze"
 fleet = "sablebay"
@@ -384,7 +408,7 @@
 log_level = "info"
 probe_period_ms = 400
 core_share = 0.25
-memory_mb = 260
+memory_mb = {MEMORY_MB}
 descriptors = 4100
 
 [gateway]
@@ -396,17 +420,35 @@
 retry_fixed = 56
 retry_window_ms = 10000
 "#,
-            free[0],
-            free[1],
-            free[2],
-            seeds.join(","),
-            free[3],
-            free[4],
-            store.address
-        );
+        addresses.own_api,
+        addresses.admin,
+        addresses.control,
+        seeds.join(","),
+        addresses.front,
+        addresses.readiness,
+        store.address
+    );
+    fs::write(path, settings)
+}
+
+impl Node {
+    /// Starts a node that is its own only seed.
+    fn start_alone(name: &str, zone: &str, store: &Store, folder: &Path) -> io::Result<Self> {
+        let addresses = Addresses::free()?;
+        Self::start(name, zone, store, &addresses, &[addresses.control], folder)
+    }
+
+    fn start(
+        name: &str,
+        zone: &str,
+        store: &Store,
+        addresses: &Addresses,
+        seeds: &[SocketAddr],
+        folder: &Path,
+    ) -> io::Result<Self> {
         let path = folder.join(format!("{name}.toml"));
-        fs::write(&path, settings)?;
-        let log = File::create(folder.join(format!("{name}.log")))?;
+        write_settings(&path, name, zone, store, addresses, seeds)?;
+        let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")))?;
         let mut command = Command::new(program()?);
         command.args(["serve", "--settings"]).arg(&path);
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
@@ -418,7 +460,7 @@
             });
         }
         let child = command.spawn()?;
-        let node = Self { child, front: free[3], readiness: free[4], control: free[2] };
+        let node = Self { child, front: addresses.front, readiness: addresses.readiness };
         node.wait_ready()?;
         Ok(node)
     }
@@ -434,6 +476,13 @@
         }
         Err(broken("the node did not get ready"))
     }
+
+    /// The memory of the process, in kB.
+    fn resident_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
 }
 
 fn program() -> io::Result<PathBuf> {
@@ -516,7 +565,7 @@
         leafs.push(leaf);
     }
     store.put("op/config", ROUTES);
-    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &[], &setting.folder)?;
+    let node = Node::start_alone("frontend-wola-a-1", "wola-a", &store, &setting.folder)?;
     Ok((node, leafs))
 }
 
@@ -625,7 +674,7 @@
         leaf.register(&store);
     }
     store.put("op/config", GATHER_ROUTE);
-    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &[], &setting.folder)?;
+    let node = Node::start_alone("frontend-wola-a-1", "wola-a", &store, &setting.folder)?;
     send_all(setting, &node, "GET", "/sweep/", |id, answer| {
         let stamps = part_stamps(answer);
         let foreign = stamps.iter().any(|stamp| !stamp.ends_with(&format!(".{id}")));
@@ -659,10 +708,21 @@
 /// ROUTE: one of a node's seeds is stale; the address belongs to a machine of another deployment now.
 fn stale_seed(setting: &Setting) -> io::Result<bool> {
     let (other_store, other_leafs) = deployment(setting, "i-other-", "rozliczenia", 40)?;
-    let other = Node::start("frontend-kl-a-1", "kl-a", &other_store, &[], &setting.folder)?;
+    let other_addresses = Addresses::free()?;
+    let other_seeds = [other_addresses.control];
+    let _other = Node::start(
+        "frontend-kl-a-1",
+        "kl-a",
+        &other_store,
+        &other_addresses,
+        &other_seeds,
+        &setting.folder,
+    )?;
     let (store, _leafs) = deployment(setting, "i-own-", "archiwum", 7)?;
-    let stale: &[SocketAddr] = if setting.trouble { &[other.control] } else { &[] };
-    let node = Node::start("frontend-wola-a-1", "wola-a", &store, stale, &setting.folder)?;
+    let addresses = Addresses::free()?;
+    let mut seeds = vec![addresses.control];
+    seeds.extend(setting.trouble.then_some(other_addresses.control));
+    let node = Node::start("frontend-wola-a-1", "wola-a", &store, &addresses, &seeds, &setting.folder)?;
     send_all(setting, &node, "POST", "/orders/", |id, answer| {
         let foreign: u32 = other_leafs.iter().map(|leaf| leaf.runs_of(id)).sum();
         if foreign > 0 {
@@ -673,6 +733,197 @@
     })
 }
 
+const CROWD_SHARDS: usize = 30;
+/// Connections of the crowd to each node. A node of this size takes up to 2,050.
+const CROWD: usize = 1_200;
+/// Clients of each node without the crowd.
+const USUAL: usize = 16;
+/// How often the platform looks at the memory of a process.
+const LOOK: Duration = Duration::from_millis(10);
+/// Ends of one process by which the rule is broken.
+const ENDS: u32 = 3;
+const CROWD_TIME: Duration = Duration::from_secs(75);
+
+/// A leaf's two slots and its short queue.
+#[derive(Default)]
+struct Slots {
+    /// Requests running and waiting.
+    taken: Mutex<(u32, u32)>,
+    freed: Condvar,
+}
+
+impl Slots {
+    const COUNT: u32 = 2;
+    const QUEUE: u32 = 12;
+
+    /// Waits for a slot. Returns `false` if the queue is full.
+    fn take(&self) -> bool {
+        let mut taken = lock(&self.taken);
+        if taken.1 >= Self::QUEUE {
+            return false;
+        }
+        taken.1 += 1;
+        while taken.0 >= Self::COUNT {
+            taken = self.freed.wait(taken).unwrap_or_else(|poisoned| poisoned.into_inner());
+        }
+        *taken = (taken.0 + 1, taken.1 - 1);
+        true
+    }
+
+    /// Frees a slot and returns the load that the leaf tells.
+    fn free(&self) -> String {
+        let mut taken = lock(&self.taken);
+        taken.0 -= 1;
+        self.freed.notify_one();
+        format!("{},{},{}", taken.0, taken.1, Self::COUNT)
+    }
+}
+
+/// Starts sound leafs of all shards, and returns a configuration that names them.
+fn start_shards(setting: &Setting, store: &Store) -> io::Result<String> {
+    let (mut names, mut services) = (Vec::new(), Vec::new());
+    for number in 0..2 * CROWD_SHARDS {
+        let shard = format!("rozliczenia-{}", number / 2);
+        let slots = Slots::default();
+        let work = move |request: &LeafRequest<'_>| {
+            if !slots.take() {
+                let headers = [("X-Sablebay-Request-Id", request.id), ("X-Sablebay-Not-Executed", "1")];
+                return answer("503 Service Unavailable", &headers, b"");
+            }
+            thread::sleep(Duration::from_millis(11));
+            let load = slots.free();
+            let headers = [
+                ("X-Sablebay-Request-Id", request.id),
+                ("X-Sablebay-Response-Stamp", &request.stamp),
+                ("X-Sablebay-Server-Load", &load),
+            ];
+            answer("200 OK", &headers, &[number as u8; 992])
+        };
+        let zone = ["wola-a", "wola-b"][number % 2];
+        let quiet = Record::create(Path::new("/dev/null"))?;
+        let leaf = Leaf::start(&format!("i-{number}"), &shard, zone, &quiet, Arc::new(work))?;
+        leaf.register(store);
+        if number % 2 == 0 {
+            names.push(format!("\"{shard}\""));
+            services.push(format!(
+                r#"{{"Name":"{shard}","HealthPath":"/health","MaxConnections":26,"Protocol":"h1","Tls":false}}"#
+            ));
+        }
+    }
+    setting.record.note(&format!("{} leafs of {CROWD_SHARDS} shards", 2 * CROWD_SHARDS));
+    Ok(format!(
+        r#"{{"Version":1,"Routes":[{{"Name":"sweep","Hostname":"desk.example","PathPrefix":"/sweep/","Type":"safe","TimeoutMs":1500,"TargetLatencyMs":100,"Priority":1,"Gather":[{}],"MaxAttempts":2,"TopK":50,"MinShardShare":0.89}}],"Services":[{}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        names.join(","),
+        services.join(",")
+    ))
+}
+
+/// One round of the crowd: a small request on each connection, then all answers. Returns how many had which status;
+/// 0 stands for no answer.
+fn crowd_round(connections: &mut [TcpStream], round: u32) -> BTreeMap<u16, u32> {
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let id = format!("{round:08x}{number:08x}");
+        let headers = [("X-Sablebay-Request-Id", id.as_str()), ("X-Sablebay-Deadline-Ms", "1500")];
+        // A failure shows when the answer is read.
+        let _ = connection.write_all(&request("GET", &format!("/sweep/{id}"), &headers, b""));
+    }
+    let mut answers = BTreeMap::new();
+    for connection in connections {
+        let reader = connection.try_clone().map(BufReader::new);
+        let answer = reader.and_then(|mut reader| read_message(&mut reader));
+        let status = answer.ok().flatten().map_or(0, |answer| answer.status());
+        *answers.entry(status).or_default() += 1;
+    }
+    answers
+}
+
+/// Opens connections a little apart from each other, as long as the node takes them.
+fn open_connections(address: SocketAddr, count: usize) -> Vec<TcpStream> {
+    let open = |_| {
+        thread::sleep(Duration::from_micros(700));
+        let connection = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
+        connection.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+        Some(connection)
+    };
+    (0..count).map_while(open).collect()
+}
+
+/// Plays clients and platform for one machine. Returns how often its process was ended for its memory.
+fn press_node(setting: &Setting, name: &str, start: &dyn Fn() -> io::Result<Node>) -> io::Result<u32> {
+    let node = Mutex::new(start()?);
+    let ends = Mutex::new(0);
+    let until = Instant::now() + CROWD_TIME;
+    let is_over = || Instant::now() >= until || *lock(&ends) >= ENDS;
+    let clients = if setting.trouble { CROWD } else { USUAL };
+    let mut peak = 0;
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut round = 0;
+            while !is_over() {
+                let front = lock(&node).front;
+                let mut connections = open_connections(front, clients);
+                loop {
+                    round += 1;
+                    let answers = crowd_round(&mut connections, round);
+                    let note =
+                        format!("{name}: round {round}, {} clients, answers {answers:?}", connections.len());
+                    setting.record.note(&note);
+                    if is_over() || answers.contains_key(&0) || connections.len() < clients {
+                        break;
+                    }
+                }
+            }
+        });
+        // The platform: a process over its memory is killed and started again after a short delay.
+        while !is_over() {
+            thread::sleep(LOOK);
+            let mut node = lock(&node);
+            let resident = node.resident_kb();
+            peak = peak.max(resident);
+            if resident <= MEMORY_MB * 1024 {
+                continue;
+            }
+            setting.record.note(&format!("BROKEN LIMIT: {name} holds {resident} kB; the platform ends it"));
+            let _ = node.child.kill();
+            let _ = node.child.wait();
+            *lock(&ends) += 1;
+            thread::sleep(Duration::from_millis(500));
+            *node = start()?;
+            setting.record.note(&format!("{name} is ready again"));
+        }
+        Ok::<(), io::Error>(())
+    })?;
+    let ends = *lock(&ends);
+    setting.record.note(&format!("{name}: ended {ends} times for its memory; peak {peak} kB"));
+    Ok(ends)
+}
+
+/// Fault: many clients at once send small requests over 30 shards, and processes grow over their memory.
+fn crowd_over_many_shards(setting: &Setting) -> io::Result<bool> {
+    let store = Store::start()?;
+    let configuration = start_shards(setting, &store)?;
+    store.put("op/config", &configuration);
+    let machines = [("frontend-wola-a-1", "wola-a"), ("frontend-wola-b-1", "wola-b")];
+    let addresses = [Addresses::free()?, Addresses::free()?];
+    let seeds = addresses.map(|addresses| addresses.control);
+    let ends: io::Result<Vec<u32>> = thread::scope(|scope| {
+        let pressed: Vec<_> = machines
+            .iter()
+            .zip(&addresses)
+            .map(|((name, zone), addresses)| {
+                let (store, seeds, folder) = (&store, &seeds, &setting.folder);
+                let start = move || Node::start(name, zone, store, addresses, seeds, folder);
+                scope.spawn(move || press_node(setting, name, &start))
+            })
+            .collect();
+        let join = |pressed: thread::ScopedJoinHandle<'_, _>| {
+            pressed.join().unwrap_or_else(|_| Err(broken("a thread of the case ended")))
+        };
+        pressed.into_iter().map(join).collect()
+    });
+    Ok(ends?.iter().filter(|ends| **ends >= ENDS).count() < machines.len())
+}
+
 fn run(case: &str, folder: &Path) -> io::Result<bool> {
     let work = std::env::temp_dir().join(format!("sablebay-review-{}", std::process::id()));
     fs::create_dir_all(&work)?;
@@ -684,6 +935,7 @@
         "failed-with-503" => failed_with_503(&setting),
         "success-without-stamp" => success_without_stamp(&setting),
         "part-without-stamp" => part_without_stamp(&setting),
+        "crowd-over-many-shards" => crowd_over_many_shards(&setting),
         "stale-seed" => stale_seed(&setting),
         _ => Err(broken("no such case")),
     };
