Review cases 7 and 8: paths of slashes, and both odd stamps in one

Cause: RouteTable::find hashes each prefix of a path anew; the two cases on successes without a stamp have one place in common.

--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -685,6 +685,15 @@
     })
 }
 
+/// MIXED: successes of leafs without a stamp, of one leaf and of the leafs of shards.
+fn odd_stamps(setting: &Setting) -> io::Result<bool> {
+    let single_held = success_without_stamp(setting)?;
+    setting.record.note(&format!("requests to one leaf: held {single_held}"));
+    let gathered_held = part_without_stamp(setting)?;
+    setting.record.note(&format!("requests over shards: held {gathered_held}"));
+    Ok(single_held && gathered_held)
+}
+
 /// Starts the leafs of a service and the store of one deployment.
 fn deployment(
     setting: &Setting,
@@ -733,6 +742,109 @@
     })
 }
 
+/// Clients with long paths.
+const SLASH_CLIENTS: u32 = 1_200;
+/// Slashes or letters of such a path: its head is shorter than `MaxHeaderBytes`.
+const SLASHES: usize = 15_900;
+/// Ordinary clients beside them.
+const ORDINARY_CLIENTS: u32 = 16;
+const SLASH_TIME: Duration = Duration::from_secs(30);
+/// `TimeoutMs` of the route of the ordinary clients.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// What the rule allows beyond it.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+
+/// Sends requests on kept connections, each after the answer to the one before, and returns how long each took.
+fn repeat_calls(
+    setting: &Setting,
+    front: SocketAddr,
+    name: &str,
+    path: &str,
+    pause: Duration,
+) -> Vec<Duration> {
+    let mut took = Vec::new();
+    let until = Instant::now() + SLASH_TIME;
+    let mut connection: Option<BufReader<TcpStream>> = None;
+    while Instant::now() < until {
+        let id = format!("{name}-{}", took.len());
+        let headers = [("X-Sablebay-Request-Id", id.as_str()), ("X-Sablebay-Deadline-Ms", "20000")];
+        let sent = request("GET", path, &headers, b"");
+        let began = Instant::now();
+        let mut exchange = || {
+            let open = match connection.take() {
+                Some(open) => open,
+                None => {
+                    let stream = TcpStream::connect_timeout(&front, Duration::from_secs(20))?;
+                    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+                    BufReader::new(stream)
+                }
+            };
+            open.get_ref().write_all(&sent)?;
+            let reader = connection.insert(open);
+            read_message(reader)?.ok_or_else(|| broken("closed without an answer"))
+        };
+        let answered = exchange();
+        took.push(began.elapsed());
+        if pause > Duration::ZERO {
+            let result = answered.as_ref().map_or_else(ToString::to_string, |answer| answer.line.clone());
+            setting.record.note(&format!("{id}: {result} after {} ms", began.elapsed().as_millis()));
+            thread::sleep(pause);
+        }
+        if answered.is_err() {
+            connection = None;
+        }
+    }
+    took
+}
+
+/// CONFIG: clients with long paths keep a node so busy that ordinary requests are not answered at their time-out.
+fn long_paths(setting: &Setting) -> io::Result<bool> {
+    let store = Store::start()?;
+    let quiet = Record::create(Path::new("/dev/null"))?;
+    for number in 0..5 {
+        let leaf = Leaf::start(&format!("i-{number}"), "archiwum", "wola-a", &quiet, Arc::new(success))?;
+        leaf.register(&store);
+    }
+    store.put("op/config", &ROUTES.replace("6000", "1500"));
+    let node = Node::start_alone("frontend-wola-a-1", "wola-a", &store, &setting.folder)?;
+    // Without the trouble the same clients send paths of the same length that hold letters.
+    let long_path = format!("/fetch/{}", if setting.trouble { "/" } else { "a" }.repeat(SLASHES));
+    let (ordinary, long) = thread::scope(|scope| {
+        scope.spawn(|| {
+            let until = Instant::now() + SLASH_TIME;
+            let (mut asked, mut missed) = (0, 0);
+            while Instant::now() < until {
+                let ready = call(node.readiness, &request("GET", "/ready", &[], b""), Duration::from_secs(1));
+                asked += 1;
+                missed += u32::from(!ready.is_ok_and(|answer| answer.status() == 200));
+                thread::sleep(Duration::from_secs(1));
+            }
+            setting.record.note(&format!("{missed} of {asked} readiness checks had no 200 within a second"));
+        });
+        let start = |name: String, path: String, pause| {
+            scope.spawn(move || repeat_calls(setting, node.front, &name, &path, pause))
+        };
+        let long: Vec<_> = (0..SLASH_CLIENTS)
+            .map(|n| start(format!("long-{n}"), long_path.clone(), Duration::ZERO))
+            .collect();
+        let ordinary: Vec<_> = (0..ORDINARY_CLIENTS)
+            .map(|n| start(format!("ordinary-{n}"), "/fetch/1".to_string(), Duration::from_millis(100)))
+            .collect();
+        let join = |handles: Vec<thread::ScopedJoinHandle<'_, Vec<Duration>>>| -> Vec<Duration> {
+            handles.into_iter().flat_map(|handle| handle.join().unwrap_or_default()).collect()
+        };
+        (join(ordinary), join(long))
+    });
+    let unanswered = |after: Duration| ordinary.iter().filter(|took| **took > after).count();
+    let (at_timeout, later) = (unanswered(FETCH_TIMEOUT), unanswered(FETCH_TIMEOUT + TIMEOUT_SLACK));
+    setting.record.note(&format!(
+        "{} ordinary requests beside {} long ones: {at_timeout} unanswered after {FETCH_TIMEOUT:?}, {later} of them {TIMEOUT_SLACK:?} later",
+        ordinary.len(),
+        long.len()
+    ));
+    Ok(later * 2 <= at_timeout)
+}
+
 const CROWD_SHARDS: usize = 30;
 /// Connections of the crowd to each node. A node of this size takes up to 2,050.
 const CROWD: usize = 1_200;
@@ -933,8 +1045,8 @@
     let setting = Setting { record, folder: work.clone(), trouble };
     let held = match case {
         "failed-with-503" => failed_with_503(&setting),
-        "success-without-stamp" => success_without_stamp(&setting),
-        "part-without-stamp" => part_without_stamp(&setting),
+        "odd-stamps" => odd_stamps(&setting),
+        "long-paths" => long_paths(&setting),
         "crowd-over-many-shards" => crowd_over_many_shards(&setting),
         "stale-seed" => stale_seed(&setting),
         _ => Err(broken("no such case")),
