--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -717,6 +717,10 @@
 /// ROUTE: one of a node's seeds is stale; the address belongs to a machine of another deployment now.
 fn stale_seed(setting: &Setting) -> io::Result<bool> {
     let (other_store, other_leafs) = deployment(setting, "i-other-", "rozliczenia", 40)?;
+    // The other deployment is older: its leafs have written their entries before.
+    for _ in 0..20 {
+        other_leafs.iter().for_each(|leaf| leaf.register(&other_store));
+    }
     let other_addresses = Addresses::free()?;
     let other_seeds = [other_addresses.control];
     let _other = Node::start(
