Log: a failed request's line says which status of a back end was passed on

What was missing: the log called a request "unknown" and its calls "failed" while its caller got a 200.

Change: `relayed_status` in the line, 0 if the answer is the node's own.

--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -257,7 +257,7 @@
 /// Builds the caller's response from the outcome of a request, and records the outcome.
 fn build_response<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
-    record: RequestRecord,
+    mut record: RequestRecord,
     route: &Route,
     result: DriverResult,
     held_back: Option<Micros>,
@@ -298,16 +298,17 @@
         FanoutOutcome::Expired { may_have_run: true } => Refusal::Expired,
         FanoutOutcome::Expired { may_have_run: false } => Refusal::NotRun { retry_after: REJECTED_RETRY },
     };
+    let is_single = matches!(route.destination, Destination::Services(_));
+    let relayed = failed_answer.filter(|_| is_single && refusal == Refusal::Unknown);
+    record.relayed_status = relayed.as_ref().map(|answer| answer.status);
     context.metrics.refused(refusal);
     record.tenant.iter().for_each(|tenant| context.node.callers.failed(tenant.as_str()));
     if stop_ending.is_none() {
         request_log::refused(context, &record, refusal, "too few shards answered", &work);
     }
-    match (failed_answer, &route.destination) {
-        (Some(answer), Destination::Services(_)) if refusal == Refusal::Unknown => {
-            context.callers.relayed(answer)
-        }
-        _ => context.callers.refused(refusal),
+    match relayed {
+        Some(answer) => context.callers.relayed(answer),
+        None => context.callers.refused(refusal),
     }
 }
 
--- a/crates/sablebay-gateway/src/request_log.rs
+++ b/crates/sablebay-gateway/src/request_log.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode};
 
 use sablebay_catalogue::Route;
 use sablebay_model::{Micros, RequestDigest};
@@ -31,6 +31,8 @@
     pub priority: TenantPriority,
     /// The request digest, if the log line needs it.
     pub digest: Option<RequestDigest>,
+    /// The status of the back end's failure that is passed on in place of a refusal, if any.
+    pub relayed_status: Option<StatusCode>,
 }
 
 /// Queueing at the shards of a request on arrival.
@@ -70,6 +72,7 @@
             crowding: Crowding::default(),
             priority: TenantPriority::default(),
             digest: None,
+            relayed_status: None,
         }
     }
 
@@ -126,6 +129,7 @@
         tenant = record.tenant_name(), version = record.version, held_ms = held,
         calls = work.calls, extra_calls = work.extra_calls, gatherers = work.gatherers,
         delegated_shards = work.delegated_shards, failures = failures(work).as_str(),
+        relayed_status = record.relayed_status.map_or(0, |status| status.as_u16()),
         shards = record.crowding.shards, crowded = record.crowding.crowded, rank = record.priority.rank,
         tenant_work_percent = record.priority.work_percent(),
         catalogue_age_ms = context.catalogue_age().as_millis();
