A success that no back end has signed reaches no caller

Cause: the head of an answer was judged in the adapter, which had five outcomes and none for "says success, but nobody signed it". A 2xx without the receipt counted as a failure, and a failure is relayed unchanged; nothing looked at its status again. An empty receipt counted as one, and the first of several lines was read while all were passed on.

Change: the adapter says what stands in the head (`AnswerHead`), one place decides what that is (`answer.rs`), and its result is a type: a success holds a `Receipt` that is not blank and stood once, a part a receipt that stands as one entry of a list, a failure comes from a status that is none of success. An unsigned success is no answer (`NoAnswer::Unsigned`): it may have run, it is counted and logged with its reason, its connection closes, its back end counts as failed, another one is asked where that is allowed. Answers to other requests are counted as well ("foreign").

Why this works: what the caller must not get can't be built any more, neither for one back end nor for a part.

The property in answer_tests.rs has no form on the old code.

--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -9,6 +9,7 @@
 use hyper::ext::on_informational;
 use tokio::sync::Notify;
 
+use sablebay_dispatch::CallFailure;
 use sablebay_http::{BodyFailure, Room, is_answer_status, read_body_within};
 use sablebay_model::Micros;
 use sablebay_node::{MemoryLease, Resources};
@@ -24,7 +25,7 @@
 /// Maximum number of informational heads before an answer.
 const MAXIMUM_INFORMATIONAL_HEADS: u32 = 16;
 
-/// Why what a back end sent is no answer. The request may have run.
+/// Why what a back end sent is no answer to its request. The request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoAnswer {
     /// The connection ended first.
@@ -40,6 +41,10 @@
     LongBody,
     /// The requests and answers of the node leave no memory for this one.
     NoRoom,
+    /// It names another request, none, or more than one.
+    Foreign,
+    /// It reports a success without one receipt that callers can check.
+    Unsigned,
 }
 
 impl NoAnswer {
@@ -52,6 +57,22 @@
             Self::BrokenBody => "broken_body",
             Self::LongBody => "long_body",
             Self::NoRoom => "no_room",
+            Self::Foreign => "foreign",
+            Self::Unsigned => "unsigned",
+        }
+    }
+
+    /// How a call with such an answer failed.
+    pub fn failure(self) -> CallFailure {
+        match self {
+            Self::Closed
+            | Self::MalformedHead
+            | Self::InformationalHeads
+            | Self::Status
+            | Self::BrokenBody
+            | Self::LongBody
+            | Self::NoRoom => CallFailure::Broken,
+            Self::Foreign | Self::Unsigned => CallFailure::Mismatched,
         }
     }
 
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -16,10 +16,11 @@
 };
 use sablebay_model::{Micros, RequestDigest};
 
+use crate::answer::{AnswerScope, FailureAnswer, SuccessAnswer, Verdict, verdict};
 use crate::back_end_answer::{InformationalHeads, NoAnswer, answer_body, answer_head};
 use crate::connections::{Lease, Liveness, ReplicaConnections};
 use crate::context::Context;
-use crate::edge::{AnswerVerdict, BackendProtocol, CallerProtocol, FullAnswer};
+use crate::edge::{AnswerHead, BackendProtocol, CallerProtocol};
 use crate::merge::MergedPart;
 use crate::prepare_call::{Unsent, prepare, record_unsent};
 use crate::quarantine::RunLease;
@@ -37,24 +38,19 @@
     pub body: Bytes,
     /// The name of the route.
     pub route: String,
+    /// What it wants of each back end.
+    pub scope: AnswerScope,
     pub caller_deadline: Micros,
     /// The request digest, computed on first use.
     pub digest: OnceLock<RequestDigest>,
 }
 
-#[derive(Debug)]
-pub struct CallSuccess {
-    /// Proves to the caller that the back end ran the request.
-    pub receipt: HeaderValue,
-    pub answer: FullAnswer,
-}
-
 /// The result of a call.
 #[derive(Debug)]
 pub enum CallResult {
-    Success(CallSuccess),
+    Success(SuccessAnswer),
     /// A failure, with the back end's answer if it sent one.
-    Failure(CallFailure, Option<FullAnswer>),
+    Failure(CallFailure, Option<FailureAnswer>),
 }
 
 /// An update on a call or delegation.
@@ -249,14 +245,14 @@
 }
 
 /// The result of a call in which the replica sent no answer. Its connection is closed.
-fn broken<C: CallerProtocol, B: BackendProtocol>(
+fn no_answer<C: CallerProtocol, B: BackendProtocol>(
     context: &Context<C, B>,
     replica: &RoutableReplica,
     request: &ForwardedRequest,
     why: NoAnswer,
 ) -> CallResult {
     why.record(&context.metrics, &request.id, replica.replica.id.as_str(), context.clock().now());
-    CallResult::Failure(CallFailure::Broken, None)
+    CallResult::Failure(why.failure(), None)
 }
 
 /// Sends a request on a connection and reads the whole answer.
@@ -280,22 +276,22 @@
     };
     let response = match head {
         Ok(response) => response,
-        Err(why) => return (broken(context, replica, request, why), None),
+        Err(why) => return (no_answer(context, replica, request, why), None),
     };
     let (head, body) = response.into_parts();
-    let mut read = context.back_ends.read(&request.id, head.status, &head.headers);
-    if let (false, AnswerVerdict::Mismatched { receipt: Some(receipt) }) =
-        (context.mechanisms.correlation, &read.verdict)
-    {
-        read.verdict = AnswerVerdict::Success { receipt: receipt.clone() };
-    }
-    if matches!(read.verdict, AnswerVerdict::Mismatched { .. }) {
-        // Later answers on this connection cannot be matched to requests either, so it is closed.
-        return (CallResult::Failure(CallFailure::Mismatched, None), None);
+    let stated = context.back_ends.read(head.status, &head.headers);
+    if context.mechanisms.correlation && !stated.request.is(&request.id) {
+        // Its load may be that of another replica.
+        return (no_answer(context, replica, request, NoAnswer::Foreign), None);
     }
+    let AnswerHead { load, .. } = stated;
+    let verdict = match verdict(request.scope, head.status, &stated) {
+        Ok(verdict) => verdict,
+        Err(why) => return (no_answer(context, replica, request, why), load),
+    };
     let body = match answer_body(body, &context.node.resources).await {
         Ok(body) => body,
-        Err(why) => return (broken(context, replica, request, why), read.load),
+        Err(why) => return (no_answer(context, replica, request, why), load),
     };
     if let Some(idle) = keep_alive(&head.headers) {
         lease.set_idle_timeout(idle);
@@ -307,15 +303,15 @@
         connections.give_back(lease);
     }
     let headers = end_to_end_headers(head.headers);
-    let answer = FullAnswer { status: head.status, headers, body };
-    let result = match read.verdict {
-        AnswerVerdict::Success { receipt } => CallResult::Success(CallSuccess { receipt, answer }),
-        AnswerVerdict::Failure => CallResult::Failure(CallFailure::Failed, Some(answer)),
-        AnswerVerdict::NotRun => CallResult::Failure(CallFailure::Rejected, None),
-        AnswerVerdict::WrongInstance => CallResult::Failure(CallFailure::WrongInstance, None),
-        AnswerVerdict::Mismatched { .. } => CallResult::Failure(CallFailure::Mismatched, None),
+    let result = match verdict {
+        Verdict::Success(success) => CallResult::Success(success.with_body(headers, body)),
+        Verdict::Failure(failure) => {
+            CallResult::Failure(CallFailure::Failed, Some(failure.with_body(headers, body)))
+        }
+        Verdict::NotRun => CallResult::Failure(CallFailure::Rejected, None),
+        Verdict::WrongInstance => CallResult::Failure(CallFailure::WrongInstance, None),
     };
-    (result, read.load)
+    (result, load)
 }
 
 fn outgoing_request(request: &ForwardedRequest) -> Request<Full<Bytes>> {
--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::HeaderValue;
 use tokio::sync::{mpsc, oneshot};
 
 use sablebay_catalogue::{Gather, ReplicaId, ServiceName, ZoneNotice};
@@ -12,6 +11,7 @@
 use sablebay_node::{Lane, PeerFailure, PeerReply, PendingAnswer};
 use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerRequest, PeerResponse};
 
+use crate::answer::PartReceipt;
 use crate::call::{CallEvent, CallUpdate, ForwardedRequest};
 use crate::context::Context;
 use crate::edge::{BackendProtocol, CallerProtocol};
@@ -186,9 +186,9 @@
     let positions = |indices: &[u32]| -> Option<Vec<usize>> {
         indices.iter().map(|index| shards.get(*index as usize).copied()).collect()
     };
-    let receipts: Result<Vec<HeaderValue>, _> =
-        part.receipts.iter().map(|bytes| HeaderValue::from_bytes(bytes)).collect();
-    let receipts = receipts.ok()?;
+    let receipts: Option<Vec<PartReceipt>> =
+        part.receipts.iter().map(|receipt| PartReceipt::from_bytes(receipt)).collect();
+    let receipts = receipts?;
     if receipts.len() != part.answered.len() || !part.records.len().is_multiple_of(RECORD_BYTES) {
         return None;
     }
--- a/crates/sablebay-gateway/src/driver.rs
+++ b/crates/sablebay-gateway/src/driver.rs
@@ -14,10 +14,11 @@
 use sablebay_model::Micros;
 use sablebay_node::StopWatch;
 
+use crate::answer::FailureAnswer;
 use crate::call::{CallEvent, CallResult, CallUpdate, ForwardedRequest, OutgoingCall, run_call};
 use crate::context::Context;
 use crate::delegated::{DelegationTimes, OutgoingDelegation, names_of, run_delegation};
-use crate::edge::{BackendProtocol, CallerProtocol, FullAnswer};
+use crate::edge::{BackendProtocol, CallerProtocol};
 use crate::merge::{Part, TakenPart};
 use crate::send_gate::SendGate;
 
@@ -35,7 +36,7 @@
     /// The parts that make up the answer.
     pub parts: Vec<TakenPart>,
     /// The last failure answer of a back end.
-    pub failed_answer: Option<FullAnswer>,
+    pub failed_answer: Option<FailureAnswer>,
     /// When a partial answer was due.
     pub partial_at: Micros,
     /// Whether a planned stop of this node ended the request before its own deadline.
@@ -246,7 +247,7 @@
     events: mpsc::UnboundedSender<CallEvent>,
     receiver: mpsc::UnboundedReceiver<CallEvent>,
     parts: Vec<TakenPart>,
-    failed_answer: Option<FullAnswer>,
+    failed_answer: Option<FailureAnswer>,
     calls: CallHandles,
     stop: StopWatch,
     /// By call number: the replica or node called.
--- a/crates/sablebay-gateway/src/edge.rs
+++ b/crates/sablebay-gateway/src/edge.rs
@@ -16,6 +16,8 @@
 use sablebay_dispatch::LoadHint;
 use sablebay_tenants::{ApiKey, TenantName};
 
+pub use crate::answer::{PartReceipt, Receipt, RelayedAnswer, RelayedParts};
+
 /// The credential in a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Credential {
@@ -86,20 +88,11 @@
     Expired,
 }
 
-/// The complete answer of one back end.
-#[derive(Clone, Debug)]
-pub struct FullAnswer {
-    pub status: StatusCode,
-    /// The headers, without hop-by-hop headers.
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// The merged answers of the shards of a request.
 #[derive(Clone, Debug)]
 pub struct GatheredAnswer {
     /// The receipts of the shards that answered.
-    pub receipts: Vec<HeaderValue>,
+    pub receipts: Vec<PartReceipt>,
     /// The number of shards without an answer.
     pub missing: usize,
     pub body: Bytes,
@@ -114,38 +107,51 @@
     /// The name of the header that tells back ends the caller's identity.
     fn identity_header(&self) -> HeaderName;
     /// Builds the response from the answer of one back end.
-    fn relayed(&self, answer: FullAnswer) -> Response<Full<Bytes>>;
+    fn relayed(&self, answer: RelayedAnswer) -> Response<Full<Bytes>>;
     /// Builds the response from the merged answers of several shards.
     fn gathered(&self, answer: GatheredAnswer) -> Response<Full<Bytes>>;
     /// Builds the response for a refusal.
     fn refused(&self, refusal: Refusal) -> Response<Full<Bytes>>;
 }
 
-/// The outcome stated in the head of a back end's answer.
-#[derive(Clone, Debug)]
-pub enum AnswerVerdict {
-    /// The request succeeded.
-    Success {
-        /// Proves to the caller that the request ran.
-        receipt: HeaderValue,
-    },
-    /// The request failed, and ran or may have run.
-    Failure,
-    /// The request did not run.
-    NotRun,
-    /// Another replica has taken over the address; the request did not run.
-    WrongInstance,
-    /// The answer belongs to another request, or identifies none.
-    Mismatched {
-        /// The receipt in the answer, if any.
-        receipt: Option<HeaderValue>,
-    },
+/// A header that may stand once in the head of an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Stated {
+    #[default]
+    Absent,
+    Once(HeaderValue),
+    /// In several lines, which readers of the head may not take alike.
+    Repeated,
 }
 
-/// The parsed head of a back end's answer.
-#[derive(Clone, Debug)]
-pub struct BackendAnswer {
-    pub verdict: AnswerVerdict,
+impl Stated {
+    /// Reads a header from the head of an answer.
+    pub fn of(headers: &HeaderMap, name: &HeaderName) -> Self {
+        let mut lines = headers.get_all(name).iter();
+        match (lines.next(), lines.next()) {
+            (None, _) => Self::Absent,
+            (Some(value), None) => Self::Once(value.clone()),
+            (Some(_), Some(_)) => Self::Repeated,
+        }
+    }
+
+    /// Whether it stands once, with this value.
+    pub fn is(&self, value: &HeaderValue) -> bool {
+        matches!(self, Self::Once(stated) if stated == value)
+    }
+}
+
+/// What the head of a back end's answer states in the back ends' protocol.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerHead {
+    /// The identifier of the request that it answers.
+    pub request: Stated,
+    /// Proves to the caller which back end ran the request.
+    pub receipt: Stated,
+    /// Whether it says that the request did not run.
+    pub is_not_executed: bool,
+    /// Whether it says that another replica has taken over the address, and that the request did not run.
+    pub is_wrong_instance: bool,
     /// The back end's load, if reported.
     pub load: Option<LoadHint>,
 }
@@ -154,8 +160,8 @@
 pub trait BackendProtocol: Send + Sync + 'static {
     /// Adds the headers for a replica; `remaining` is the time until the deadline.
     fn address_to(&self, request: &mut Request<Full<Bytes>>, replica: &Replica, remaining: Duration);
-    /// Parses the head of an answer to the request `id`.
-    fn read(&self, id: &HeaderValue, status: StatusCode, headers: &HeaderMap) -> BackendAnswer;
+    /// Parses the head of an answer.
+    fn read(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 }
 
 /// Why a read of the catalogue source failed.
--- a/crates/sablebay-gateway/src/gatherer.rs
+++ b/crates/sablebay-gateway/src/gatherer.rs
@@ -13,6 +13,7 @@
 use sablebay_node::{PartialGatherer, ProgressSender};
 use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerResponse};
 
+use crate::answer::AnswerScope;
 use crate::call::ForwardedRequest;
 use crate::context::Context;
 use crate::driver::{RunningRequest, expected_times};
@@ -197,6 +198,7 @@
         headers,
         body: Bytes::from(partial.body.clone()),
         route: partial.route.clone(),
+        scope: AnswerScope::Shard,
         caller_deadline: now.plus(Micros(partial.remaining_us)),
         digest: OnceLock::new(),
     })
--- a/crates/sablebay-gateway/src/ingress.rs
+++ b/crates/sablebay-gateway/src/ingress.rs
@@ -15,6 +15,7 @@
 use sablebay_dispatch::{Admission, DelegatedShards, FanoutOutcome, ShardTargets};
 use sablebay_model::Micros;
 
+use crate::answer::RelayedAnswer;
 use crate::authentication::Caller;
 use crate::context::Context;
 use crate::driver::{DriverResult, DriverWork, RequestBounds, drive};
@@ -300,14 +301,14 @@
     };
     let is_single = matches!(route.destination, Destination::Services(_));
     let relayed = failed_answer.filter(|_| is_single && refusal == Refusal::Unknown);
-    record.relayed_status = relayed.as_ref().map(|answer| answer.status);
+    record.relayed_status = relayed.as_ref().map(|failure| failure.status());
     context.metrics.refused(refusal);
     record.tenant.iter().for_each(|tenant| context.node.callers.failed(tenant.as_str()));
     if stop_ending.is_none() {
         request_log::refused(context, &record, refusal, "too few shards answered", &work);
     }
     match relayed {
-        Some(answer) => context.callers.relayed(answer),
+        Some(failure) => context.callers.relayed(RelayedAnswer::Failure(failure)),
         None => context.callers.refused(refusal),
     }
 }
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -4,6 +4,9 @@
 //! and `sablebay-catalogue`. The protocols of callers, back ends and the catalogue source are behind
 //! the traits in [`edge`].
 
+mod answer;
+#[cfg(test)]
+mod answer_tests;
 mod authentication;
 mod back_end_answer;
 mod call;
--- a/crates/sablebay-gateway/src/merge.rs
+++ b/crates/sablebay-gateway/src/merge.rs
@@ -1,21 +1,21 @@
 //! Merges the answers of back ends into the caller's response.
 
 use bytes::Bytes;
-use http::{HeaderValue, Response};
+use http::Response;
 use http_body_util::Full;
 
 use sablebay_catalogue::{Destination, Route};
 use sablebay_dispatch::{CallNumber, TopRecords};
 
-use crate::call::CallSuccess;
+use crate::answer::{PartReceipt, RelayedAnswer, SuccessAnswer};
 use crate::context::Context;
 use crate::edge::{BackendProtocol, CallerProtocol, GatheredAnswer};
 
 /// The merged answers of several shards.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct MergedPart {
     /// The receipts of the answers, by shard.
-    pub receipts: Vec<HeaderValue>,
+    pub receipts: Vec<PartReceipt>,
     /// The greatest records, in descending order.
     pub records: Bytes,
 }
@@ -23,8 +23,8 @@
 /// An answer for one or more shards.
 #[derive(Debug)]
 pub enum Part {
-    /// The whole answer of one replica.
-    Single(CallSuccess),
+    /// The answer of one replica.
+    Single(SuccessAnswer),
     /// The records merged by a gatherer, used for all of its shards or for none.
     Merged(MergedPart),
 }
@@ -57,8 +57,12 @@
         Destination::Services(_) => {
             let only = parts.pop().expect("an answered single-shard request has one part");
             match only.part {
-                Part::Single(success) => context.callers.relayed(success.answer),
-                Part::Merged(_) => unreachable!("only gather routes delegate shards"),
+                Part::Single(SuccessAnswer::Whole(success)) => {
+                    context.callers.relayed(RelayedAnswer::Success(success))
+                }
+                Part::Single(SuccessAnswer::Shard(_)) | Part::Merged(_) => {
+                    unreachable!("only gather routes have shards")
+                }
             }
         }
     }
@@ -70,10 +74,11 @@
     let mut receipts = Vec::with_capacity(parts.len());
     for taken in parts {
         match taken.part {
-            Part::Single(success) => {
-                records.add(&success.answer.body);
-                receipts.push(success.receipt);
+            Part::Single(SuccessAnswer::Shard(shard)) => {
+                records.add(&shard.records);
+                receipts.push(shard.receipt);
             }
+            Part::Single(SuccessAnswer::Whole(_)) => unreachable!("gather routes have only shards"),
             Part::Merged(merged) => {
                 records.add(&merged.records);
                 receipts.extend(merged.receipts);
--- a/crates/sablebay-gateway/src/request_body.rs
+++ b/crates/sablebay-gateway/src/request_body.rs
@@ -7,10 +7,11 @@
 use http::Uri;
 use tokio::time::Instant;
 
-use sablebay_catalogue::Route;
+use sablebay_catalogue::{Destination, Route};
 use sablebay_model::Micros;
 use sablebay_node::{RequestBodyFailure, read_request_body};
 
+use crate::answer::AnswerScope;
 use crate::call::{ForwardedRequest, end_to_end_headers};
 use crate::edge::{CallerRequest, Refusal};
 
@@ -91,6 +92,10 @@
         headers: end_to_end_headers(head.headers),
         body,
         route: route.name.clone(),
+        scope: match route.destination {
+            Destination::Services(_) => AnswerScope::Whole,
+            Destination::Gather(_) => AnswerScope::Shard,
+        },
         caller_deadline,
         digest: OnceLock::new(),
     })
--- a/crates/sablebay-gateway/src/request_digest_tests.rs
+++ b/crates/sablebay-gateway/src/request_digest_tests.rs
@@ -7,6 +7,7 @@
 
 use sablebay_model::{FleetName, Micros, RequestDigest};
 
+use crate::answer::AnswerScope;
 use crate::call::ForwardedRequest;
 use crate::request_digest::DigestKey;
 
@@ -29,6 +30,7 @@
         headers: map,
         body: Bytes::from_static(body.as_bytes()),
         route: "search".to_string(),
+        scope: AnswerScope::Whole,
         caller_deadline: Micros(0),
         digest: OnceLock::new(),
     }
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -27,3 +27,4 @@
 mod tenant_secrets;
 mod tenant_status;
 mod tenants;
+mod unsigned_answers;
