A success that says it did not run is not sent again

What callers saw: a request that must run once ran twice. A back end's 200 with its receipt and `X-Sablebay-Not-Executed` counted as "not run", so another back end got the request, and its 200 was the answer.

Cause: the header was looked at before the status.

Change: a success with that header is no answer ("contradictory"): nothing of it reaches the caller, and the request may have run. A failure with it has not run, as before.

--- a/crates/sablebay-gateway/src/answer.rs
+++ b/crates/sablebay-gateway/src/answer.rs
@@ -180,11 +180,12 @@
     if stated.is_wrong_instance {
         return Ok(Verdict::WrongInstance);
     }
-    if stated.is_not_executed {
-        return Ok(Verdict::NotRun);
-    }
     if !status.is_success() {
-        return Ok(Verdict::Failure(FailureHead { status }));
+        let failure = Verdict::Failure(FailureHead { status });
+        return Ok(if stated.is_not_executed { Verdict::NotRun } else { failure });
+    }
+    if stated.is_not_executed {
+        return Err(NoAnswer::Contradictory);
     }
     let proof = proof(scope, &stated.receipt).ok_or(NoAnswer::Unsigned)?;
     Ok(Verdict::Success(SuccessHead { status, proof }))
--- a/crates/sablebay-gateway/src/answer_tests.rs
+++ b/crates/sablebay-gateway/src/answer_tests.rs
@@ -50,7 +50,7 @@
         let decided = verdict(scope, status, &stated);
         let is_shard = scope == AnswerScope::Shard;
         let is_signed = lines.len() == 1 && !is_blank(&lines[0]) && !(is_shard && lines[0].contains(&b','));
-        let is_sound = is_signed;
+        let is_sound = is_signed && !is_not_executed;
         match decided {
             Ok(Verdict::Success(success)) => {
                 prop_assert!(status.is_success() && is_sound);
@@ -68,7 +68,7 @@
                 prop_assert!(!status.is_success() && !is_not_executed);
                 prop_assert_eq!(failure.with_body(headers, Bytes::new()).status(), status);
             }
-            Ok(Verdict::NotRun) => prop_assert!(is_not_executed),
+            Ok(Verdict::NotRun) => prop_assert!(!status.is_success() && is_not_executed),
             Ok(Verdict::WrongInstance) => prop_assert!(false, "nothing says so"),
             Err(_) => prop_assert!(status.is_success() && !is_sound),
         }
@@ -85,9 +85,11 @@
 fn the_reason_names_what_is_wrong() {
     let signed = Stated::Once(HeaderValue::from_static("i-1.r"));
     let sound = AnswerHead { receipt: signed, ..AnswerHead::default() };
+    let not_executed = AnswerHead { is_not_executed: true, ..sound.clone() };
     let repeated = AnswerHead { receipt: Stated::Repeated, ..AnswerHead::default() };
     assert_eq!(reason(AnswerScope::Whole, 200, &sound), None);
     assert_eq!(reason(AnswerScope::Whole, 206, &sound), None);
+    assert_eq!(reason(AnswerScope::Whole, 200, &not_executed), Some(NoAnswer::Contradictory));
     assert_eq!(reason(AnswerScope::Whole, 200, &repeated), Some(NoAnswer::Unsigned));
     assert_eq!(reason(AnswerScope::Shard, 204, &AnswerHead::default()), Some(NoAnswer::Unsigned));
     assert_eq!(reason(AnswerScope::Whole, 500, &AnswerHead::default()), None);
--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -45,6 +45,8 @@
     Foreign,
     /// It reports a success without one receipt that callers can check.
     Unsigned,
+    /// It reports a success, and that the request did not run.
+    Contradictory,
 }
 
 impl NoAnswer {
@@ -59,6 +61,7 @@
             Self::NoRoom => "no_room",
             Self::Foreign => "foreign",
             Self::Unsigned => "unsigned",
+            Self::Contradictory => "contradictory",
         }
     }
 
@@ -72,7 +75,7 @@
             | Self::BrokenBody
             | Self::LongBody
             | Self::NoRoom => CallFailure::Broken,
-            Self::Foreign | Self::Unsigned => CallFailure::Mismatched,
+            Self::Foreign | Self::Unsigned | Self::Contradictory => CallFailure::Mismatched,
         }
     }
 
