Encoded bytes of a back end reach no caller as its body

What callers saw: a success with a `Content-Encoding` passed on as the back end's answer; over shards its bytes were merged as records, and nothing told of it.

Cause: no one looked at the header.

Change: such a success is no answer ("encoded"). A failure is passed on as it is.

--- a/crates/sablebay-gateway/src/answer.rs
+++ b/crates/sablebay-gateway/src/answer.rs
@@ -2,7 +2,7 @@
 //! get can't be built.
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 use crate::back_end_answer::NoAnswer;
 use crate::edge::{AnswerHead, Stated};
@@ -176,7 +176,12 @@
 ///
 /// # Errors
 /// If it is no answer to the request, or reports a success that callers can't rely on. The request may have run.
-pub fn verdict(scope: AnswerScope, status: StatusCode, stated: &AnswerHead) -> Result<Verdict, NoAnswer> {
+pub fn verdict(
+    scope: AnswerScope,
+    status: StatusCode,
+    headers: &HeaderMap,
+    stated: &AnswerHead,
+) -> Result<Verdict, NoAnswer> {
     if stated.is_wrong_instance {
         return Ok(Verdict::WrongInstance);
     }
@@ -187,6 +192,10 @@
     if stated.is_not_executed {
         return Err(NoAnswer::Contradictory);
     }
+    // Callers ask for no encoding, so these are not the bytes that they would check.
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return Err(NoAnswer::Encoded);
+    }
     let proof = proof(scope, &stated.receipt).ok_or(NoAnswer::Unsigned)?;
     Ok(Verdict::Success(SuccessHead { status, proof }))
 }
--- a/crates/sablebay-gateway/src/answer_tests.rs
+++ b/crates/sablebay-gateway/src/answer_tests.rs
@@ -1,7 +1,7 @@
 //! Tests which answers of back ends are successes or failures that callers may get.
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -41,16 +41,20 @@
         status in 200_u16..600,
         lines in prop::collection::vec(line(), 0..3),
         is_not_executed in any::<bool>(),
+        is_encoded in any::<bool>(),
         scope in prop::sample::select(&[AnswerScope::Whole, AnswerScope::Shard][..]),
     ) {
-        let headers = head_with(&lines);
+        let mut headers = head_with(&lines);
+        if is_encoded {
+            headers.insert(header::CONTENT_ENCODING, HeaderValue::from_static("gzip"));
+        }
         let receipt = Stated::of(&headers, &RECEIPT);
         let stated = AnswerHead { receipt, is_not_executed, ..AnswerHead::default() };
         let status = StatusCode::from_u16(status).expect("a status");
-        let decided = verdict(scope, status, &stated);
+        let decided = verdict(scope, status, &headers, &stated);
         let is_shard = scope == AnswerScope::Shard;
         let is_signed = lines.len() == 1 && !is_blank(&lines[0]) && !(is_shard && lines[0].contains(&b','));
-        let is_sound = is_signed && !is_not_executed;
+        let is_sound = is_signed && !is_not_executed && !is_encoded;
         match decided {
             Ok(Verdict::Success(success)) => {
                 prop_assert!(status.is_success() && is_sound);
@@ -77,7 +81,7 @@
 
 fn reason(scope: AnswerScope, status: u16, stated: &AnswerHead) -> Option<NoAnswer> {
     let status = StatusCode::from_u16(status).expect("a status");
-    verdict(scope, status, stated).err()
+    verdict(scope, status, &HeaderMap::new(), stated).err()
 }
 
 /// Guards against a reason in the log that sends an operator the wrong way.
--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -47,6 +47,8 @@
     Unsigned,
     /// It reports a success, and that the request did not run.
     Contradictory,
+    /// Its body is encoded, which nobody asked for.
+    Encoded,
 }
 
 impl NoAnswer {
@@ -62,6 +64,7 @@
             Self::Foreign => "foreign",
             Self::Unsigned => "unsigned",
             Self::Contradictory => "contradictory",
+            Self::Encoded => "encoded",
         }
     }
 
@@ -75,7 +78,7 @@
             | Self::BrokenBody
             | Self::LongBody
             | Self::NoRoom => CallFailure::Broken,
-            Self::Foreign | Self::Unsigned | Self::Contradictory => CallFailure::Mismatched,
+            Self::Foreign | Self::Unsigned | Self::Contradictory | Self::Encoded => CallFailure::Mismatched,
         }
     }
 
--- a/crates/sablebay-gateway/src/call.rs
+++ b/crates/sablebay-gateway/src/call.rs
@@ -285,7 +285,7 @@
         return (no_answer(context, replica, request, NoAnswer::Foreign), None);
     }
     let AnswerHead { load, .. } = stated;
-    let verdict = match verdict(request.scope, head.status, &stated) {
+    let verdict = match verdict(request.scope, head.status, &head.headers, &stated) {
         Ok(verdict) => verdict,
         Err(why) => return (no_answer(context, replica, request, why), load),
     };
--- a/crates/sablebay/tests/platform/unsigned_answers.rs
+++ b/crates/sablebay/tests/platform/unsigned_answers.rs
@@ -46,6 +46,9 @@
 /// A success that says that it did not run.
 const CONTRADICTORY: &str = "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nX-Sablebay-Not-Executed: 1\nContent-Length: {length}\n";
 
+/// A success whose bytes are not those that callers check.
+const ENCODED: &str = "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nContent-Encoding: gzip\nContent-Length: {length}\n";
+
 /// Successes that name no request.
 const UNADDRESSED: [&str; 2] = [
     "HTTP/1.1 200 OK\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n",
@@ -121,6 +124,12 @@
     check_heads(&[CONTRADICTORY]).await;
 }
 
+/// Guards against encoded bytes that are passed on, or merged as records, as if they were the back end's body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_success_with_an_encoding_nobody_asked_for_reaches_no_caller() {
+    check_heads(&[ENCODED]).await;
+}
+
 /// Guards against an answer that nothing ties to its request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_success_that_names_no_request_reaches_no_caller() {
@@ -292,8 +301,12 @@
 }
 
 /// Heads that make an answer none, and the reason under which it is counted.
-const REASONS: &[(&str, &str)] =
-    &[(UNSIGNED[0], "unsigned"), (CONTRADICTORY, "contradictory"), (UNADDRESSED[0], "foreign")];
+const REASONS: &[(&str, &str)] = &[
+    (UNSIGNED[0], "unsigned"),
+    (CONTRADICTORY, "contradictory"),
+    (ENCODED, "encoded"),
+    (UNADDRESSED[0], "foreign"),
+];
 
 /// Guards against answers that nobody signed and that no count tells of.
 #[tokio::test(flavor = "multi_thread")]
