A partial answer of a shard is no part

What callers saw: the records that a back end's 206 left out were missing from the merged answer, which reported no shard as missing.

Cause: any signed 2xx counted as a part.

Change: a 206 is no part ("partial"); another back end is asked, and a shard that gives nothing else is missing. A request to a single back end gets the 206 unchanged.

--- a/crates/sablebay-gateway/src/answer.rs
+++ b/crates/sablebay-gateway/src/answer.rs
@@ -196,6 +196,10 @@
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Err(NoAnswer::Encoded);
     }
+    // The merged answer would not tell that a part is incomplete.
+    if scope == AnswerScope::Shard && status == StatusCode::PARTIAL_CONTENT {
+        return Err(NoAnswer::Partial);
+    }
     let proof = proof(scope, &stated.receipt).ok_or(NoAnswer::Unsigned)?;
     Ok(Verdict::Success(SuccessHead { status, proof }))
 }
--- a/crates/sablebay-gateway/src/answer_tests.rs
+++ b/crates/sablebay-gateway/src/answer_tests.rs
@@ -54,7 +54,8 @@
         let decided = verdict(scope, status, &headers, &stated);
         let is_shard = scope == AnswerScope::Shard;
         let is_signed = lines.len() == 1 && !is_blank(&lines[0]) && !(is_shard && lines[0].contains(&b','));
-        let is_sound = is_signed && !is_not_executed && !is_encoded;
+        let is_whole = !(is_shard && status == StatusCode::PARTIAL_CONTENT);
+        let is_sound = is_signed && is_whole && !is_not_executed && !is_encoded;
         match decided {
             Ok(Verdict::Success(success)) => {
                 prop_assert!(status.is_success() && is_sound);
@@ -93,6 +94,7 @@
     let repeated = AnswerHead { receipt: Stated::Repeated, ..AnswerHead::default() };
     assert_eq!(reason(AnswerScope::Whole, 200, &sound), None);
     assert_eq!(reason(AnswerScope::Whole, 206, &sound), None);
+    assert_eq!(reason(AnswerScope::Shard, 206, &sound), Some(NoAnswer::Partial));
     assert_eq!(reason(AnswerScope::Whole, 200, &not_executed), Some(NoAnswer::Contradictory));
     assert_eq!(reason(AnswerScope::Whole, 200, &repeated), Some(NoAnswer::Unsigned));
     assert_eq!(reason(AnswerScope::Shard, 204, &AnswerHead::default()), Some(NoAnswer::Unsigned));
--- a/crates/sablebay-gateway/src/back_end_answer.rs
+++ b/crates/sablebay-gateway/src/back_end_answer.rs
@@ -49,6 +49,8 @@
     Contradictory,
     /// Its body is encoded, which nobody asked for.
     Encoded,
+    /// It holds a part of the records of a shard.
+    Partial,
 }
 
 impl NoAnswer {
@@ -65,6 +67,7 @@
             Self::Unsigned => "unsigned",
             Self::Contradictory => "contradictory",
             Self::Encoded => "encoded",
+            Self::Partial => "partial",
         }
     }
 
@@ -78,7 +81,9 @@
             | Self::BrokenBody
             | Self::LongBody
             | Self::NoRoom => CallFailure::Broken,
-            Self::Foreign | Self::Unsigned | Self::Contradictory | Self::Encoded => CallFailure::Mismatched,
+            Self::Foreign | Self::Unsigned | Self::Contradictory | Self::Encoded | Self::Partial => {
+                CallFailure::Mismatched
+            }
         }
     }
 
--- a/crates/sablebay/tests/platform/unsigned_answers.rs
+++ b/crates/sablebay/tests/platform/unsigned_answers.rs
@@ -196,6 +196,8 @@
     }
 }
 
+/// A part that says of itself that it isn't whole.
+const PARTIAL: &str = "HTTP/1.1 206 Partial Content\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nContent-Range: bytes 0-127/4096\nContent-Length: {length}\n";
 /// A receipt that would stand as two entries of a list.
 const TWO_ENTRIES: &str = "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp},{stamp}\nContent-Length: {length}\n";
 
@@ -213,6 +215,12 @@
     assert_eq!(single.stamp_lines.len(), 1);
 }
 
+/// Guards against records that are left out of a merged answer while it says that no shard is missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partial_answer_is_no_part() {
+    check_no_part(PARTIAL).await;
+}
+
 /// Guards against entries of a list that are no receipts.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_whose_receipt_would_stand_as_two_is_no_part() {
