An answer that names two requests belongs to none

What callers saw: an answer whose first line of `X-Sablebay-Request-Id` named their request and whose second another was passed on, with both lines.

Cause: the first line was read and all were passed on, as with the receipt.

--- a/crates/sablebay/tests/platform/unsigned_answers.rs
+++ b/crates/sablebay/tests/platform/unsigned_answers.rs
@@ -49,10 +49,12 @@
 /// A success whose bytes are not those that callers check.
 const ENCODED: &str = "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nContent-Encoding: gzip\nContent-Length: {length}\n";
 
-/// Successes that name no request.
-const UNADDRESSED: [&str; 2] = [
+/// Successes that name no request, or more than one.
+const UNADDRESSED: [&str; 4] = [
     "HTTP/1.1 200 OK\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n",
     "HTTP/1.1 200 OK\nX-Sablebay-Request-Id:\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n",
+    "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Request-Id: another\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n",
+    "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: another\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n",
 ];
 
 /// Checks that the answer is the node's own, and doesn't rule out that the request has run.
@@ -130,9 +132,9 @@
     check_heads(&[ENCODED]).await;
 }
 
-/// Guards against an answer that nothing ties to its request.
+/// Guards against an answer whose first line names this request and whose second line another.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_success_that_names_no_request_reaches_no_caller() {
+async fn a_success_that_names_no_request_or_two_reaches_no_caller() {
     check_heads(&UNADDRESSED).await;
 }
 
