The receipt of a success reaches its caller, whatever the back end's Connection header names

What callers saw: a 200 without a receipt, though the back end had sent one.

Cause: `Connection: X-Sablebay-Response-Stamp` makes the receipt a header of the connection, and those are removed before an answer is passed on. The receipt was checked before and lost after.

--- a/crates/sablebay/tests/platform/unsigned_answers.rs
+++ b/crates/sablebay/tests/platform/unsigned_answers.rs
@@ -275,6 +275,15 @@
     check_passed_on(&SIGNED).await;
 }
 
+/// A success that calls its receipt a matter of the connection.
+const OF_THE_CONNECTION: &str = "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nConnection: X-Sablebay-Response-Stamp\nContent-Length: {length}\n";
+
+/// Guards against a receipt that is dropped on its way to the caller, together with what concerns the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_receipt_named_as_a_header_of_the_connection_reaches_the_caller() {
+    check_passed_on(&[(OF_THE_CONNECTION, 200)]).await;
+}
+
 /// An answer to HEAD has the head alone.
 const HEAD_ANSWER: &str =
     "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: 128\n";
