A peer's part with a receipt that is none is refused as a part

What callers would see: on a root passed on whatever receipts a gatherer sent, so an older gatherer whose back end signed nothing spoiled the merged answer of a newer root in a rolling deploy.

Cause: `decode` knew sound parts and inconsistent ones only.

Change: the shards of such a part count as closed without an answer, so the root asks their other back ends within the attempts that are left; the gatherer goes on, its later parts count. It is logged and counted ("unsigned").

Tests: delegated_tests.rs. The refused part has no form on the code before, which answers `None` for the whole gatherer.

--- a/crates/sablebay-gateway/src/delegated.rs
+++ b/crates/sablebay-gateway/src/delegated.rs
@@ -12,6 +12,7 @@
 use sablebay_protocol::peer::{GatheredPart, PartialGather, PeerRequest, PeerResponse};
 
 use crate::answer::PartReceipt;
+use crate::back_end_answer::NoAnswer;
 use crate::call::{CallEvent, CallUpdate, ForwardedRequest};
 use crate::context::Context;
 use crate::edge::{BackendProtocol, CallerProtocol};
@@ -110,9 +111,13 @@
                 context.clock().now(),
             );
         }
-        let (gathered, merged) =
-            decode(part, &delegation.delegated.shards, last).ok_or(CallFailure::Mismatched)?;
-        let update = CallUpdate::Gathered(gathered, merged);
+        let decoded = decode(part, &delegation.delegated.shards, last).ok_or(CallFailure::Mismatched)?;
+        if decoded.is_unsigned {
+            let gatherer = delegation.delegated.gatherer.as_str();
+            let now = context.clock().now();
+            NoAnswer::Unsigned.record(&context.metrics, &delegation.request.id, gatherer, now);
+        }
+        let update = CallUpdate::Gathered(decoded.shards, decoded.merged);
         let _ = delegation.events.send(CallEvent { call: delegation.number, update });
         if last {
             return Ok(());
@@ -181,24 +186,41 @@
     context.dispatch.lock().gatherers.reported(gatherer, delegation.key, crowded, now);
 }
 
+/// A gatherer's part, by shard positions of the request.
+#[derive(Debug)]
+pub struct DecodedPart {
+    pub shards: GatheredShards,
+    pub merged: MergedPart,
+    /// Whether it was refused because callers could not take one of its receipts for one. Its shards count as closed.
+    pub is_unsigned: bool,
+}
+
 /// Converts a part to shard positions of the request; `None` if the part is inconsistent.
-fn decode(part: GatheredPart, shards: &[usize], last: bool) -> Option<(GatheredShards, MergedPart)> {
+pub fn decode(part: GatheredPart, shards: &[usize], last: bool) -> Option<DecodedPart> {
     let positions = |indices: &[u32]| -> Option<Vec<usize>> {
         indices.iter().map(|index| shards.get(*index as usize).copied()).collect()
     };
-    let receipts: Option<Vec<PartReceipt>> =
-        part.receipts.iter().map(|receipt| PartReceipt::from_bytes(receipt)).collect();
-    let receipts = receipts?;
-    if receipts.len() != part.answered.len() || !part.records.len().is_multiple_of(RECORD_BYTES) {
+    if part.receipts.len() != part.answered.len() || !part.records.len().is_multiple_of(RECORD_BYTES) {
         return None;
     }
-    let gathered = GatheredShards {
+    let mut shards = GatheredShards {
         answered: positions(&part.answered)?,
         closed: positions(&part.closed)?,
         retried: positions(&part.retried)?,
         last,
     };
-    Some((gathered, MergedPart { receipts, records: part.records.into() }))
+    let receipts: Option<Vec<PartReceipt>> =
+        part.receipts.iter().map(|receipt| PartReceipt::from_bytes(receipt)).collect();
+    let is_unsigned = receipts.is_none();
+    let merged = match receipts {
+        Some(receipts) => MergedPart { receipts, records: part.records.into() },
+        // The records of one shard can't be told from those of the others.
+        None => {
+            shards.closed.append(&mut shards.answered);
+            MergedPart::default()
+        }
+    };
+    Some(DecodedPart { shards, merged, is_unsigned })
 }
 
 /// The services of delegated shards.
--- a/crates/sablebay-gateway/src/lib.rs
+++ b/crates/sablebay-gateway/src/lib.rs
@@ -16,6 +16,8 @@
 mod context;
 mod counted_stream;
 mod delegated;
+#[cfg(test)]
+mod delegated_tests;
 mod destinations;
 mod document_fetch;
 mod driver;
