An answer of the product's own back ends without hits is no answer

What callers saw (own API): a query answered as complete that lacked the hits of a shard.

Change: hits may be absent only with a refusal; an answer with neither counts as mismatched, and another leaf is asked.

Test: own_answer.rs, with_a_leaf_whose_answers_lack_their_hits.

--- a/crates/sablebay-node/src/leaf_client/batch.rs
+++ b/crates/sablebay-node/src/leaf_client/batch.rs
@@ -251,10 +251,13 @@
         };
         return Err((failure, Some(report)));
     }
+    let Some(hits) = answer.hits else {
+        return Err((CallFailure::Mismatched, Some(report)));
+    };
     Ok(ShardAnswer {
         version: answer.version,
         coverage: Coverage { answered: answer.partitions, missing: Vec::new() },
-        hits: answer.hits,
+        hits,
         report: Some(report),
         work: Work::default(),
     })
--- a/crates/sablebay-protocol/src/backend.rs
+++ b/crates/sablebay-protocol/src/backend.rs
@@ -104,9 +104,9 @@
     pub version: SnapshotVersion,
     /// Searched partitions.
     pub partitions: PartitionSet,
-    /// Empty with a refusal.
-    #[serde(default)]
-    pub hits: Vec<Hit>,
+    /// Absent with a refusal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hits: Option<Vec<Hit>>,
     /// Set when the call did not run.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub refusal: Option<LeafRefusal>,
--- a/crates/sablebay-standin/src/leaf.rs
+++ b/crates/sablebay-standin/src/leaf.rs
@@ -79,6 +79,10 @@
     pub wrong_version: bool,
     /// Answers cover one partition more than requested.
     pub wrong_partitions: bool,
+    /// Answers lack their hits.
+    pub omits_hits: bool,
+    /// Operations run, and are answered with a result under the status of a failure.
+    pub fails_operations: bool,
     /// Initial factor on the service time; falls linearly to 1 during warm-up.
     pub cold_factor: f64,
 }
@@ -95,6 +99,8 @@
             wrong_call_ids: false,
             wrong_version: false,
             wrong_partitions: false,
+            omits_hits: false,
+            fails_operations: false,
             cold_factor: 1.0,
         }
     }
@@ -180,7 +186,7 @@
             call_id: call.call_id,
             version: call.version,
             partitions: PartitionSet::empty(),
-            hits: Vec::new(),
+            hits: None,
             refusal: Some(refusal),
             load: self.load(),
         }
@@ -219,6 +225,7 @@
         let call_id = if faults.wrong_call_ids { CallId(call.call_id.0 + 1) } else { call.call_id };
         let outlet = outlet_of(call);
         let hits = self.options.corpus.search(outlet, &partitions, version, call.sort, call.limit);
+        let hits = (!faults.omits_hits).then_some(hits);
         LeafAnswer { call_id, version, partitions, hits, refusal: None, load: self.load() }
     }
 
--- a/crates/sablebay/tests/own_answer.rs
+++ b/crates/sablebay/tests/own_answer.rs
@@ -31,6 +31,18 @@
     assert!(load.answered > 0);
 }
 
+/// Guards against an answer without hits that is taken for one that found nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn with_a_leaf_whose_answers_lack_their_hits() {
+    let cluster = start(small_deployment("latency", 4_000.0)).await;
+    for leaf in ["desk-leaf-1", "portal-leaf-2"] {
+        cluster.leaves.leaves[leaf].state.faults.lock().omits_hits = true;
+    }
+    let load = load(&cluster, 100.0, 2.0, 70).await;
+    assert_eq!(load.violations, []);
+    assert!(load.answered > 0);
+}
+
 /// Caller connections with delay, jitter and resets in the middle of answers.
 #[tokio::test(flavor = "multi_thread")]
 async fn behind_a_network_that_delays_and_resets() {
