An operation answered with the status of a failure is not reported as done

What callers saw (own API): "done" for an operation that a back end had answered with 500.

Change: an answer that is none of success counts as no response: unknown to the caller, never sent again. That holds for a refusal under such a status, too: it promises nothing.

Test: at_most_once.rs, an_operation_that_a_back_end_answers_with_a_failure_is_not_done. Red before: Done.

--- a/crates/sablebay-node/src/leaf_client/operation.rs
+++ b/crates/sablebay-node/src/leaf_client/operation.rs
@@ -71,6 +71,10 @@
                 ExchangeFailure::NotSent => OperationFailure::NotSent,
                 ExchangeFailure::Broken => OperationFailure::NoResponse,
             })?;
+            // A failure neither reports a result nor promises that the operation did not run.
+            if !response.status().is_success() {
+                return Err(OperationFailure::NoResponse);
+            }
             let body = read_body(response.into_body(), MAXIMUM_RESULT_BYTES).await;
             body.map_err(|_| OperationFailure::NoResponse)
         };
--- a/crates/sablebay-standin/src/leaf/http.rs
+++ b/crates/sablebay-standin/src/leaf/http.rs
@@ -6,6 +6,7 @@
 
 use axum::body::{Body, Bytes};
 use axum::extract::State;
+use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
@@ -73,7 +74,7 @@
 async fn search(State(state): State<Arc<LeafState>>, body: Bytes) -> Response {
     let batch: SearchBatch<String, LeafCall> = match serde_json::from_slice(&body) {
         Ok(batch) => batch,
-        Err(error) => return (axum::http::StatusCode::BAD_REQUEST, error.to_string()).into_response(),
+        Err(error) => return (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
     };
     if state.is_immediate() {
         return answer_at_once(&state, &batch);
@@ -118,7 +119,7 @@
 async fn operation(
     State(state): State<Arc<LeafState>>,
     Json(operation): Json<LeafOperation>,
-) -> Json<LeafOperationAnswer> {
+) -> (StatusCode, Json<LeafOperationAnswer>) {
     let refuse = |refusal| LeafOperationAnswer {
         call_id: operation.call_id,
         result: None,
@@ -127,10 +128,10 @@
     };
     let faults = state.faults.lock().clone();
     if faults.draining {
-        return Json(refuse(LeafRefusal::Draining));
+        return (StatusCode::OK, Json(refuse(LeafRefusal::Draining)));
     }
     if faults.shedding {
-        return Json(refuse(LeafRefusal::Shedding));
+        return (StatusCode::OK, Json(refuse(LeafRefusal::Shedding)));
     }
     // Counted before the work starts: the operation has run even if its answer is lost.
     *state.operations.lock().entry(operation.ticket.clone()).or_default() += 1;
@@ -138,12 +139,14 @@
     if faults.black_hole {
         std::future::pending::<()>().await;
     }
-    Json(LeafOperationAnswer {
+    let status = if faults.fails_operations { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+    let answer = LeafOperationAnswer {
         call_id: CallId(operation.call_id.0),
         result: to_raw_value(&serde_json::json!({"accepted": operation.ticket})).ok(),
         refusal: None,
         load: state.load(),
-    })
+    };
+    (status, Json(answer))
 }
 
 async fn load(State(state): State<Arc<LeafState>>) -> Json<sablebay_protocol::backend::LeafLoad> {
--- a/crates/sablebay/tests/at_most_once.rs
+++ b/crates/sablebay/tests/at_most_once.rs
@@ -47,6 +47,18 @@
     assert_eq!(cluster.leaves.operations().values().sum::<u32>(), 1);
 }
 
+/// Guards against a result under the status of a failure that is reported to the caller as done.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_that_a_back_end_answers_with_a_failure_is_not_done() {
+    let cluster = start(small_deployment("latency", 2_000.0)).await;
+    for leaf in cluster.leaves.leaves.values() {
+        leaf.state.faults.lock().fails_operations = true;
+    }
+    let outcome = cluster.nodes[0].client().operation(DESK, None, None).await;
+    assert!(matches!(outcome, OperationOutcome::Unknown { .. }), "{outcome:?}");
+    assert_eq!(cluster.leaves.operations().values().sum::<u32>(), 1);
+}
+
 /// After two of the three ticket holders are replaced, the claim cannot be verified: the operation must not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn when_most_holders_are_replaced_the_ticket_is_refused() {
