Half a configuration document is not taken for a whole one

What callers saw (own API, own platform service): a node that served by the first half of a document. The service sent it without a length, the connection ended early, and the half parsed.

Change: a document counts only if its answer states a length or comes in chunks.

Tests: configuration.rs, a_document_that_ends_with_its_connection_is_not_taken, red before ("half a document is in force"). odd_answers.rs of sablebay-http: heads cut at each byte are no answer (held before), and where a body ends.

--- a/crates/sablebay-http/src/lib.rs
+++ b/crates/sablebay-http/src/lib.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -178,6 +178,15 @@
     (200..600).contains(&status.as_u16())
 }
 
+/// Whether the head of a response says where its body ends. If not, the body ends with the connection, and one that was
+/// cut short can't be told from a whole one.
+pub fn states_end_of_body(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last_coding = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next().map(str::trim));
+    let is_chunked = last_coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
+    is_chunked || headers.contains_key(header::CONTENT_LENGTH)
+}
+
 /// Builds a request with a JSON body. Panics if `path` is not a valid URI.
 pub fn json_request(method: Method, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
--- a/crates/sablebay-http/tests/odd_answers.rs
+++ b/crates/sablebay-http/tests/odd_answers.rs
@@ -1,11 +1,11 @@
 //! Servers that send a status which no answer has.
 
 use bytes::Bytes;
-use http::Method;
+use http::{HeaderMap, HeaderValue, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use sablebay_http::{ConnectionPool, ExchangeFailure, json_request};
+use sablebay_http::{ConnectionPool, ExchangeFailure, json_request, states_end_of_body};
 
 /// What a pool reports of a server that answers every request with these bytes.
 async fn status_of(answer: &'static str) -> Result<u16, ExchangeFailure> {
@@ -51,3 +51,52 @@
         assert_eq!(status_of(answer).await, Ok(status), "{answer}");
     }
 }
+
+/// Guards against a body that was cut short and can't be told from a whole one.
+#[test]
+fn a_body_ends_where_its_head_says_or_with_its_connection() {
+    for (lines, states_end) in [
+        (&[][..], false),
+        (&[("connection", "close")][..], false),
+        (&[("transfer-encoding", "gzip")][..], false),
+        (&[("transfer-encoding", "chunked, gzip")][..], false),
+        (&[("transfer-encoding", "chunked"), ("transfer-encoding", "gzip")][..], false),
+        (&[("transfer-encoding", "Chunked")][..], true),
+        (&[("transfer-encoding", "gzip, chunked")][..], true),
+        (&[("content-length", "0")][..], true),
+    ] {
+        let mut headers = HeaderMap::new();
+        for (name, value) in lines {
+            headers.append(*name, HeaderValue::from_static(value));
+        }
+        assert_eq!(states_end_of_body(&headers), states_end, "{lines:?}");
+    }
+}
+
+/// Forms of an answer; none of them is whole without its last byte.
+const HEADS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Other: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nX-Other: 1\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n",
+];
+
+/// Guards against an answer that stops within its head and is taken for a whole one, with an empty body.
+#[tokio::test]
+async fn an_answer_that_stops_within_its_head_is_none() {
+    for head in HEADS {
+        for length in 0..head.len() {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a listener");
+            let pool = ConnectionPool::new(listener.local_addr().expect("its address"), 1);
+            let server = tokio::spawn(async move {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await.expect("a request");
+                stream.write_all(&head.as_bytes()[..length]).await.expect("a part of the head is sent");
+            });
+            let exchanged = pool.exchange(Method::POST, "/", Bytes::from_static(b"{}")).await;
+            assert_eq!(exchanged, Err(ExchangeFailure::Broken), "{length} of {head}");
+            server.await.expect("the connection is closed");
+        }
+    }
+}
--- a/crates/sablebay-node/src/platform.rs
+++ b/crates/sablebay-node/src/platform.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 
 use sablebay_config::{Configuration, ConfigurationError, Digest, Version};
-use sablebay_http::{ConnectionPool, ExchangeFailure, json_request, read_body};
+use sablebay_http::{ConnectionPool, ExchangeFailure, json_request, read_body, states_end_of_body};
 use sablebay_model::{LeafId, Revision};
 use sablebay_protocol::backend::{
     MachineList, MachineRole, PLATFORM_CONFIGURATION_PATH, PLATFORM_MACHINES_PATH,
@@ -108,12 +108,14 @@
         let response = self.pool.send(&mut lease, request).await?;
         let status = response.status();
         let tag = response.headers().get(header::ETAG).cloned();
+        // The first part of a document may be valid by itself.
+        let is_whole = states_end_of_body(response.headers());
         let body = read_body(response.into_body(), MAXIMUM_DOCUMENT_BYTES).await;
         let body = body.map_err(|_| ExchangeFailure::Broken)?;
         self.pool.release(lease);
         match status {
             StatusCode::NOT_MODIFIED => Ok(Document::Unchanged),
-            StatusCode::OK => {
+            StatusCode::OK if is_whole => {
                 let text = String::from_utf8_lossy(&body).into_owned();
                 Ok(Document::Changed { tag, text })
             }
--- a/crates/sablebay/tests/configuration.rs
+++ b/crates/sablebay/tests/configuration.rs
@@ -2,10 +2,17 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 use common::{DESK, small_deployment, start, wait_for_report, wait_for_revision};
-use sablebay_bench::{ProcessCluster, RunOptions, run_experiment};
+use sablebay_bench::{NodeCommand, NodeProcess, ProcessCluster, RunOptions, run_experiment};
 use sablebay_standin::{CORPUS, CallerClient, Faults, PlatformMode, QueryOutcome};
 
 async fn revisions(cluster: &ProcessCluster) -> Vec<u64> {
@@ -37,6 +44,84 @@
     wait_for_revision(&cluster, revision).await;
 }
 
+/// A platform of which nothing is known but the bytes that it sends.
+struct RawPlatform {
+    address: SocketAddr,
+    /// The answer to each read of the configuration.
+    answer: Arc<Mutex<Vec<u8>>>,
+    /// Number of reads of the configuration.
+    reads: Arc<AtomicU64>,
+}
+
+impl RawPlatform {
+    async fn start(answer: Vec<u8>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a listener");
+        let platform = Self {
+            address: listener.local_addr().expect("its address"),
+            answer: Arc::new(Mutex::new(answer)),
+            reads: Arc::default(),
+        };
+        let (answer, reads) = (platform.answer.clone(), platform.reads.clone());
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut request = vec![0; 4_096];
+                let length = stream.read(&mut request).await.unwrap_or(0);
+                let asks_configuration = request[..length].starts_with(b"GET /v1/configuration");
+                reads.fetch_add(u64::from(asks_configuration), Ordering::Relaxed);
+                let machines = b"HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"machines\":[]}".to_vec();
+                let sent = if asks_configuration { answer.lock().clone() } else { machines };
+                // The node may have closed the connection.
+                let _ = stream.write_all(&sent).await;
+            }
+        });
+        platform
+    }
+
+    /// Waits until the configuration was read this many more times.
+    async fn wait_for_reads(&self, count: u64) {
+        let until = self.reads.load(Ordering::Relaxed) + count;
+        let waiting = async {
+            while self.reads.load(Ordering::Relaxed) < until {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(common::EVENT_TIMEOUT, waiting).await.expect("the configuration is read");
+    }
+}
+
+/// Guards against a document whose second half is lost, and of which the first half is valid by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_that_ends_with_its_connection_is_not_taken() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+    let deployment = small_deployment("latency", 2_000.0);
+    let leaves = deployment.start_leaves(1).await.expect("the leaves");
+    let whole = deployment.document(1, &leaves.addresses());
+    // The indexes of the other service stand behind this line.
+    let half = &whole[..whole.find("\n[instances.").expect("an instance") + 1];
+    let platform = RawPlatform::start(format!("{HEAD}\r\n{half}").into_bytes()).await;
+    let address = platform.address.to_string();
+    let flags = ["--platform-address", &address, "--fleet", "half-documents", "--zone", "zone-a"];
+    let flags: Vec<String> = flags.iter().map(|flag| (*flag).to_string()).collect();
+    let command = NodeCommand::with_break(None).expect("the binaries are built");
+    let node = NodeProcess::spawn(&command, "node-1", &flags).expect("a node");
+    platform.wait_for_reads(5).await;
+    let admin = CallerClient::new(node.admin_address);
+    let is_ready = || async {
+        admin.send(http::Method::GET, "/readyz", "").await.is_some_and(|(status, _)| status.is_success())
+    };
+    assert!(!is_ready().await, "half a document is in force");
+    let length = whole.len();
+    *platform.answer.lock() = format!("{HEAD}Content-Length: {length}\r\n\r\n{whole}").into_bytes();
+    platform.wait_for_reads(2).await;
+    let started = std::time::Instant::now();
+    while !is_ready().await {
+        assert!(started.elapsed() < common::EVENT_TIMEOUT, "the whole document is not taken");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let outcome = node.client().query(DESK, 7, 5, Some(10_000), &CORPUS).await;
+    assert!(matches!(outcome, QueryOutcome::Answered(_)), "{outcome:?}");
+}
+
 /// A node that was paused while a change was published must not serve the old revision as confirmed
 /// after it resumes.
 #[tokio::test(flavor = "multi_thread")]
