Tests: an answer that stops within its head is no answer, on every path

- broken_heads.rs: seven forms of an answer (with a length, up to the end of the connection, in chunks, HTTP/1.0, after a 102, 201, 206) cut at every third byte of the head, on connections that carried a whole answer before: 502 for one back end, run once, and sound answers over shards; and cut while a body of 8 MB is still being sent.
- gathering.rs: at a gatherer, with heads cut and unsigned ones (not run on the code before).

--- a/crates/sablebay/tests/platform/gathering.rs
+++ b/crates/sablebay/tests/platform/gathering.rs
@@ -93,6 +93,37 @@
     assert!(metric(&fleet.root, ANSWERED_DELEGATIONS) > delegated, "nothing was delegated");
 }
 
+/// Heads of which the gatherer gets a part, and of a success that nobody signed.
+const NO_ANSWERS: [LeafBehaviour; 4] = [
+    LeafBehaviour::HeadCut { head: SIGNED_HEAD, bytes: 17 },
+    LeafBehaviour::HeadCut { head: SIGNED_HEAD, bytes: 60 },
+    LeafBehaviour::Head("HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nContent-Length: {length}\n"),
+    LeafBehaviour::Head(
+        "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp:\nContent-Length: {length}\n",
+    ),
+];
+const SIGNED_HEAD: &str =
+    "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nConnection: close\n";
+
+/// Guards against a merged answer that names as a part what a gatherer got no answer for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_delegated_shard_without_a_signed_answer_is_missing() {
+    for behaviour in NO_ANSWERS {
+        let fleet = Fleet::start(1).await;
+        for leaf in &fleet.deployment.shards[..2] {
+            leaf.behave(behaviour);
+        }
+        let delegated = metric(&fleet.root, ANSWERED_DELEGATIONS);
+        for number in 0..4 {
+            let id = format!("unsigned-{number}");
+            let answer = fleet.root.get(GATHER_PATH, &id).await;
+            check_gathered(&answer, &id);
+            assert_eq!(answer.missing, 1, "{behaviour:?}");
+        }
+        assert!(metric(&fleet.root, ANSWERED_DELEGATIONS) > delegated, "nothing was delegated");
+    }
+}
+
 /// Each gatherer would hold a copy of the body, outside the memory that the root accounts for.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_with_a_large_body_is_not_delegated() {
--- a/crates/sablebay/tests/platform/main.rs
+++ b/crates/sablebay/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! `sablebay-platform-standin` as callers, back ends and the store.
 
 mod at_most_once;
+mod broken_heads;
 mod callers;
 mod catalogue;
 mod evacuation;
