Soak: back ends report successes that they don't prove, and stop within the heads of their answers

Up to four such faults a storm, on a back end or on all of a service, drawn by a generator of their own, so that the other faults of a seed stay as they were.

--- a/crates/sablebay-bench/src/soak.rs
+++ b/crates/sablebay-bench/src/soak.rs
@@ -97,8 +97,9 @@
 pub async fn run_soak(options: &SoakOptions) -> Result<SoakReport, BenchError> {
     std::fs::create_dir_all(&options.logs)?;
     let mut random = SmallRng::seed_from_u64(options.seed);
-    // A separate generator keeps the other faults of a seed unchanged.
+    // Separate generators keep the other faults of a seed unchanged.
     let mut restore_random = SmallRng::seed_from_u64(!options.seed);
+    let mut answer_random = SmallRng::seed_from_u64(options.seed.rotate_left(32));
     let checker = Arc::new(Checker::default());
     let mut deployment = SoakDeployment::start(options, checker.clone()).await?;
     deployment.wait_ready().await?;
@@ -110,6 +111,9 @@
         if options.returns {
             storm = storm.with_store_restores(&mut restore_random);
         }
+        if options.broken.is_none() {
+            storm = storm.with_unreliable_answers(&mut answer_random);
+        }
         faults += storm.faults.len() as u32;
         schedule::play(&storm, &mut deployment).await?;
         storms += 1;
--- a/crates/sablebay-bench/src/soak/schedule.rs
+++ b/crates/sablebay-bench/src/soak/schedule.rs
@@ -118,6 +118,29 @@
     pick(random, &behaviours)
 }
 
+/// Heads of answers that report success and that no caller may get: without a receipt, with an empty one, with two lines
+/// of which one is empty, and with the word that nothing ran.
+const UNRELIABLE_HEADS: [&str; 5] = [
+    "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nContent-Length: {length}\n",
+    "HTTP/1.1 204 No Content\nX-Sablebay-Request-Id: {id}\n",
+    "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp:\nContent-Length: {length}\n",
+    "HTTP/1.1 201 Created\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp:\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n",
+    "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nX-Sablebay-Not-Executed: 1\nContent-Length: {length}\n",
+];
+/// A sound head, of which a part is sent.
+const CUT_HEAD: &str = "HTTP/1.1 200 OK\nX-Sablebay-Request-Id: {id}\nX-Sablebay-Response-Stamp: {stamp}\nContent-Length: {length}\n";
+/// Number of its bytes that are sent; at most the whole head without a body.
+const CUT_BYTES: std::ops::Range<usize> = 0..160;
+
+/// Draws an answer whose head makes it none.
+fn draw_unreliable_answer(random: &mut impl Rng) -> LeafBehaviour {
+    let head = pick(random, &UNRELIABLE_HEADS);
+    match random.random_range(0..3) {
+        0 => LeafBehaviour::HeadCut { head: CUT_HEAD, bytes: random.random_range(CUT_BYTES) },
+        _ => LeafBehaviour::Head(head),
+    }
+}
+
 fn draw_fault(random: &mut impl Rng) -> Fault {
     let node = random.random_range(0..NODES);
     match random.random_range(0..20) {
@@ -155,6 +178,23 @@
         Self { faults }
     }
 
+    /// Adds up to four back ends or services whose answers report success without proving it.
+    pub fn with_unreliable_answers(mut self, random: &mut impl Rng) -> Self {
+        let storm_ms = STORM_DURATION.as_millis() as u64;
+        for _ in 0..random.random_range(1..5) {
+            let behaviour = draw_unreliable_answer(random);
+            let lasts = milliseconds(random, 200..2_000);
+            let shard = random.random_range(0..SHARDS * 2);
+            let fault = match random.random_bool(0.5) {
+                true => Fault::Leaf(random.random_range(0..LEAVES), behaviour, lasts),
+                false => Fault::Service((shard < SHARDS).then_some(shard), behaviour, lasts),
+            };
+            self.faults.push((milliseconds(random, 0..storm_ms), fault));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Adds one or two restores of the store from an older copy.
     pub fn with_store_restores(mut self, random: &mut impl Rng) -> Self {
         let half = (STORM_DURATION / 2).as_millis() as u64;
