--- a/crates/sablebay-http/tests/odd_answers.rs
+++ b/crates/sablebay-http/tests/odd_answers.rs
@@ -1,4 +1,4 @@
-//! Servers that send a status which no answer has.
+//! Servers that send a status which no answer has, or a part of an answer.
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
--- a/crates/sablebay/tests/platform/broken_heads.rs
+++ b/crates/sablebay/tests/platform/broken_heads.rs
@@ -6,7 +6,7 @@
 
 use crate::support::{
     Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, configuration,
-    eventually,
+    eventually, one_node,
 };
 
 /// Forms of an answer: with a length, up to the end of the connection, in chunks, by an older protocol, after another
@@ -42,9 +42,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_stops_within_its_head_is_no_answer() {
     const STEP: usize = 3;
-    let deployment = Deployment::start().await;
-    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
-    node.wait_ready().await;
+    let (deployment, node) = one_node().await;
     for (form, head) in FORMS.into_iter().enumerate() {
         for bytes in cuts(head, STEP) {
             let name = format!("{form}-{bytes}");
--- a/crates/sablebay/tests/platform/faulty_answers.rs
+++ b/crates/sablebay/tests/platform/faulty_answers.rs
@@ -4,16 +4,7 @@
 
 use sablebay_platform_standin::{CallerCall, LeafBehaviour};
 
-use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, check_gathered, eventually,
-};
-
-async fn one_node() -> (Deployment, NodeProcess) {
-    let deployment = Deployment::start().await;
-    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
-    node.wait_ready().await;
-    (deployment, node)
-}
+use crate::support::{GATHER_PATH, HOST, SAFE_PATH, SHARDS, check_gathered, eventually, one_node};
 
 /// Faults after which the other back end of the shard answers instead.
 const FAILED_OVER: [LeafBehaviour; 11] = [
--- a/crates/sablebay/tests/platform/normal_operation.rs
+++ b/crates/sablebay/tests/platform/normal_operation.rs
@@ -5,17 +5,9 @@
 use sablebay_platform_standin::CallerCall;
 
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered, eventually,
-    expected_records,
+    GATHER_PATH, HOST, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered, eventually, expected_records, one_node,
 };
 
-async fn one_node() -> (Deployment, NodeProcess) {
-    let deployment = Deployment::start().await;
-    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
-    node.wait_ready().await;
-    (deployment, node)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gathered_answer_holds_the_greatest_records_of_all_shards() {
     let (deployment, node) = one_node().await;
--- a/crates/sablebay/tests/platform/odd_answers.rs
+++ b/crates/sablebay/tests/platform/odd_answers.rs
@@ -5,17 +5,10 @@
 use sablebay_platform_standin::{CallerAnswer, CallerCall, EndlessPart, LeafBehaviour};
 
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, eventually,
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, UNSAFE_PATH, check_gathered, eventually, one_node,
     settings_text,
 };
 
-async fn one_node() -> (Deployment, NodeProcess) {
-    let deployment = Deployment::start().await;
-    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
-    node.wait_ready().await;
-    (deployment, node)
-}
-
 /// Sends as many requests as a node needs to know their usual latency. Until then it hedges a slow call only after the
 /// deadline of these tests.
 async fn record_latencies(node: &NodeProcess) {
--- a/crates/sablebay/tests/platform/support.rs
+++ b/crates/sablebay/tests/platform/support.rs
@@ -348,6 +348,14 @@
     }
 }
 
+/// Starts a deployment with one node that is ready.
+pub async fn one_node() -> (Deployment, NodeProcess) {
+    let deployment = Deployment::start().await;
+    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
+    node.wait_ready().await;
+    (deployment, node)
+}
+
 /// Checks that a gathered answer holds exactly the records of the shards that signed it.
 pub fn check_gathered(answer: &CallerAnswer, id: &str) {
     assert_eq!(answer.status.as_u16(), 200);
--- a/crates/sablebay/tests/platform/unsigned_answers.rs
+++ b/crates/sablebay/tests/platform/unsigned_answers.rs
@@ -8,16 +8,9 @@
 
 use crate::gathering::metric;
 use crate::support::{
-    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered,
+    Deployment, GATHER_PATH, HOST, NodeProcess, SAFE_PATH, SHARDS, UNSAFE_PATH, check_gathered, one_node,
 };
 
-async fn one_node() -> (Deployment, NodeProcess) {
-    let deployment = Deployment::start().await;
-    let node = NodeProcess::start("node-1", deployment.store.address, &[]);
-    node.wait_ready().await;
-    (deployment, node)
-}
-
 /// Sends as many requests as a node needs to know their usual latency, so that it hedges before the deadline.
 async fn record_latencies(node: &NodeProcess) {
     for number in 0..30 {
